--- /dev/null
+++ b/eelgrassfork/http_client.py
@@ -0,0 +1,332 @@
+"""
+eelgrassfork.http_client
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+HTTP/1.1 client connections by h11 over trio, with a pool per address.
+"""
+
+from collections.abc import AsyncIterator
+from typing import Final, NamedTuple
+
+import h11
+import trio
+
+from .errors import EelgrassError
+
+__all__ = (
+    'ClientRequest',
+    'ClientTimeouts',
+    'ConnectFailed',
+    'ConnectionSilent',
+    'HttpClient',
+    'HttpClientError',
+    'ConnectionLost',
+    'Response',
+)
+
+_RECEIVE_BYTES: Final = 65536
+_MAX_HEADER_BYTES: Final = 65536
+
+
+class HttpClientError(EelgrassError):
+    """
+    A request got no whole answer.
+
+    :ivar sent: whether any byte of the request may have left.
+    """
+
+    def __init__(self, code: str, message: str, sent: bool) -> None:
+        super().__init__(code, message)
+        self.sent = sent
+
+
+class ConnectFailed(HttpClientError):
+    """No connection could be opened; nothing was sent."""
+
+
+class ConnectionLost(HttpClientError):
+    """The connection broke, or the peer broke the protocol."""
+
+
+class ConnectionSilent(HttpClientError):
+    """No byte came within the bound on silence."""
+
+
+class ClientTimeouts(NamedTuple):
+    """Bounds on a request, in seconds."""
+
+    connect_s: float = 1
+    first_byte_s: float = 30
+    silence_s: float = 10
+
+
+class ClientRequest(NamedTuple):
+    """
+    What to send.
+
+    :param fresh: use a new connection, so that a connection that broke
+        while idle can't make the outcome unknown.
+    """
+
+    address: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+    fresh: bool = False
+
+
+class _Connection:
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.stream = stream
+        self.protocol = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
+        )
+        self.reused = False
+
+    async def send_request(self, request: ClientRequest) -> None:
+        headers = [
+            ('host', request.address),
+            ('content-length', str(len(request.body))),
+            *request.headers,
+        ]
+        head = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        encoded = self.protocol.send(head) or b''
+        if request.body:
+            encoded += self.protocol.send(h11.Data(data=request.body)) or b''
+        encoded += self.protocol.send(h11.EndOfMessage()) or b''
+        try:
+            await self.stream.send_all(encoded)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            raise _lost('the connection broke while sending') from None
+
+    async def next_event(self, silence_s: float) -> object:
+        while True:
+            try:
+                event = self.protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                raise _lost(f'not a valid answer: {error}') from None
+            if event is not h11.NEED_DATA:
+                return event
+            self.protocol.receive_data(await self._receive(silence_s))
+
+    async def close(self) -> None:
+        with trio.CancelScope(shield=True):
+            await trio.aclose_forcefully(self.stream)
+
+    async def _receive(self, silence_s: float) -> bytes:
+        with trio.move_on_after(silence_s):
+            try:
+                return bytes(await self.stream.receive_some(_RECEIVE_BYTES))
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                raise _lost('the connection broke') from None
+        raise ConnectionSilent(
+            'connection_silent', f'no byte within {silence_s} s', sent=True
+        )
+
+
+def _lost(message: str) -> ConnectionLost:
+    return ConnectionLost('connection_lost', message, sent=True)
+
+
+class Response:
+    """
+    Answer to a request; the body is read once, whole or in chunks.
+
+    The connection goes back to the pool only after the whole answer was
+    read. :meth:`close` must be called in every case.
+
+    :ivar status: HTTP status.
+    :ivar headers_by_name: headers by lower-case name.
+    """
+
+    def __init__(
+        self,
+        client: 'HttpClient',
+        connection: _Connection,
+        request: ClientRequest,
+        head: h11.Response,
+        silence_s: float,
+    ) -> None:
+        self.status = head.status_code
+        self.headers_by_name = {
+            name.decode('ascii'): value.decode('latin-1')
+            for name, value in head.headers
+        }
+        self._client = client
+        self._connection = connection
+        self._address = request.address
+        self._silence_s = silence_s
+        self._whole = False
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """
+        Read the body as it comes.
+
+        :returns: iterator of non-empty chunks; it ends only after a whole
+            answer.
+        :raises HttpClientError: if the answer is cut or goes silent.
+        """
+        while not self._whole:
+            event = await self._connection.next_event(self._silence_s)
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._whole = True
+            else:
+                raise _lost('the answer was cut')
+
+    async def read(self) -> bytes:
+        """
+        Read the whole body.
+
+        :returns: the body.
+        :raises HttpClientError: if the answer is cut or goes silent.
+        """
+        parts = [chunk async for chunk in self.chunks()]
+        return b''.join(parts)
+
+    async def close(self) -> None:
+        """Give the connection back if the answer is whole, or close it."""
+        protocol = self._connection.protocol
+        done = (protocol.our_state, protocol.their_state)
+        if self._whole and done == (h11.DONE, h11.DONE):
+            protocol.start_next_cycle()
+            await self._client.give_back(self._address, self._connection)
+            return
+        await self._connection.close()
+
+
+class HttpClient:
+    """
+    Sends requests over pooled connections.
+
+    :param timeouts: default bounds.
+    :param max_idle: idle connections kept per address.
+    """
+
+    def __init__(
+        self, timeouts: ClientTimeouts | None = None, max_idle: int = 8
+    ) -> None:
+        self._timeouts = timeouts or ClientTimeouts()
+        self._max_idle = max_idle
+        self._idle_by_address: dict[str, list[_Connection]] = {}
+        self._closed = False
+
+    async def request(
+        self, request: ClientRequest, timeouts: ClientTimeouts | None = None
+    ) -> Response:
+        """
+        Send a request and wait for the head of its answer.
+
+        A pooled connection that turns out to be broken is replaced by a new
+        one once, unless ``request.fresh`` is set.
+
+        :param request: what to send.
+        :param timeouts: bounds; the client's own where it is ``None``.
+        :returns: the answer, to be closed by the caller.
+        :raises ConnectFailed: if no connection could be opened.
+        :raises ConnectionLost: if the connection broke.
+        :raises ConnectionSilent: if the first byte came too late.
+        """
+        bounds = timeouts or self._timeouts
+        connection = None if request.fresh else self._take(request.address)
+        if connection is not None:
+            try:
+                return await self._exchange(connection, request, bounds)
+            except ConnectionLost:
+                await trio.lowlevel.checkpoint()
+        fresh = await self._open(request.address, bounds.connect_s)
+        return await self._exchange(fresh, request, bounds)
+
+    async def fetch(
+        self, request: ClientRequest, timeouts: ClientTimeouts | None = None
+    ) -> tuple[Response, bytes]:
+        """
+        Send a request and read its whole answer.
+
+        :param request: what to send.
+        :param timeouts: bounds; the client's own where it is ``None``.
+        :returns: the closed answer and its body.
+        :raises HttpClientError: if there is no whole answer.
+        """
+        response = await self.request(request, timeouts)
+        try:
+            body = await response.read()
+        finally:
+            await response.close()
+        return response, body
+
+    async def give_back(self, address: str, connection: _Connection) -> None:
+        """
+        Keep a connection for the next request.
+
+        :param address: where it leads.
+        :param connection: a connection whose last answer is whole.
+        """
+        idle = self._idle_by_address.setdefault(address, [])
+        if self._closed or len(idle) >= self._max_idle:
+            await connection.close()
+            return
+        connection.reused = True
+        idle.append(connection)
+
+    async def forget(self, address: str) -> None:
+        """
+        Close the idle connections to an address.
+
+        :param address: where they lead.
+        """
+        for connection in self._idle_by_address.pop(address, []):
+            await connection.close()
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        self._closed = True
+        for address in list(self._idle_by_address):
+            await self.forget(address)
+
+    def _take(self, address: str) -> _Connection | None:
+        idle = self._idle_by_address.get(address)
+        return idle.pop() if idle else None
+
+    async def _open(self, address: str, connect_s: float) -> _Connection:
+        host, _, port = address.rpartition(':')
+        with trio.move_on_after(connect_s):
+            try:
+                return _Connection(await trio.open_tcp_stream(host, int(port)))
+            except OSError as error:
+                raise ConnectFailed(
+                    'connect_failed', f'{address}: {error}', sent=False
+                ) from None
+        raise ConnectFailed(
+            'connect_failed',
+            f'{address}: no connection within {connect_s} s',
+            sent=False,
+        )
+
+    async def _exchange(
+        self,
+        connection: _Connection,
+        request: ClientRequest,
+        bounds: ClientTimeouts,
+    ) -> Response:
+        try:
+            await connection.send_request(request)
+            event = await self._head(connection, bounds.first_byte_s)
+        except BaseException:
+            await connection.close()
+            raise
+        return Response(self, connection, request, event, bounds.silence_s)
+
+    async def _head(
+        self, connection: _Connection, first_byte_s: float
+    ) -> h11.Response:
+        while True:
+            event = await connection.next_event(first_byte_s)
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise _lost('the connection was closed before an answer')
--- /dev/null
+++ b/eelgrassfork/http_server.py
@@ -0,0 +1,401 @@
+"""
+eelgrassfork.http_server
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+HTTP/1.1 server connections by h11 over trio.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Final, NamedTuple
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import h11
+import logbook
+import trio
+
+from .errors import RequestError, error_body
+from .names import new_request_id
+
+__all__ = ('Call', 'CallerGone', 'Handler', 'HttpServer', 'ServerLimits')
+
+_log = logbook.Logger('http')
+
+_RECEIVE_BYTES: Final = 65536
+_PIPELINE_BYTES: Final = 65536
+_HEADERS_TOO_LARGE_STATUS: Final = 431
+_JSON: Final = (('content-type', 'application/json'),)
+
+
+class ServerLimits(NamedTuple):
+    """Bounds on what one caller may send and how slowly."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 8_388_608
+    header_timeout_s: float = 10
+    body_timeout_s: float = 30
+    idle_timeout_s: float = 75
+
+
+class CallerGone(Exception):
+    """The caller closed or broke the connection during its answer."""
+
+
+class Call:
+    """
+    One request and its answer on a server connection.
+
+    :ivar method: HTTP method in upper case.
+    :ivar path: decoded path without the query.
+    :ivar query_by_name: first value of each query parameter.
+    :ivar headers_by_name: headers by lower-case name.
+    :ivar body: the whole body.
+    :ivar request_id: identity given to this request on arrival.
+    :ivar gone: set once the caller has closed the connection.
+    """
+
+    def __init__(
+        self, connection: '_Connection', request: h11.Request, body: bytes
+    ) -> None:
+        target = request.target.decode('ascii')
+        parts = urlsplit(target)
+        self.method = request.method.decode('ascii')
+        self.target = target
+        self.path = unquote(parts.path)
+        self.query_by_name = dict(parse_qsl(parts.query))
+        self.headers_by_name = {
+            name.decode('ascii'): value.decode('latin-1')
+            for name, value in request.headers
+        }
+        self.body = body
+        self.request_id = new_request_id()
+        self.gone = trio.Event()
+        self.status: int | None = None
+        self._connection = connection
+
+    @property
+    def started(self) -> bool:
+        """Whether the status line has been sent."""
+        return self.status is not None
+
+    async def respond(
+        self,
+        status: int,
+        body: bytes = b'',
+        headers: tuple[tuple[str, str], ...] = _JSON,
+    ) -> None:
+        """
+        Send a whole answer.
+
+        :param status: HTTP status.
+        :param body: the whole body.
+        :param headers: headers besides length and request identity.
+        """
+        length = ('content-length', str(len(body)))
+        await self.start(status, (*headers, length))
+        await self.send(body)
+        await self.finish()
+
+    async def fail(self, error: RequestError) -> None:
+        """
+        Send a final answer other than success.
+
+        :param error: code, sentence, outcome and delay.
+        """
+        headers: tuple[tuple[str, str], ...] = _JSON
+        if error.retry_after_s is not None:
+            seconds = max(1, round(error.retry_after_s))
+            headers = (*headers, ('retry-after', str(seconds)))
+        body = error_body(error, self.request_id)
+        await self.respond(error.status, body, headers)
+
+    async def start(
+        self, status: int, headers: tuple[tuple[str, str], ...]
+    ) -> None:
+        """
+        Send the status line and headers of a streamed answer.
+
+        :param status: HTTP status.
+        :param headers: headers; without a length the body is chunked.
+        """
+        self.status = status
+        await self._connection.send(
+            h11.Response(
+                status_code=status,
+                headers=[
+                    *headers,
+                    ('x-request-id', self.request_id),
+                    *self._connection.close_header(),
+                ],
+            ),
+        )
+
+    async def send(self, chunk: bytes) -> None:
+        """
+        Send a part of the body.
+
+        :param chunk: bytes to send now.
+        """
+        if chunk:
+            await self._connection.send(h11.Data(data=chunk))
+
+    async def finish(self) -> None:
+        """End the answer, so that the caller knows it is whole."""
+        await self._connection.send(h11.EndOfMessage())
+
+    async def abort(self) -> None:
+        """Close the connection, so that the caller sees a cut answer."""
+        await self._connection.close()
+
+
+Handler = Callable[[Call], Awaitable[None]]
+
+
+class _Connection:
+    def __init__(self, stream: trio.SocketStream, limits: ServerLimits) -> None:
+        self._stream = stream
+        self._limits = limits
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+        )
+        self._pipelined = 0
+        self.busy = False
+        self.closing = False
+
+    def close_header(self) -> tuple[tuple[str, str], ...]:
+        return (('connection', 'close'),) if self.closing else ()
+
+    async def send(self, event: h11.Event) -> None:
+        encoded = self._h11.send(event)
+        if encoded:
+            try:
+                await self._stream.send_all(encoded)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                raise CallerGone from None
+
+    async def close(self) -> None:
+        with trio.CancelScope(shield=True):
+            await trio.aclose_forcefully(self._stream)
+
+    async def serve(self, handler: Handler) -> None:
+        try:
+            while await self._serve_one(handler):
+                self._h11.start_next_cycle()
+        except (CallerGone, h11.LocalProtocolError):
+            await self.close()
+        finally:
+            await self.close()
+
+    async def _serve_one(self, handler: Handler) -> bool:
+        try:
+            call = await self._read_call()
+        except h11.RemoteProtocolError as error:
+            await self._refuse(_request_error(error))
+            return False
+        except RequestError as error:
+            await self._refuse(error)
+            return False
+        if call is None:
+            return False
+        self.busy = True
+        try:
+            await self._answer(handler, call)
+        finally:
+            self.busy = False
+        done = (self._h11.our_state, self._h11.their_state)
+        return done == (h11.DONE, h11.DONE) and not self.closing
+
+    async def _answer(self, handler: Handler, call: Call) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_caller, call)
+            try:
+                await self._run_handler(handler, call)
+            except CallerGone:
+                self.closing = True
+            nursery.cancel_scope.cancel()
+
+    async def _run_handler(self, handler: Handler, call: Call) -> None:
+        try:
+            await handler(call)
+        except RequestError as error:
+            await self._fail(call, error)
+        except CallerGone:
+            raise
+        except Exception:
+            _log.exception('http: request {} failed', call.request_id)
+            message = 'the router failed while it handled the request'
+            failure = RequestError('internal_error', message, 'unknown')
+            await self._fail(call, failure)
+
+    async def _fail(self, call: Call, error: RequestError) -> None:
+        if call.started:
+            await call.abort()
+            return
+        await call.fail(error)
+
+    async def _watch_caller(self, call: Call) -> None:
+        while not call.gone.is_set():
+            received = await self._receive_some()
+            self._pipelined += len(received)
+            if not received or self._pipelined > _PIPELINE_BYTES:
+                call.gone.set()
+                return
+            self._h11.receive_data(received)
+
+    async def _read_call(self) -> Call | None:
+        limits = self._limits
+        self._pipelined = 0
+        idle = trio.move_on_after(limits.idle_timeout_s)
+        with idle:
+            if not await self._has_data():
+                return None
+        if idle.cancelled_caught:
+            return None
+        head = trio.move_on_after(limits.header_timeout_s)
+        event: object = None
+        with head:
+            event = await self._next_event()
+        if head.cancelled_caught:
+            raise RequestError('request_timeout', 'headers came too slowly')
+        if not isinstance(event, h11.Request):
+            return None
+        self._check_header_size(event)
+        return Call(self, event, await self._read_body())
+
+    def _check_header_size(self, request: h11.Request) -> None:
+        # h11 bounds only headers that are still incomplete.
+        size = sum(len(name) + len(text) for name, text in request.headers)
+        if size > self._limits.max_header_bytes:
+            raise RequestError('headers_too_large', 'the headers are too large')
+
+    async def _read_body(self) -> bytes:
+        body = bytearray()
+        with trio.move_on_after(self._limits.body_timeout_s):
+            while True:
+                event = await self._next_event()
+                if not isinstance(event, h11.Data):
+                    break
+                body += event.data
+                if len(body) > self._limits.max_body_bytes:
+                    raise RequestError(
+                        'body_too_large',
+                        f'the body exceeds {self._limits.max_body_bytes} bytes',
+                    )
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            raise CallerGone
+        raise RequestError('request_timeout', 'the body came too slowly')
+
+    async def _has_data(self) -> bool:
+        if self._h11.trailing_data[0]:
+            return True
+        received = await self._receive_some()
+        self._h11.receive_data(received)
+        return bool(received)
+
+    async def _next_event(self) -> object:
+        while True:
+            event = self._h11.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self._h11.they_are_waiting_for_100_continue:
+                await self.send(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
+            self._h11.receive_data(await self._receive_some())
+
+    async def _receive_some(self) -> bytes:
+        try:
+            return bytes(await self._stream.receive_some(_RECEIVE_BYTES))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return b''
+
+    async def _refuse(self, error: RequestError) -> None:
+        if self._h11.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        self.closing = True
+        body = error_body(error, new_request_id())
+        await self.send(
+            h11.Response(
+                status_code=error.status,
+                headers=[
+                    *_JSON,
+                    ('content-length', str(len(body))),
+                    ('connection', 'close'),
+                ],
+            ),
+        )
+        await self.send(h11.Data(data=body))
+        await self.send(h11.EndOfMessage())
+
+
+def _request_error(error: h11.RemoteProtocolError) -> RequestError:
+    if error.error_status_hint == _HEADERS_TOO_LARGE_STATUS:
+        return RequestError('headers_too_large', 'the headers are too large')
+    return RequestError('invalid_request', f'not valid HTTP: {error}')
+
+
+class HttpServer:
+    """
+    One listening socket and its connections.
+
+    :param handler: called for each request; may raise
+        :class:`~eelgrassfork.errors.RequestError`.
+    :param limits: bounds on callers.
+    """
+
+    def __init__(
+        self, handler: Handler, limits: ServerLimits | None = None
+    ) -> None:
+        self._handler = handler
+        self._limits = limits or ServerLimits()
+        self._connections: set[_Connection] = set()
+        self._connections_scope = trio.CancelScope()
+        self._accepting = trio.CancelScope()
+        self.address = ''
+
+    async def start(self, nursery: trio.Nursery, host: str, port: int) -> None:
+        """
+        Bind the socket and accept connections in the background.
+
+        :param nursery: where connections run.
+        :param host: IP address to bind.
+        :param port: port, or 0 for any free one.
+        """
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        name = listeners[0].socket.getsockname()
+        self.address = f'{name[0]}:{name[1]}'
+        nursery.start_soon(self._run, listeners)
+
+    @property
+    def busy(self) -> int:
+        """Number of requests in progress."""
+        return sum(connection.busy for connection in self._connections)
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket, and each connection after its request."""
+        self._accepting.cancel()
+        for connection in self._connections:
+            connection.closing = True
+
+    async def close(self) -> None:
+        """Close the socket and all connections at once."""
+        self.stop_accepting()
+        self._connections_scope.cancel()
+        await trio.lowlevel.checkpoint()
+
+    async def _run(self, listeners: list[trio.SocketListener]) -> None:
+        with self._connections_scope:
+            async with trio.open_nursery() as nursery:
+                with self._accepting:
+                    await trio.serve_listeners(
+                        self._serve, listeners, handler_nursery=nursery
+                    )
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        connection = _Connection(stream, self._limits)
+        connection.closing = self._accepting.cancel_called
+        self._connections.add(connection)
+        try:
+            await connection.serve(self._handler)
+        finally:
+            self._connections.discard(connection)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,8 @@
+"""
+standins
+~~~~~~~~
+
+Small stand-ins for the platform and backend servers, for demo and tests.
+"""
+
+__all__ = ()
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,140 @@
+"""
+tests.test_http_server
+~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against bad input that costs work and cut answers that look whole.
+"""
+
+import functools
+
+import h11
+import msgspec
+import testtools
+import trio
+
+from eelgrassfork.http_client import (
+    ClientRequest,
+    ClientTimeouts,
+    ConnectFailed,
+    ConnectionLost,
+    ConnectionSilent,
+    HttpClient,
+)
+from eelgrassfork.http_server import Call, HttpServer, ServerLimits
+
+LIMITS = ServerLimits(
+    max_header_bytes=2048,
+    max_body_bytes=1000,
+    header_timeout_s=0.2,
+    body_timeout_s=0.2,
+)
+
+
+async def echo(call: Call) -> None:
+    if call.path == '/cut':
+        await call.start(200, ())
+        await call.send(b'half')
+        await call.abort()
+    elif call.path == '/silent':
+        await call.start(200, ())
+        await call.send(b'half')
+        await trio.sleep(5)
+    elif call.path == '/crash':
+        raise ValueError('bug in a handler')
+    else:
+        await call.respond(200, call.body or b'{}')
+
+
+def run_with_server(test):
+    @functools.wraps(test)
+    def wrapper(self):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                server = HttpServer(echo, LIMITS)
+                client = HttpClient(ClientTimeouts(silence_s=0.2))
+                await server.start(nursery, '127.0.0.1', 0)
+                await test(self, server, client)
+                await client.close()
+                await server.close()
+
+        trio.run(main)
+
+    return wrapper
+
+
+async def raw_exchange(address: str, sent: bytes) -> bytes:
+    host, _, port = address.partition(':')
+    stream = await trio.open_tcp_stream(host, int(port))
+    async with stream:
+        await stream.send_all(sent)
+        with trio.fail_after(3):
+            return b''.join([chunk async for chunk in stream])
+
+
+class ServerTests(testtools.TestCase):
+    @run_with_server
+    async def test_connection_is_reused_after_whole_answers(
+        self, server, client
+    ):
+        for number in range(3):
+            body = str(number).encode()
+            request = ClientRequest(server.address, 'POST', '/', body=body)
+            response, answer = await client.fetch(request)
+            self.assertEqual((200, body), (response.status, answer))
+
+    @run_with_server
+    async def test_cut_answer_is_an_error(self, server, client):
+        request = ClientRequest(server.address, 'GET', '/cut')
+        with testtools.ExpectedException(ConnectionLost):
+            await client.fetch(request)
+
+    @run_with_server
+    async def test_silence_is_bounded(self, server, client):
+        request = ClientRequest(server.address, 'GET', '/silent')
+        with testtools.ExpectedException(ConnectionSilent):
+            await client.fetch(request)
+
+    @run_with_server
+    async def test_handler_fault_is_a_clear_error(self, server, client):
+        request = ClientRequest(server.address, 'GET', '/crash')
+        response, body = await client.fetch(request)
+        error = msgspec.json.decode(body)['error']
+        self.assertEqual(500, response.status)
+        self.assertEqual('internal_error', error['code'])
+        self.assertEqual('unknown', error['outcome'])
+
+    @run_with_server
+    async def test_bad_input_gets_its_status(self, server, client):
+        bomb = b'GET / HTTP/1.1\r\nhost: a\r\n' + b'x-a: b\r\n' * 999
+        big = b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2000\r\n\r\n'
+        slow = b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nab'
+        cases = (
+            (b'NONSENSE\r\n\r\n', 400),
+            (bomb + b'\r\n', 431),
+            (big + b'x' * 2000, 413),
+            (slow, 408),
+            (b'GET / HTTP/1.1\r\nhost:', 408),
+        )
+        for sent, status in cases:
+            with self.subTest(status=status):
+                answer = await raw_exchange(server.address, sent)
+                head = answer.split(b'\r\n', 1)[0]
+                self.assertIn(str(status).encode(), head)
+
+    @run_with_server
+    async def test_request_in_progress_survives_stop(self, server, client):
+        request = ClientRequest(server.address, 'GET', '/')
+        response = await client.request(request)
+        server.stop_accepting()
+        self.assertEqual(b'{}', await response.read())
+        await response.close()
+        with testtools.ExpectedException(ConnectFailed):
+            await client.fetch(request._replace(fresh=True))
+
+
+class ProtocolTests(testtools.TestCase):
+    def test_h11_gives_the_status_for_large_headers(self):
+        server = h11.Connection(h11.SERVER, max_incomplete_event_size=64)
+        server.receive_data(b'GET / HTTP/1.1\r\n' + b'a: b\r\n' * 64)
+        error = self.assertRaises(h11.RemoteProtocolError, server.next_event)
+        self.assertEqual(431, error.error_status_hint)
