Add statsd metrics with fleet-qualified names

After a merger two fleets report to one statsd server, so a name without its fleet mixes their samples.

StatsdMetrics puts the fleet first in every name, and METRICS_BY_NAME lists all metrics with kind, labels and one sentence; a name outside it is an error, also where no server is set.

--- /dev/null
+++ b/eelgrassfork/metrics.py
@@ -0,0 +1,189 @@
+"""
+eelgrassfork.metrics
+~~~~~~~~~~~~~~~~~~~~
+
+Statsd client with fleet-qualified names, and the table of all metrics.
+"""
+
+import re
+from typing import Final, Literal, NamedTuple, Protocol
+
+import statsd
+
+from .errors import EelgrassError
+
+__all__ = (
+    'METRICS_BY_NAME',
+    'MetricSpec',
+    'Metrics',
+    'NoMetrics',
+    'StatsdMetrics',
+    'connect',
+)
+
+_PREFIX: Final = 'eelgrassfork'
+_SPECIAL: Final = re.compile('[^A-Za-z0-9_-]')
+
+Kind = Literal['counter', 'gauge', 'timer']
+
+
+class MetricSpec(NamedTuple):
+    """
+    A metric as operators see it.
+
+    :param kind: how statsd adds up its samples.
+    :param labels: what follows the name, in this order.
+    :param sentence: what it tells.
+    """
+
+    kind: Kind
+    labels: tuple[str, ...]
+    sentence: str
+
+
+METRICS_BY_NAME: Final = {
+    'requests': MetricSpec(
+        'counter',
+        ('route', 'status'),
+        'Requests answered, by route and HTTP status; 499 if the caller left.',
+    ),
+    'request_ms': MetricSpec(
+        'timer',
+        ('route',),
+        'Milliseconds from the arrival of a request to the end of its answer.',
+    ),
+    'refusals': MetricSpec(
+        'counter',
+        ('code', 'outcome'),
+        'Requests answered with an error of the router, by code and outcome.',
+    ),
+    'orders': MetricSpec(
+        'counter',
+        ('service', 'outcome'),
+        'Non-idempotent calls by the outcome that was recorded for them.',
+    ),
+    'plain_retries': MetricSpec(
+        'counter',
+        ('service',),
+        'Idempotent plain calls sent again to another backend server.',
+    ),
+    'claims_pending': MetricSpec(
+        'gauge',
+        (),
+        'Outcomes of claims that the platform does not hold yet.',
+    ),
+    'issued_keys': MetricSpec(
+        'counter',
+        ('event',),
+        'Keys issued, used, refused or forgotten by this holder.',
+    ),
+}
+
+
+class Metrics(Protocol):
+    """What parts report to; every name is a key of the table."""
+
+    def count(
+        self, name: str, fleet: str, *labels: str, amount: int = 1
+    ) -> None:
+        """
+        Add to a counter.
+
+        :param fleet: fleet that the sample is about.
+        :param labels: as many as the table names.
+        """
+
+    def gauge(self, name: str, fleet: str, *labels: str, level: float) -> None:
+        """
+        Set a level.
+
+        :param fleet: fleet that the sample is about.
+        """
+
+    def timing(
+        self, name: str, fleet: str, *labels: str, milliseconds: float
+    ) -> None:
+        """
+        Add a duration.
+
+        :param fleet: fleet that the sample is about.
+        """
+
+
+class NoMetrics:
+    """Takes samples and drops them, for a router without statsd."""
+
+    def count(
+        self, name: str, fleet: str, *labels: str, amount: int = 1
+    ) -> None:
+        """Check the name only."""
+        _full_name('counter', name, fleet, labels)
+
+    def gauge(self, name: str, fleet: str, *labels: str, level: float) -> None:
+        """Check the name only."""
+        _full_name('gauge', name, fleet, labels)
+
+    def timing(
+        self, name: str, fleet: str, *labels: str, milliseconds: float
+    ) -> None:
+        """Check the name only."""
+        _full_name('timer', name, fleet, labels)
+
+
+class StatsdMetrics:
+    """
+    Sends samples by UDP; a lost sample is never an error.
+
+    :param client: sends to the statsd server.
+    """
+
+    def __init__(self, client: statsd.StatsClient) -> None:
+        self._client = client
+
+    def count(
+        self, name: str, fleet: str, *labels: str, amount: int = 1
+    ) -> None:
+        """Add to a counter."""
+        self._client.incr(_full_name('counter', name, fleet, labels), amount)
+
+    def gauge(self, name: str, fleet: str, *labels: str, level: float) -> None:
+        """Set a level."""
+        self._client.gauge(_full_name('gauge', name, fleet, labels), level)
+
+    def timing(
+        self, name: str, fleet: str, *labels: str, milliseconds: float
+    ) -> None:
+        """Add a duration."""
+        full_name = _full_name('timer', name, fleet, labels)
+        self._client.timing(full_name, milliseconds)
+
+
+def connect(address: str) -> Metrics:
+    """
+    Make the metrics of a process.
+
+    :param address: ``ip:port`` of the statsd server, or empty for none.
+    :returns: the client, or one that drops its samples.
+    """
+    if not address:
+        return NoMetrics()
+    host, _, port = address.rpartition(':')
+    return StatsdMetrics(
+        statsd.StatsClient(
+            host.strip('[]'), int(port), prefix=_PREFIX, ipv6=':' in host
+        ),
+    )
+
+
+def _full_name(
+    kind: Kind, name: str, fleet: str, labels: tuple[str, ...]
+) -> str:
+    spec = METRICS_BY_NAME.get(name)
+    if spec is None or spec.kind != kind or len(spec.labels) != len(labels):
+        raise EelgrassError(
+            'unknown_metric',
+            f'{name!r} is not a {kind} with {len(labels)} labels',
+        )
+    # Fleets share one statsd server after a merger, so the fleet comes first.
+    parts = (fleet or 'none', name, *labels)
+    return '.'.join(_SPECIAL.sub('_', part) for part in parts)
