--- a/eelgrassfork/http_server.py
+++ b/eelgrassfork/http_server.py
@@ -181,7 +181,7 @@
             while await self._serve_one(handler):
                 self._h11.start_next_cycle()
         except (CallerGone, h11.LocalProtocolError):
-            await self.close()
+            self.closing = True
         finally:
             await self.close()
 
--- /dev/null
+++ b/tests/test_deaths.py
@@ -0,0 +1,68 @@
+"""
+tests.test_deaths
+~~~~~~~~~~~~~~~~~
+
+Guards against credit being taken from a holder that can still spend it.
+"""
+
+import testtools
+import trio
+import trio.testing
+
+from eelgrassfork.deaths import Deaths
+from eelgrassfork.vm_list import VmList, VmRecord
+
+OWN = 'vm-own.1'
+OTHER = 'vm-a.1'
+
+
+def vm_list(revision: int, *vms: str) -> VmList:
+    records = [
+        VmRecord(vm, 'router', 'live', 'pazlen', '', 'pazlen/haskovo', 'bg', '')
+        for vm in vms
+    ]
+    return VmList(revision, tuple(records))
+
+
+# (name, lists in order, listed_at, holder that answered and delay, dead)
+CASES = (
+    ('never listed', [vm_list(3)], 0, None, False),
+    ('still listed', [vm_list(3, 'vm-a')], 3, None, False),
+    ('left the list', [vm_list(3, 'vm-a'), vm_list(4)], 0, None, True),
+    ('recorded as listed', [vm_list(9)], 4, None, True),
+    ('recorded in a newer list', [vm_list(3)], 4, None, False),
+    ('same holder answered', [], 0, (OTHER, 1), False),
+    ('new holder answered later', [], 0, ('vm-a.2', 1), True),
+    ('new holder answered before', [], 0, ('vm-a.2', 0), False),
+)
+
+
+class DeathsTests(testtools.TestCase):
+    def test_only_proof_counts(self):
+        for name, lists, listed_at, answer, expected in CASES:
+            with self.subTest(name):
+                self.assertEqual(
+                    expected, self.ask(lists, listed_at, answer), name
+                )
+
+    def ask(self, lists, listed_at, answer):
+        async def main():
+            deaths = Deaths(OWN)
+            for each in lists:
+                deaths.learn(each)
+            asked_at = trio.current_time()
+            deaths.is_dead(OTHER, 0, None)
+            if answer is None:
+                return deaths.is_dead(OTHER, listed_at, None)
+            answered = (answer[0], asked_at + answer[1])
+            return deaths.is_dead(OTHER, listed_at, answered)
+
+        return trio.run(main, clock=trio.testing.MockClock())
+
+    def test_previous_holder_of_own_vm_is_dead(self):
+        async def main():
+            deaths = Deaths(OWN)
+            self.assertTrue(deaths.is_dead('vm-own.0', 0, None))
+            self.assertFalse(deaths.is_dead(OWN, 0, None))
+
+        trio.run(main)
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,117 @@
+"""
+tests.test_membership
+~~~~~~~~~~~~~~~~~~~~~
+
+Guards against stale VM lists and silent peers being taken for the truth.
+"""
+
+import testtools
+import trio
+import trio.testing
+
+from eelgrassfork.errors import EelgrassError
+from eelgrassfork.membership import Membership, MembershipSettings
+from eelgrassfork.peer_messages import Heartbeat
+from eelgrassfork.vm_list import VmList, VmRecord
+
+DOMAIN = 'pazlen/haskovo'
+
+
+def router(vm: str) -> VmRecord:
+    return VmRecord(
+        vm, 'router', 'live', 'pazlen', '', DOMAIN, 'bg', '', f'{vm}:1'
+    )
+
+
+def heartbeat(vm: str, holder: str = '', revision: int = 0) -> Heartbeat:
+    return Heartbeat(
+        vm,
+        holder or f'{vm}.1',
+        'pazlen',
+        DOMAIN,
+        f'{vm}:1',
+        'ready',
+        vm_list_revision=revision,
+    )
+
+
+class FakePeers:
+    def __init__(self, vm_list: VmList) -> None:
+        self.vm_list = vm_list
+        self.beats = []
+
+    def register(self, kind, handler):
+        self.handler = handler
+
+    async def beat(self, address):
+        await trio.lowlevel.checkpoint()
+        self.beats.append(address)
+
+    async def call(self, vm, kind, payload):
+        await trio.lowlevel.checkpoint()
+        return {'vm_list': self.vm_list}
+
+
+class FakePlatform:
+    def __init__(self, *lists: VmList) -> None:
+        self.lists = list(lists)
+
+    async def vms(self):
+        await trio.lowlevel.checkpoint()
+        if not self.lists:
+            raise EelgrassError('platform_unavailable', 'down')
+        return self.lists.pop(0)
+
+
+def run(test, platform, peers, heard=()):
+    async def main():
+        membership = Membership(
+            heartbeat('vm-own'), platform, MembershipSettings(seeds=('s:1',))
+        )
+        async with trio.open_nursery() as nursery:
+            await membership.start(nursery, peers)
+            for beat in heard:
+                membership.heard(beat, trio.current_time())
+            await trio.sleep(2.5)
+            result = test(membership)
+            nursery.cancel_scope.cancel()
+        return result
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(main, clock=clock)
+
+
+class MembershipTests(testtools.TestCase):
+    def test_older_list_is_never_taken(self):
+        newer = VmList(5, (router('vm-own'), router('vm-a')))
+        older = VmList(4, (router('vm-own'),))
+        platform = FakePlatform(newer, older, older)
+        found = run(
+            lambda members: (members.vm_lists.newest, members.listed_at),
+            platform,
+            FakePeers(newer),
+        )
+        self.assertEqual((newer, 5), found)
+
+    def test_list_comes_from_a_peer_while_the_platform_is_down(self):
+        known = VmList(7, (router('vm-own'), router('vm-a')))
+        peers = FakePeers(known)
+        found = run(
+            lambda members: members.vm_lists.newest,
+            FakePlatform(),
+            peers,
+            [heartbeat('vm-a', revision=7)],
+        )
+        self.assertEqual(known, found)
+        self.assertIn('s:1', peers.beats)
+        self.assertIn('vm-a:1', peers.beats)
+
+    def test_silent_peer_is_suspect_but_not_dead(self):
+        vm_list = VmList(1, (router('vm-own'), router('vm-a')))
+
+        def look(members):
+            members.heard(heartbeat('vm-a'), trio.current_time() - 4)
+            return members.peers()[0].suspect, members.is_dead('vm-a.1')
+
+        found = run(look, FakePlatform(vm_list), FakePeers(vm_list))
+        self.assertEqual((True, False), found)
