--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -0,0 +1,6 @@
+"""
+bench
+~~~~~
+
+Measurements of the router fleet against small stand-ins.
+"""
