Let tests replace the transport of HTTP connections

Cause: a fault matrix of hundreds of cells has to run whole routers on a mock clock, and sockets don't work with a clock that jumps. Change: servers, clients and peering take a Transport; TCP is the default.

--- a/eelgrassfork/http_client.py
+++ b/eelgrassfork/http_client.py
@@ -12,6 +12,7 @@
 import trio
 
 from .errors import EelgrassError
+from .transport import TCP, Transport
 
 __all__ = (
     'ClientRequest',
@@ -77,7 +78,7 @@
 
 
 class _Connection:
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(self, stream: trio.abc.Stream) -> None:
         self.stream = stream
         self.protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
@@ -205,13 +206,18 @@
 
     :param timeouts: default bounds.
     :param max_idle: idle connections kept per address.
+    :param transport: how connections are opened.
     """
 
     def __init__(
-        self, timeouts: ClientTimeouts | None = None, max_idle: int = 8
+        self,
+        timeouts: ClientTimeouts | None = None,
+        max_idle: int = 8,
+        transport: Transport = TCP,
     ) -> None:
         self._timeouts = timeouts or ClientTimeouts()
         self._max_idle = max_idle
+        self._transport = transport
         self._idle_by_address: dict[str, list[_Connection]] = {}
         self._closed = False
 
@@ -296,7 +302,7 @@
         host, _, port = address.rpartition(':')
         with trio.move_on_after(connect_s):
             try:
-                return _Connection(await trio.open_tcp_stream(host, int(port)))
+                return await self._connect(host, int(port))
             except OSError as error:
                 raise ConnectFailed(
                     'connect_failed', f'{address}: {error}', sent=False
@@ -307,6 +313,9 @@
             sent=False,
         )
 
+    async def _connect(self, host: str, port: int) -> _Connection:
+        return _Connection(await self._transport.connect(host, port))
+
     async def _exchange(
         self,
         connection: _Connection,
--- a/eelgrassfork/http_server.py
+++ b/eelgrassfork/http_server.py
@@ -15,6 +15,7 @@
 
 from .errors import RequestError, error_body
 from .names import new_request_id
+from .transport import TCP, Listening, Transport
 
 __all__ = ('Call', 'CallerGone', 'Handler', 'HttpServer', 'ServerLimits')
 
@@ -151,7 +152,7 @@
 
 
 class _Connection:
-    def __init__(self, stream: trio.SocketStream, limits: ServerLimits) -> None:
+    def __init__(self, stream: trio.abc.Stream, limits: ServerLimits) -> None:
         self._stream = stream
         self._limits = limits
         self._h11 = h11.Connection(
@@ -341,13 +342,18 @@
     :param handler: called for each request; may raise
         :class:`~eelgrassfork.errors.RequestError`.
     :param limits: bounds on callers.
+    :param transport: how connections are accepted.
     """
 
     def __init__(
-        self, handler: Handler, limits: ServerLimits | None = None
+        self,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+        transport: Transport = TCP,
     ) -> None:
         self._handler = handler
         self._limits = limits or ServerLimits()
+        self._transport = transport
         self._connections: set[_Connection] = set()
         self._connections_scope = trio.CancelScope()
         self._accepting = trio.CancelScope()
@@ -361,10 +367,9 @@
         :param host: IP address to bind.
         :param port: port, or 0 for any free one.
         """
-        listeners = await trio.open_tcp_listeners(port, host=host)
-        name = listeners[0].socket.getsockname()
-        self.address = f'{name[0]}:{name[1]}'
-        nursery.start_soon(self._run, listeners)
+        listening = await self._transport.listen(host, port)
+        self.address = listening.address
+        nursery.start_soon(self._run, listening)
 
     @property
     def busy(self) -> int:
@@ -383,15 +388,17 @@
         self._connections_scope.cancel()
         await trio.lowlevel.checkpoint()
 
-    async def _run(self, listeners: list[trio.SocketListener]) -> None:
+    async def _run(self, listening: Listening) -> None:
         with self._connections_scope:
             async with trio.open_nursery() as nursery:
                 with self._accepting:
                     await trio.serve_listeners(
-                        self._serve, listeners, handler_nursery=nursery
+                        self._serve,
+                        list(listening.listeners),
+                        handler_nursery=nursery,
                     )
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
+    async def _serve(self, stream: trio.abc.Stream) -> None:
         connection = _Connection(stream, self._limits)
         connection.closing = self._accepting.cancel_called
         self._connections.add(connection)
--- a/eelgrassfork/peering.py
+++ b/eelgrassfork/peering.py
@@ -33,6 +33,7 @@
     decode_exchange,
     encode,
 )
+from .transport import TCP, Transport
 
 __all__ = (
     'PeerHandler',
@@ -104,6 +105,7 @@
     :param on_heard: told each peer's heartbeat, and when the exchange that
         brought it was started.
     :param address_of: query for the peer address of a VM, or ``None``.
+    :param transport: how connections are opened and accepted.
     """
 
     def __init__(
@@ -112,6 +114,7 @@
         own_heartbeat: Callable[[], Heartbeat],
         on_heard: Callable[[Heartbeat, float], None],
         address_of: Callable[[str], str | None],
+        transport: Transport = TCP,
     ) -> None:
         self._settings = settings
         self._own_heartbeat = own_heartbeat
@@ -122,10 +125,13 @@
         self._client = HttpClient(
             ClientTimeouts(
                 settings.timeout_s, settings.timeout_s, settings.timeout_s
-            )
+            ),
+            transport=transport,
         )
         self._server = HttpServer(
-            self._serve, ServerLimits(max_body_bytes=_MAX_BODY_BYTES)
+            self._serve,
+            ServerLimits(max_body_bytes=_MAX_BODY_BYTES),
+            transport,
         )
         self._nursery: trio.Nursery | None = None
         self.bytes_sent = 0
