Add the error code answer_not_kept

A claim keeps answers up to 256 KB. A repeated key whose first answer was larger ran, so none of the present codes fits: outcome_unknown would deny what is known. answer_not_kept (409) is told with outcome ran.

--- a/eelgrassfork/errors.py
+++ b/eelgrassfork/errors.py
@@ -38,6 +38,7 @@
     'request_timeout': CodeSpec(408),
     'request_in_progress': CodeSpec(409, retry_after_s=1),
     'outcome_unknown': CodeSpec(409),
+    'answer_not_kept': CodeSpec(409),
     'body_too_large': CodeSpec(413),
     'idempotency_key_reused': CodeSpec(422),
     'credit_held_elsewhere': CodeSpec(429, retry_after_s=2),
