--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,303 @@
+"""
+standins.platform
+~~~~~~~~~~~~~~~~~
+
+The platform's API over HTTP.
+"""
+
+import argparse
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+import msgspec
+import trio
+
+from eelgrassfork.http_server import Call, HttpServer
+from eelgrassfork.platform_types import (
+    AnswerLost,
+    Conflict,
+    PlatformError,
+    PlatformRefused,
+    StoredObject,
+)
+from eelgrassfork.vm_list import VmRecord
+
+from .platform_core import PlatformCore, RateLimits
+from .serving import (
+    BadAdminCall,
+    admin_fields,
+    respond_error,
+    respond_json,
+    serve_forever,
+)
+
+__all__ = ('PlatformStandin',)
+
+_Answerer = Callable[[Call], Awaitable[None]]
+
+_OBJECTS: Final = '/v1/objects/'
+_WEIGHTS: Final = '/v1/weights/'
+_BINARY: Final = (('content-type', 'application/octet-stream'),)
+_STATUS_BY_CODE: Final = {
+    'rate_limited': 429,
+    'platform_down': 503,
+    'client_cut': 503,
+    'too_large': 413,
+    'not_found': 404,
+    'precondition_required': 428,
+}
+
+
+class _FaultsBody(msgspec.Struct, forbid_unknown_fields=True):
+    down: bool | msgspec.UnsetType = msgspec.UNSET
+    slow_ms: float | msgspec.UnsetType = msgspec.UNSET
+    lose_answers: int | msgspec.UnsetType = msgspec.UNSET
+    drop_writes: int | msgspec.UnsetType = msgspec.UNSET
+    stale_vms: bool | msgspec.UnsetType = msgspec.UNSET
+    cut: list[str] | msgspec.UnsetType = msgspec.UNSET
+
+
+class _VmsBody(msgspec.Struct, forbid_unknown_fields=True):
+    vms: list[dict[str, str]] | msgspec.UnsetType = msgspec.UNSET
+    patch: dict[str, dict[str, str] | None] | msgspec.UnsetType = msgspec.UNSET
+    lag_ms: float | msgspec.UnsetType = msgspec.UNSET
+
+
+class PlatformStandin:
+    """
+    The platform in this process.
+
+    :param limits: rates that are enforced.
+    :ivar core: its state, for tests that look inside.
+    :ivar address: ``ip:port`` once started.
+    """
+
+    def __init__(self, limits: RateLimits | None = None) -> None:
+        self.core = PlatformCore(limits)
+        self._server = HttpServer(self._serve)
+        self._answerers: dict[tuple[str, str], _Answerer] = {
+            ('GET', '/v1/objects'): self._list,
+            ('GET', '/v1/watch'): self._watch,
+            ('GET', '/v1/vms'): self._vms,
+            ('POST', '/admin/faults'): self._admin_faults,
+            ('POST', '/admin/vms'): self._admin_vms,
+            ('GET', '/admin/counters'): self._admin_counters,
+        }
+        self._object_answerers: dict[str, _Answerer] = {
+            'GET': self._get,
+            'PUT': self._put,
+            'DELETE': self._delete,
+        }
+
+    @property
+    def address(self) -> str:
+        """Where it listens, as ``ip:port``."""
+        return self._server.address
+
+    async def start(self, nursery: trio.Nursery, host: str, port: int) -> None:
+        """
+        Listen.
+
+        :param nursery: where connections run.
+        :param host: IP address to bind.
+        :param port: port, or 0 for any free one.
+        """
+        await self._server.start(nursery, host, port)
+
+    async def close(self) -> None:
+        """Stop listening and cut all connections; the state is kept."""
+        await self._server.close()
+
+    def set_faults(self, **changes: Any) -> None:
+        """
+        Change some faults.
+
+        :param changes: fields of :class:`~standins.platform_core.Faults`.
+        """
+        self.core.change_faults(**changes)
+
+    def set_vms(self, *vms: VmRecord) -> None:
+        """
+        Replace the VM list at its next revision.
+
+        :param vms: all VMs.
+        """
+        self.core.vm_lists.replace(vms)
+
+    async def _serve(self, call: Call) -> None:
+        try:
+            await self._answerer(call)(call)
+        except AnswerLost:
+            await call.abort()
+        except PlatformError as error:
+            await _respond_platform_error(call, error)
+        except (BadAdminCall, ValueError) as error:
+            await respond_error(call, 400, 'bad_call', str(error))
+
+    def _answerer(self, call: Call) -> _Answerer:
+        if call.path.startswith(_OBJECTS):
+            answerers = self._object_answerers
+            return answerers.get(call.method, _not_found)
+        if call.path.startswith(_WEIGHTS):
+            return self._weight
+        return self._answerers.get((call.method, call.path), _not_found)
+
+    async def _get(self, call: Call) -> None:
+        key = call.path.removeprefix(_OBJECTS)
+        stored = await self.core.read(
+            _client(call), 'get', lambda: self.core.objects.get(key)
+        )
+        if stored is None:
+            await _not_found(call)
+        else:
+            headers = (*_BINARY, _etag(stored.version))
+            await call.respond(200, stored.body, headers)
+
+    async def _put(self, call: Call) -> None:
+        key = call.path.removeprefix(_OBJECTS)
+        expected = _precondition(call)
+        version = await self.core.write(
+            _client(call),
+            'put',
+            lambda: self.core.objects.put(key, call.body, expected),
+        )
+        await call.respond(200, b'', (_etag(version),))
+
+    async def _delete(self, call: Call) -> None:
+        key = call.path.removeprefix(_OBJECTS)
+        expected = _precondition(call)
+        if expected is None:
+            raise PlatformRefused('precondition_required', 'no version given')
+        await self.core.write(
+            _client(call),
+            'delete',
+            lambda: self.core.objects.delete(key, expected),
+        )
+        await call.respond(200, b'', ())
+
+    async def _list(self, call: Call) -> None:
+        prefix = call.query_by_name.get('prefix', '')
+        listed: list[StoredObject] = await self.core.read(
+            _client(call),
+            'list',
+            lambda: self.core.objects.list_objects(prefix),
+        )
+        await call.respond(200, msgspec.msgpack.encode(listed), _BINARY)
+
+    async def _watch(self, call: Call) -> None:
+        query = call.query_by_name
+        wait_s = float(query.get('wait_ms', '0')) / 1000
+        seen = await self.core.watch(
+            _client(call),
+            query.get('prefix', ''),
+            int(query.get('after', '0')),
+            wait_s,
+        )
+        await call.respond(200, msgspec.msgpack.encode(seen), _BINARY)
+
+    async def _vms(self, call: Call) -> None:
+        listed = await self.core.read(
+            _client(call), 'vms', self.core.vm_lists.shown
+        )
+        vms = [vm._asdict() for vm in listed.vms]
+        await respond_json(call, {'revision': listed.revision, 'vms': vms})
+
+    async def _weight(self, call: Call) -> None:
+        name = call.path.removeprefix(_WEIGHTS)
+        weight = await self.core.read(
+            _client(call),
+            'weight',
+            lambda: self.core.weights_by_name.get(name),
+        )
+        if weight is None:
+            await _not_found(call)
+        else:
+            await call.respond(200, weight, _BINARY)
+
+    async def _admin_faults(self, call: Call) -> None:
+        changes = admin_fields(call.body, _FaultsBody)
+        slow_ms = changes.pop('slow_ms', None)
+        if slow_ms is not None:
+            changes['delay_s'] = slow_ms / 1000
+        self.core.change_faults(**changes)
+        await respond_json(call, {})
+
+    async def _admin_vms(self, call: Call) -> None:
+        changes = admin_fields(call.body, _VmsBody)
+        lists = self.core.vm_lists
+        lists.lag_s = changes.get('lag_ms', lists.lag_s * 1000) / 1000
+        vms = changes.get('vms')
+        if vms is not None:
+            lists.replace(tuple(_record({}, row) for row in vms))
+        rows = {vm.vm: vm._asdict() for vm in lists.newest().vms}
+        patch = {
+            vm: row and _record(rows.get(vm, {'vm': vm}), row)
+            for vm, row in changes.get('patch', {}).items()
+        }
+        if patch:
+            lists.patch(patch)
+        await respond_json(call, {'revision': lists.newest().revision})
+
+    async def _admin_counters(self, call: Call) -> None:
+        counters = {
+            'calls_by_kind': self.core.calls_by_kind,
+            'refused_by_code': self.core.refused_by_code,
+            'revision': self.core.objects.revision,
+        }
+        await respond_json(call, counters)
+
+
+async def _not_found(call: Call) -> None:
+    await respond_error(call, 404, 'not_found', f'nothing at {call.path}')
+
+
+async def _respond_platform_error(call: Call, error: PlatformError) -> None:
+    if not isinstance(error, Conflict):
+        status = _STATUS_BY_CODE[error.code]
+        await respond_error(call, status, error.code, error.message)
+    elif error.current_version is None:
+        await call.respond(412, b'', ())
+    else:
+        await call.respond(412, b'', (_etag(error.current_version),))
+
+
+def _client(call: Call) -> str:
+    return call.headers_by_name.get('x-client', '')
+
+
+def _etag(version: int) -> tuple[str, str]:
+    return ('etag', f'"{version}"')
+
+
+def _precondition(call: Call) -> int | None:
+    if call.headers_by_name.get('if-none-match') == '*':
+        return None
+    version = call.headers_by_name.get('if-match', '').strip('"')
+    if not version.isdecimal():
+        raise PlatformRefused('precondition_required', 'no version given')
+    return int(version)
+
+
+def _record(known: dict[str, str], changes: dict[str, str]) -> VmRecord:
+    fields = {**known, **changes}
+    try:
+        record = VmRecord(**fields)  # type: ignore[arg-type]
+        return msgspec.convert(list(record), VmRecord)
+    except (TypeError, msgspec.ValidationError) as error:
+        raise BadAdminCall(str(error)) from None
+
+
+def main() -> None:
+    """Run the platform until it is killed."""
+    parser = argparse.ArgumentParser(description='Stand-in for the platform.')
+    parser.add_argument('--host', default='127.0.0.1')
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--vm-lag-ms', type=float, default=0)
+    options = parser.parse_args()
+    standin = PlatformStandin()
+    standin.core.vm_lists.lag_s = options.vm_lag_ms / 1000
+    serve_forever(standin, options.host, options.port)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,108 @@
+"""
+standins.serving
+~~~~~~~~~~~~~~~~
+
+Start convention and small helpers that the stand-ins share.
+"""
+
+import sys
+from typing import Any, Protocol
+
+import msgspec
+import trio
+
+from eelgrassfork.http_server import Call
+
+__all__ = (
+    'BadAdminCall',
+    'Standin',
+    'admin_fields',
+    'respond_error',
+    'respond_json',
+    'serve_forever',
+)
+
+
+class BadAdminCall(Exception):
+    """The body of an admin call can't be understood."""
+
+
+class Standin(Protocol):
+    """What all stand-ins have in common."""
+
+    @property
+    def address(self) -> str:
+        """Where it listens, as ``ip:port``."""
+
+    async def start(self, nursery: trio.Nursery, host: str, port: int) -> None:
+        """Listen, and run in the nursery."""
+
+
+def serve_forever(standin: Standin, host: str, port: int) -> None:
+    """
+    Run a stand-in in this process until it is killed.
+
+    Prints ``{"address": "ip:port"}`` on a line once it listens.
+
+    :param standin: what to run.
+    :param host: IP address to bind.
+    :param port: port, or 0 for any free one.
+    """
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            await standin.start(nursery, host, port)
+            line = msgspec.json.encode({'address': standin.address})
+            sys.stdout.write(f'{line.decode()}\n')
+            sys.stdout.flush()
+
+    try:
+        trio.run(main)
+    except KeyboardInterrupt:
+        sys.stdout.flush()
+
+
+def admin_fields(body: bytes, kind: type[msgspec.Struct]) -> dict[str, Any]:
+    """
+    Decode the JSON body of an admin call that changes some settings.
+
+    :param body: JSON object with any of the fields.
+    :param kind: struct with all fields, each optional by ``UNSET``.
+    :returns: the given fields by name.
+    :raises BadAdminCall: if a field is unknown or has another type.
+    """
+    try:
+        decoded = msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        raise BadAdminCall(str(error)) from None
+    return {
+        name: field
+        for name, field in msgspec.structs.asdict(decoded).items()
+        if field is not msgspec.UNSET
+    }
+
+
+async def respond_json(call: Call, content: object, status: int = 200) -> None:
+    """
+    Answer with JSON.
+
+    :param call: what to answer.
+    :param content: anything that msgspec encodes.
+    :param status: HTTP status.
+    """
+    await call.respond(status, msgspec.json.encode(content))
+
+
+async def respond_error(
+    call: Call, status: int, code: str, message: str
+) -> None:
+    """
+    Answer with an error.
+
+    :param call: what to answer.
+    :param status: HTTP status.
+    :param code: stable identifier.
+    :param message: one plain sentence.
+    """
+    error = {'code': code, 'message': message}
+    await respond_json(call, {'error': error}, status)
