--- /dev/null
+++ b/eelgrassfork/routing.py
@@ -0,0 +1,309 @@
+"""
+eelgrassfork.routing
+~~~~~~~~~~~~~~~~~~~~
+
+Chooses a backend server from a snapshot; pure functions only.
+"""
+
+import functools
+import hashlib
+import math
+import random
+from collections.abc import Callable, Iterable
+from typing import Final, Literal, NamedTuple
+
+from .names import rendezvous_order
+
+__all__ = (
+    'Chooser',
+    'RoutePolicy',
+    'RouteSnapshot',
+    'ServerState',
+    'choose',
+    'choose_affinity',
+    'choose_keyed',
+    'choose_least_requests',
+    'choose_random',
+    'prefix_hash',
+)
+
+_MASK: Final = 0xFFFFFFFFFFFFFFFF
+_MIX: Final = 0x9E3779B97F4A7C15
+_SHIFT: Final = 32
+_SEED_BYTES: Final = 8
+_CACHED_SEEDS: Final = 16384
+_PREFIX_HASH_BYTES: Final = 16
+_PREFIX_CHARACTERS: Final = 4096
+
+
+class ServerState(NamedTuple):
+    """
+    What this router knows of one backend server.
+
+    :param in_flight: requests of this router in progress there.
+    :param reported_running: running requests by its last load report.
+    :param reported_waiting: waiting requests by its last load report.
+    :param report_age_s: age of that report in seconds.
+    :param ejected: whether it failed and has not come back yet.
+    :param cached_prefixes: hashes of prefixes its cache is said to hold.
+    """
+
+    vm: str
+    address: str
+    service: str
+    failure_domain: str
+    state: Literal['live', 'leaving'] = 'live'
+    in_flight: int = 0
+    reported_running: int = 0
+    reported_waiting: int = 0
+    report_age_s: float = 0
+    ejected: bool = False
+    cached_prefixes: frozenset[str] = frozenset()
+
+
+class RouteSnapshot(NamedTuple):
+    """
+    Input of one decision.
+
+    :param failure_domain: place of this router.
+    :param prefix: hash of the request's prefix, empty if it has none.
+    :param excluded: VMs that already failed this request.
+    """
+
+    servers: tuple[ServerState, ...]
+    failure_domain: str
+    prefix: str = ''
+    excluded: frozenset[str] = frozenset()
+
+
+class RoutePolicy(NamedTuple):
+    """
+    Weights of the decision.
+
+    :param in_flight_per_server: a server with this many requests of this
+        router is full.
+    :param report_half_life_s: age at which a report counts half.
+    :param report_jitter: largest relative change of a report, so that
+        routers do not all follow the same stale report.
+    :param prefix_bonus: load, in requests, that a cached prefix outweighs.
+    :param bound_factor: the preferred server is taken up to this multiple
+        of the mean load plus ``bound_slack``.
+    :param bound_slack: see ``bound_factor``.
+    :param spill_factor: other failure domains are used once the local mean
+        load exceeds this multiple of theirs plus ``bound_slack``.
+    """
+
+    in_flight_per_server: int = 16
+    report_half_life_s: float = 2
+    report_jitter: float = 0.25
+    prefix_bonus: float = 1
+    bound_factor: float = 1.25
+    bound_slack: float = 1
+    spill_factor: float = 2
+
+
+Chooser = Callable[
+    [RouteSnapshot, RoutePolicy, random.Random], ServerState | None
+]
+
+
+_Loaded = tuple[float, ServerState]
+
+
+def prefix_hash(service: str, texts: Iterable[str]) -> str:
+    """
+    Hash the part of a request that later turns and like requests share.
+
+    :param service: qualified name of the service.
+    :param texts: texts of the leading messages, of which the first 4,096
+        characters each count.
+    :returns: hexadecimal digits.
+    """
+    hashed = hashlib.blake2b(service.encode(), digest_size=_PREFIX_HASH_BYTES)
+    for text in texts:
+        leading = text[:_PREFIX_CHARACTERS].encode('utf-8', 'surrogatepass')
+        hashed.update(len(leading).to_bytes(_SEED_BYTES, 'big') + leading)
+    return hashed.hexdigest()
+
+
+def choose(
+    snapshot: RouteSnapshot, policy: RoutePolicy, source: random.Random
+) -> ServerState | None:
+    """
+    Choose by load, with affinity to the prefix's preferred server.
+
+    :param snapshot: servers and request.
+    :param policy: weights.
+    :param source: random source of the jitter and of ties.
+    :returns: a server, or ``None`` if none may be used.
+    """
+    usable = _usable(snapshot, policy)
+    if not usable:
+        return None
+    loaded = _with_load(usable, policy, source)
+    near = _nearest(loaded, snapshot.failure_domain, policy)
+    if snapshot.prefix:
+        wanted = _preferred(near, snapshot.prefix)
+        bound = policy.bound_factor * _mean_load(near) + policy.bound_slack
+        if wanted[0] <= bound:
+            return wanted[1]
+    return _lowest_score(near, snapshot.prefix, policy, source)
+
+
+def choose_random(
+    snapshot: RouteSnapshot, policy: RoutePolicy, source: random.Random
+) -> ServerState | None:
+    """
+    Baseline: choose any usable server.
+
+    :param snapshot: servers and request.
+    :param policy: weights.
+    :param source: random source.
+    :returns: a server, or ``None`` if none may be used.
+    """
+    usable = _usable(snapshot, policy)
+    return source.choice(usable) if usable else None
+
+
+def choose_least_requests(
+    snapshot: RouteSnapshot, policy: RoutePolicy, source: random.Random
+) -> ServerState | None:
+    """
+    Baseline: choose the server with the fewest requests of this router.
+
+    :param snapshot: servers and request.
+    :param policy: weights.
+    :param source: random source of ties.
+    :returns: a server, or ``None`` if none may be used.
+    """
+    usable = _usable(snapshot, policy)
+    if not usable:
+        return None
+    fewest = min(server.in_flight for server in usable)
+    return source.choice(
+        [server for server in usable if server.in_flight == fewest]
+    )
+
+
+def choose_affinity(
+    snapshot: RouteSnapshot, policy: RoutePolicy, source: random.Random
+) -> ServerState | None:
+    """
+    Baseline: choose the prefix's preferred server whatever its load.
+
+    :param snapshot: servers and request.
+    :param policy: weights.
+    :param source: random source for requests without a prefix.
+    :returns: a server, or ``None`` if none may be used.
+    """
+    if not snapshot.prefix:
+        return choose_random(snapshot, policy, source)
+    usable = _usable(snapshot, policy)
+    if not usable:
+        return None
+    loaded: list[_Loaded] = [(0, server) for server in usable]
+    return _preferred(loaded, snapshot.prefix)[1]
+
+
+def choose_keyed(snapshot: RouteSnapshot, identity: str) -> ServerState | None:
+    """
+    Choose for a request with an idempotency key.
+
+    Load and failure domain differ between routers, so they have no part:
+    every router must find the server that already runs the request.
+
+    :param snapshot: servers and request.
+    :param identity: identity of the request at the engines.
+    :returns: a server, or ``None`` if none may be used.
+    """
+    servers_by_vm = {server.vm: server for server in _serving(snapshot)}
+    if not servers_by_vm:
+        return None
+    return servers_by_vm[rendezvous_order(identity, list(servers_by_vm))[0]]
+
+
+def _usable(snapshot: RouteSnapshot, policy: RoutePolicy) -> list[ServerState]:
+    limit = policy.in_flight_per_server
+    return [server for server in _serving(snapshot) if server.in_flight < limit]
+
+
+def _serving(snapshot: RouteSnapshot) -> list[ServerState]:
+    excluded = snapshot.excluded
+    return [
+        server
+        for server in snapshot.servers
+        if not server.ejected
+        and server.state == 'live'
+        and server.vm not in excluded
+    ]
+
+
+def _with_load(
+    servers: list[ServerState], policy: RoutePolicy, source: random.Random
+) -> list[_Loaded]:
+    rate = -math.log(2) / policy.report_half_life_s
+    spread = 2 * policy.report_jitter
+    floor = 1 - policy.report_jitter
+    loaded = []
+    for server in servers:
+        load: float = server.in_flight
+        reported = server.reported_running + server.reported_waiting
+        if reported:
+            decay = math.exp(rate * server.report_age_s)
+            load += reported * decay * (floor + spread * source.random())
+        loaded.append((load, server))
+    return loaded
+
+
+def _nearest(
+    loaded: list[_Loaded], failure_domain: str, policy: RoutePolicy
+) -> list[_Loaded]:
+    local: list[_Loaded] = []
+    remote: list[_Loaded] = []
+    for entry in loaded:
+        is_local = entry[1].failure_domain == failure_domain
+        (local if is_local else remote).append(entry)
+    if not local or not remote:
+        return loaded
+    spill = policy.spill_factor * _mean_load(remote) + policy.bound_slack
+    return loaded if _mean_load(local) > spill else local
+
+
+def _mean_load(loaded: list[_Loaded]) -> float:
+    return sum([load for load, _ in loaded]) / len(loaded)
+
+
+def _preferred(loaded: list[_Loaded], prefix: str) -> _Loaded:
+    holders = [entry for entry in loaded if prefix in entry[1].cached_prefixes]
+    seed = _seed(prefix)
+    return max(holders or loaded, key=lambda entry: _weight(entry[1].vm, seed))
+
+
+def _lowest_score(
+    loaded: list[_Loaded],
+    prefix: str,
+    policy: RoutePolicy,
+    source: random.Random,
+) -> ServerState:
+    bonus = policy.prefix_bonus if prefix else 0
+
+    def score(entry: _Loaded) -> tuple[float, float]:
+        load, server = entry
+        if prefix in server.cached_prefixes:
+            load -= bonus
+        return load, source.random()
+
+    return min(loaded, key=score)[1]
+
+
+@functools.lru_cache(maxsize=_CACHED_SEEDS)
+def _seed(text: str) -> int:
+    hashed = hashlib.blake2b(text.encode(), digest_size=_SEED_BYTES)
+    return int.from_bytes(hashed.digest(), 'big')
+
+
+def _weight(vm: str, prefix_seed: int) -> int:
+    # Rendezvous weight; mixing two cached seeds costs far less than hashing
+    # every pair when there are hundreds of servers.
+    mixed = ((_seed(vm) ^ prefix_seed) * _MIX) & _MASK
+    return mixed ^ (mixed >> _SHIFT)
