--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,106 @@
+"""
+tests.test_backends
+~~~~~~~~~~~~~~~~~~~
+
+Guards against new work for a server that is leaving or broken.
+"""
+
+import random
+
+import testtools
+import trio
+import trio.testing
+
+from eelgrassfork.backends import Backends, CacheEvent
+from eelgrassfork.retries import EjectionPolicy
+from eelgrassfork.vm_list import VmRecord
+
+
+def record(vm: str, state: str = 'live', **fields) -> VmRecord:
+    listed = VmRecord(
+        vm, 'backend', state, 'p', 'p/matcher', 'p/a', 'r', f'{vm}:1'
+    )
+    return listed._replace(**fields)
+
+
+def in_trio(test):
+    def wrapper(self):
+        async def main():
+            backends = Backends(EjectionPolicy(), random.Random(2))
+            backends.update([record('vm-1'), record('vm-2')])
+            await test(self, backends)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    return wrapper
+
+
+def states(backends: Backends):
+    return {state.vm: state for state in backends.servers('p/matcher')}
+
+
+class BackendsTests(testtools.TestCase):
+    @in_trio
+    async def test_list_decides_who_is_known_and_leaving(self, backends):
+        backends.begin('vm-1')
+        backends.update(
+            [
+                record('vm-1', 'leaving'),
+                record('vm-3', service='p/shopdesk'),
+                record('vm-4', role='router'),
+            ]
+        )
+        self.assertEqual(['vm-1'], list(states(backends)))
+        self.assertEqual('leaving', states(backends)['vm-1'].state)
+        self.assertEqual(1, states(backends)['vm-1'].in_flight)
+        self.assertEqual(0, backends.usable('p/matcher'))
+        self.assertFalse(backends.is_listed('vm-2'))
+        backends.end('vm-2')
+
+    @in_trio
+    async def test_refusal_by_a_draining_server_counts_at_once(self, backends):
+        backends.draining('vm-1')
+        self.assertEqual('leaving', states(backends)['vm-1'].state)
+        backends.update([record('vm-1'), record('vm-2')])
+        self.assertEqual(1, backends.usable('p/matcher'))
+
+    @in_trio
+    async def test_ejected_server_returns_by_one_probe(self, backends):
+        backends.failed('vm-1', silent=True)
+        self.assertTrue(states(backends)['vm-1'].ejected)
+        self.assertEqual([], backends.polls_due(0, 9))
+        await trio.sleep(1)
+        due = backends.polls_due(0, 9)
+        self.assertEqual([('vm-1', True)], [(t.vm, t.probe) for t in due])
+        backends.polled('vm-1')
+        self.assertEqual([], backends.polls_due(0.5, 9))
+        backends.probed('vm-1', alive=True)
+        self.assertFalse(states(backends)['vm-1'].ejected)
+
+    @in_trio
+    async def test_polls_are_bounded_and_only_for_services_in_use(
+        self, backends
+    ):
+        self.assertEqual([], backends.polls_due(1, 9))
+        backends.begin('vm-1')
+        first = backends.polls_due(1, 1)
+        backends.polled(first[0].vm)
+        second = backends.polls_due(1, 1)
+        self.assertEqual({'vm-1', 'vm-2'}, {first[0].vm, second[0].vm})
+        await trio.sleep(100)
+        self.assertEqual([], backends.polls_due(1, 9))
+
+    @in_trio
+    async def test_report_ages_and_events_bound_the_hints(self, backends):
+        backends.reported('vm-1', running=3, waiting=2)
+        stored = [CacheEvent(n, 'stored', f'x{n}') for n in range(1, 2000)]
+        backends.cache_changed('vm-1', stored)
+        evicted = [CacheEvent(2000, 'evicted', 'x1999')]
+        backends.cache_changed('vm-1', evicted)
+        await trio.sleep(4)
+        state = states(backends)['vm-1']
+        self.assertEqual((3, 2), state[6:8])
+        self.assertEqual(4, state.report_age_s)
+        self.assertIn('x1998', state.cached_prefixes)
+        self.assertNotIn('x1999', state.cached_prefixes)
+        self.assertLessEqual(len(state.cached_prefixes), 1024)
