Poll load reports and cache events with jitter

Only servers of services in use are asked, at most 16 in a round, so that the traffic of a router does not grow with the number of servers. The poll is also the single probe of an ejected server, so that no caller's request is spent on finding out whether it is back.

--- /dev/null
+++ b/eelgrassfork/load_reports.py
@@ -0,0 +1,179 @@
+"""
+eelgrassfork.load_reports
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Polls load reports and cache events, and probes ejected servers.
+"""
+
+import random
+from typing import Final, Literal, NamedTuple
+
+import logbook
+import msgspec
+import trio
+
+from .backends import Backends, CacheEvent, PollTarget
+from .http_client import (
+    ClientRequest,
+    ClientTimeouts,
+    ConnectFailed,
+    HttpClient,
+    HttpClientError,
+)
+
+__all__ = ('LoadReports', 'PollSettings')
+
+_log = logbook.Logger('load_reports')
+
+_OK: Final = 200
+_SERVER_ERROR: Final = 500
+
+
+class PollSettings(NamedTuple):
+    """
+    How often servers are asked.
+
+    :param interval_s: time between two polls of a server, in seconds.
+    :param jitter: largest relative change of the pause between rounds.
+    :param most_per_round: servers asked in one round; bounds the traffic
+        of a router that sees very many servers.
+    :param events_every: cache events are read once in so many rounds.
+    :param timeout_s: longest wait for an answer, in seconds.
+    """
+
+    interval_s: float = 1
+    jitter: float = 0.25
+    most_per_round: int = 16
+    events_every: int = 5
+    timeout_s: float = 1
+
+
+class _LoadReport(msgspec.Struct):
+    running: int
+    waiting: int
+
+
+class _CacheEventBody(msgspec.Struct):
+    number: int
+    kind: Literal['stored', 'evicted']
+    prefix: str
+
+
+class _CacheEventsBody(msgspec.Struct):
+    events: list[_CacheEventBody]
+
+
+class LoadReports:
+    """
+    Keeps the load reports of the servers in use up to date.
+
+    :param backends: where reports go.
+    :param http: client for the polls.
+    :param settings: how often.
+    :param source: random source of jitter.
+    """
+
+    def __init__(
+        self,
+        backends: Backends,
+        http: HttpClient,
+        settings: PollSettings,
+        source: random.Random,
+    ) -> None:
+        self._backends = backends
+        self._http = http
+        self._settings = settings
+        self._source = source
+        self._scope = trio.CancelScope()
+        self._round = 0
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """
+        Poll in the background.
+
+        :param nursery: where the polls run.
+        """
+        nursery.start_soon(self._run)
+        await trio.lowlevel.checkpoint()
+
+    async def close(self) -> None:
+        """Stop polling."""
+        self._scope.cancel()
+        await trio.lowlevel.checkpoint()
+
+    async def _run(self) -> None:
+        settings = self._settings
+        with self._scope:
+            while True:
+                spread = settings.jitter * (2 * self._source.random() - 1)
+                await trio.sleep(settings.interval_s * (1 + spread))
+                self._round += 1
+                await self._poll_due()
+
+    async def _poll_due(self) -> None:
+        settings = self._settings
+        shortest_s = settings.interval_s * (1 - settings.jitter)
+        targets = self._backends.polls_due(shortest_s, settings.most_per_round)
+        async with trio.open_nursery() as nursery:
+            for target in targets:
+                self._backends.polled(target.vm)
+                nursery.start_soon(self._poll, target)
+
+    async def _poll(self, target: PollTarget) -> None:
+        try:
+            status, body = await self._get(target, '/v1/load')
+        except HttpClientError as error:
+            self._note_failure(target, error)
+            return
+        if target.probe:
+            alive = status < _SERVER_ERROR
+            self._backends.probed(target.vm, alive)
+            _log.info('backends: probe of {} got {}', target.vm, status)
+        self._take_report(target, status, body)
+        if self._round % self._settings.events_every == 0:
+            await self._poll_events(target)
+
+    def _take_report(
+        self, target: PollTarget, status: int, body: bytes
+    ) -> None:
+        if status != _OK:
+            return
+        try:
+            report = msgspec.json.decode(body, type=_LoadReport)
+        except msgspec.DecodeError as error:
+            _log.warning('backends: report of {}: {}', target.vm, error)
+            return
+        self._backends.reported(target.vm, report.running, report.waiting)
+
+    def _note_failure(self, target: PollTarget, error: HttpClientError) -> None:
+        if target.probe:
+            self._backends.probed(target.vm, alive=False)
+        elif isinstance(error, ConnectFailed):
+            self._backends.failed(target.vm)
+
+    async def _poll_events(self, target: PollTarget) -> None:
+        path = f'/v1/cache-events?after={target.events_after}'
+        try:
+            status, body = await self._get(target, path)
+        except HttpClientError:
+            return
+        if status != _OK:
+            return
+        try:
+            decoded = msgspec.json.decode(body, type=_CacheEventsBody)
+        except msgspec.DecodeError as error:
+            _log.warning('backends: cache events of {}: {}', target.vm, error)
+            return
+        events = [
+            CacheEvent(event.number, event.kind, event.prefix)
+            for event in decoded.events
+        ]
+        self._backends.cache_changed(target.vm, events)
+
+    async def _get(self, target: PollTarget, path: str) -> tuple[int, bytes]:
+        bound_s = self._settings.timeout_s
+        response, body = await self._http.fetch(
+            ClientRequest(target.address, 'GET', path, fresh=target.probe),
+            ClientTimeouts(bound_s, bound_s, bound_s),
+        )
+        return response.status, body
