Add leases with fencing numbers for engine orders

A lease can lapse while its holder is paused, so every acquisition gets a higher fencing number by conditional update, and the object is never deleted. No wall clock is compared: the holder trusts its lease for its duration from before the write, and a contender takes over only after it saw the object unchanged for 1.5 times that long.

--- /dev/null
+++ b/eelgrassfork/leases.py
@@ -0,0 +1,185 @@
+"""
+eelgrassfork.leases
+~~~~~~~~~~~~~~~~~~~
+
+Leases with fencing numbers at the platform, for orders to engines.
+"""
+
+from typing import Final, NamedTuple
+
+import msgspec
+import trio
+
+from .errors import EelgrassError
+from .platform_client import (
+    AnswerLost,
+    Conflict,
+    PlatformClient,
+    PlatformError,
+    StoredObject,
+)
+
+__all__ = ('Lease', 'LeaseError', 'Leases')
+
+_PREFIX: Final = 'leases/'
+# Clocks of two VMs may run apart a little; a contender waits longer than
+# the holder trusts its lease.
+_CONTENDER_FACTOR: Final = 1.5
+
+
+class LeaseError(EelgrassError):
+    """
+    A lease is not held.
+
+    :param code: ``lease_held`` by another holder, ``lease_lost`` to
+        another, or ``lease_unreachable`` if the platform can't tell.
+    """
+
+
+class Lease(NamedTuple):
+    """
+    A lease held by this process.
+
+    :param fencing_number: higher than that of every earlier acquisition.
+    :param version: version of the object at the platform.
+    :param valid_until: time on the clock of trio when it lapses.
+    """
+
+    name: str
+    fencing_number: int
+    version: int
+    valid_until: float
+
+
+class _LeaseBody(msgspec.Struct):
+    holder: str
+    fencing_number: int
+    renewals: int = 0
+    released: bool = False
+
+
+class _Sighting(NamedTuple):
+    version: int
+    seen_at: float
+
+
+class Leases:
+    """
+    Acquires and renews leases for one holder.
+
+    No wall clock is compared: a contender takes over a lease only after it
+    saw the object unchanged for longer than the lease's duration.
+
+    :param platform: object API.
+    :param holder: identifier of this process.
+    :param duration_s: how long a lease lasts without renewal, in seconds.
+    """
+
+    def __init__(
+        self, platform: PlatformClient, holder: str, duration_s: float
+    ) -> None:
+        self._platform = platform
+        self._holder = holder
+        self._duration_s = duration_s
+        self._sightings_by_name: dict[str, _Sighting] = {}
+
+    async def acquire(self, name: str) -> Lease:
+        """
+        Take a lease that is free, lapsed, released or already this
+        holder's; the fencing number grows each time.
+
+        :param name: name of the lease.
+        :returns: the lease.
+        :raises LeaseError: ``lease_held`` or ``lease_unreachable``.
+        """
+        stored = await self._read(name)
+        number = 1
+        if stored is not None:
+            current = _decode(stored)
+            if not self._may_take(name, stored, current):
+                raise LeaseError(
+                    'lease_held', f'{name} is held by {current.holder}'
+                )
+            number = current.fencing_number + 1
+        version = None if stored is None else stored.version
+        body = _LeaseBody(self._holder, number)
+        return await self._write(name, body, version, 'lease_held')
+
+    async def renew(self, lease: Lease) -> Lease:
+        """
+        Extend a lease; its fencing number stays.
+
+        :param lease: the lease as last acquired or renewed.
+        :returns: the extended lease.
+        :raises LeaseError: ``lease_lost`` or ``lease_unreachable``.
+        """
+        # The version makes the body differ from that of earlier renewals.
+        body = _LeaseBody(self._holder, lease.fencing_number, lease.version)
+        return await self._write(lease.name, body, lease.version, 'lease_lost')
+
+    async def release(self, lease: Lease) -> None:
+        """
+        Let others take a lease at once; the object stays, so that the
+        fencing number never goes back.
+
+        :param lease: the lease as last acquired or renewed.
+        :raises LeaseError: ``lease_lost`` or ``lease_unreachable``.
+        """
+        body = _LeaseBody(
+            self._holder, lease.fencing_number, lease.version, released=True
+        )
+        await self._write(lease.name, body, lease.version, 'lease_lost')
+
+    def _may_take(
+        self, name: str, stored: StoredObject, current: _LeaseBody
+    ) -> bool:
+        if current.released or current.holder == self._holder:
+            return True
+        now_s = trio.current_time()
+        sighting = self._sightings_by_name.get(name)
+        if sighting is None or sighting.version != stored.version:
+            self._sightings_by_name[name] = _Sighting(stored.version, now_s)
+            return False
+        unchanged_s = now_s - sighting.seen_at
+        return unchanged_s > self._duration_s * _CONTENDER_FACTOR
+
+    async def _write(
+        self, name: str, body: _LeaseBody, version: int | None, lost_code: str
+    ) -> Lease:
+        # Counts from before the write, so that the holder's trust ends
+        # before any contender's wait.
+        valid_until = trio.current_time() + self._duration_s
+        key = f'{_PREFIX}{name}'
+        try:
+            written = await self._platform.put(
+                key, msgspec.msgpack.encode(body), version
+            )
+        except Conflict:
+            raise LeaseError(lost_code, f'{name} changed hands') from None
+        except AnswerLost as error:
+            written = await self._find_written(name, body)
+            if written is None:
+                raise _unreachable(name, error) from None
+        except PlatformError as error:
+            raise _unreachable(name, error) from None
+        return Lease(name, body.fencing_number, written, valid_until)
+
+    async def _find_written(self, name: str, body: _LeaseBody) -> int | None:
+        stored = await self._read(name)
+        if stored is None or _decode(stored) != body:
+            return None
+        return stored.version
+
+    async def _read(self, name: str) -> StoredObject | None:
+        try:
+            return await self._platform.get(f'{_PREFIX}{name}')
+        except PlatformError as error:
+            raise _unreachable(name, error) from None
+
+
+def _decode(stored: StoredObject) -> _LeaseBody:
+    return msgspec.msgpack.decode(stored.body, type=_LeaseBody)
+
+
+def _unreachable(name: str, error: PlatformError) -> LeaseError:
+    return LeaseError('lease_unreachable', f'{name}: {error.message}')
