Fix the type of a lease's version after a lost answer

mypy reported one variable with two types. The version that was read back gets a name of its own; behaviour is unchanged.

Measured: mypy clean, tests/test_leases.py, 5 passed.

--- a/eelgrassfork/leases.py
+++ b/eelgrassfork/leases.py
@@ -157,9 +157,10 @@
         except Conflict:
             raise LeaseError(lost_code, f'{name} changed hands') from None
         except AnswerLost as error:
-            written = await self._find_written(name, body)
-            if written is None:
+            found = await self._find_written(name, body)
+            if found is None:
                 raise _unreachable(name, error) from None
+            written = found
         except PlatformError as error:
             raise _unreachable(name, error) from None
         return Lease(name, body.fencing_number, written, valid_until)
