Find changes for watches in a log of changed keys

A waiting watch looked at all keys on every write, which slows the stand-in down once claims pile up. The store now keeps the keys in the order of their changes, and a watch reads only what came after its last look. The platform stand-in also takes a transport, as the HTTP server does, and JSON answers to HEAD carry no body.

--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -27,17 +27,19 @@
 
     A version belongs to a key and grows also over deleting and creating
     anew; the revision counts all changes.
-
-    :ivar revision: number of the last change, 0 before the first.
     """
 
     def __init__(self) -> None:
-        self.revision = 0
         self._body_by_key: dict[str, bytes] = {}
         self._version_by_key: dict[str, int] = {}
-        self._revision_by_key: dict[str, int] = {}
+        self._key_by_change: list[str] = []
         self._changed = trio.Event()
 
+    @property
+    def revision(self) -> int:
+        """Number of the last change, 0 before the first."""
+        return len(self._key_by_change)
+
     def get(self, key: str) -> StoredObject | None:
         """
         Read an object.
@@ -104,15 +106,15 @@
         :returns: the last state of each changed object, oldest change
             first; a deleted one has version 0.
         """
-        changed = sorted(
-            (revision, key)
-            for key, revision in self._revision_by_key.items()
-            if revision > after_revision and key.startswith(prefix)
-        )
+        changed = dict.fromkeys(reversed(self._key_by_change[after_revision:]))
         deleted = StoredObject('', 0, b'')
         return WatchResult(
             self.revision,
-            [self.get(key) or deleted._replace(key=key) for _, key in changed],
+            [
+                self.get(key) or deleted._replace(key=key)
+                for key in reversed(changed)
+                if key.startswith(prefix)
+            ],
         )
 
     async def wait(self) -> None:
@@ -131,7 +133,6 @@
             raise Conflict(key, current)
 
     def _record_change(self, key: str) -> None:
-        self.revision += 1
-        self._revision_by_key[key] = self.revision
+        self._key_by_change.append(key)
         self._version_by_key[key] = self._version_by_key.get(key, 0) + 1
         self.wake()
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -20,6 +20,7 @@
     PlatformRefused,
     StoredObject,
 )
+from eelgrassfork.transport import TCP, Transport
 from eelgrassfork.vm_list import VmRecord
 
 from .platform_core import PlatformCore, RateLimits
@@ -68,13 +69,15 @@
     The platform in this process.
 
     :param limits: rates that are enforced.
+    :param transport: how connections are accepted.
     :ivar core: its state, for tests that look inside.
-    :ivar address: ``ip:port`` once started.
     """
 
-    def __init__(self, limits: RateLimits | None = None) -> None:
+    def __init__(
+        self, limits: RateLimits | None = None, transport: Transport = TCP
+    ) -> None:
         self.core = PlatformCore(limits)
-        self._server = HttpServer(self._serve)
+        self._server = HttpServer(self._serve, transport=transport)
         self._answerers: dict[tuple[str, str], _Answerer] = {
             ('GET', '/v1/objects'): self._list,
             ('GET', '/v1/watch'): self._watch,
--- a/standins/platform_core.py
+++ b/standins/platform_core.py
@@ -258,7 +258,7 @@
             while not seen.objects:
                 await self.objects.wait()
                 self._check_faults(client)
-                seen = self.objects.changes(prefix, after_revision)
+                seen = self.objects.changes(prefix, seen.revision)
         return seen
 
     async def _admit(self, client: str, kind: str) -> None:
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -84,13 +84,14 @@
 
 async def respond_json(call: Call, content: object, status: int = 200) -> None:
     """
-    Answer with JSON.
+    Answer with JSON, or without a body if the method is HEAD.
 
     :param call: what to answer.
     :param content: anything that msgspec encodes.
     :param status: HTTP status.
     """
-    await call.respond(status, msgspec.json.encode(content))
+    body = b'' if call.method == 'HEAD' else msgspec.json.encode(content)
+    await call.respond(status, body)
 
 
 async def respond_error(
