Add the stand-in for plain services

Tests of requests that may not repeat need a server that counts what it executes by request identity and by key, and that can execute without answering.

--- /dev/null
+++ b/standins/plain_service.py
@@ -0,0 +1,161 @@
+"""
+standins.plain_service
+~~~~~~~~~~~~~~~~~~~~~~
+
+A service that takes any path and counts what it executes.
+"""
+
+import argparse
+import collections
+from typing import Any, Final
+
+import trio
+
+from eelgrassfork.http_server import Call, CallerGone, HttpServer
+from eelgrassfork.transport import TCP, Transport
+
+from .server_faults import FaultGate, FaultsBody
+from .serving import (
+    BadAdminCall,
+    admin_fields,
+    respond_error,
+    respond_json,
+    serve_forever,
+)
+
+__all__ = ('PlainServiceStandin',)
+
+_LOOK_UPS: Final = frozenset(('GET', 'HEAD'))
+
+
+class PlainServiceStandin:
+    """
+    A plain service in this process.
+
+    It executes a request even if its caller goes away meanwhile.
+
+    :param work_s: time that an execution takes in seconds.
+    :param transport: how connections are accepted.
+    :ivar gate: faults.
+    :ivar count_by_request_id: executions by ``X-Request-Id``.
+    :ivar count_by_key: executions by ``Idempotency-Key``.
+    :ivar orders: executions that are not look-ups.
+    """
+
+    def __init__(self, work_s: float = 0, transport: Transport = TCP) -> None:
+        self.gate = FaultGate()
+        self.count_by_request_id: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self.count_by_key: collections.Counter[str] = collections.Counter()
+        self.orders = 0
+        self.look_ups = 0
+        self._work_s = work_s
+        self._server = HttpServer(self._serve, transport=transport)
+
+    @property
+    def address(self) -> str:
+        """Where it listens, as ``ip:port``."""
+        return self._server.address
+
+    async def start(self, nursery: trio.Nursery, host: str, port: int) -> None:
+        """
+        Listen.
+
+        :param nursery: where connections run.
+        :param host: IP address to bind.
+        :param port: port, or 0 for any free one.
+        """
+        await self._server.start(nursery, host, port)
+
+    async def close(self) -> None:
+        """Stop listening and cut all connections."""
+        await self._server.close()
+
+    def set_faults(self, **changes: Any) -> None:
+        """
+        Change some faults.
+
+        :param changes: fields of
+            :class:`~standins.server_faults.FaultsBody`.
+        """
+        self.gate.change(**changes)
+
+    def executions(self) -> dict[str, Any]:
+        """
+        Read what was executed.
+
+        :returns: counts in total, by identity and by key.
+        """
+        return {
+            'orders': self.orders,
+            'look_ups': self.look_ups,
+            'by_request_id': self.count_by_request_id,
+            'by_key': self.count_by_key,
+        }
+
+    async def _serve(self, call: Call) -> None:
+        self.gate.arrive(call)
+        if call.path == '/admin/executions':
+            await respond_json(call, self.executions())
+        elif call.path == '/admin/faults':
+            await self._admin_faults(call)
+        else:
+            await self._answer(call)
+
+    async def _answer(self, call: Call) -> None:
+        faults = self.gate.faults
+        call.request_id = call.headers_by_name.get(
+            'x-request-id', call.request_id
+        )
+        if faults.cut_before:
+            raise CallerGone
+        if faults.fail:
+            await respond_error(call, 500, 'service_failed', 'fault in force')
+            return
+        await trio.sleep(self._work_s * faults.slow_factor)
+        self._execute(call)
+        if faults.cut_after:
+            raise CallerGone
+        answer = {
+            'method': call.method,
+            'target': call.target,
+            'request_id': call.request_id,
+            'body': call.body.decode('utf-8', 'replace'),
+            'number': self.orders,
+        }
+        await self.gate.before_answer(call)
+        await respond_json(call, answer)
+
+    def _execute(self, call: Call) -> None:
+        self.count_by_request_id[call.request_id] += 1
+        key = call.headers_by_name.get('idempotency-key')
+        if key is not None:
+            self.count_by_key[key] += 1
+        if call.method in _LOOK_UPS:
+            self.look_ups += 1
+        else:
+            self.orders += 1
+
+    async def _admin_faults(self, call: Call) -> None:
+        try:
+            self.set_faults(**admin_fields(call.body, FaultsBody))
+        except (BadAdminCall, ValueError) as error:
+            await respond_error(call, 400, 'bad_call', str(error))
+            return
+        await respond_json(call, {})
+
+
+def main() -> None:
+    """Run a plain service until it is killed."""
+    parser = argparse.ArgumentParser(description='Stand-in for a service.')
+    parser.add_argument('--host', default='127.0.0.1')
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--work-ms', type=float, default=0)
+    options = parser.parse_args()
+    standin = PlainServiceStandin(options.work_ms / 1000)
+    serve_forever(standin, options.host, options.port)
+
+
+if __name__ == '__main__':
+    main()
