Add the stand-in for model engines

The router needs engines that batch, cache prefixes, keep generations over broken connections, report late and lose cache events. Answers are derived from the request, so that a test can tell a caller's own answer from another's. A cancelled stream breaks and never looks whole.

A cache event names the prefix by the router's X-Prefix-Hash where the request has one, because the engine can't know the router's hash.

--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,328 @@
+"""
+standins.engine
+~~~~~~~~~~~~~~~
+
+A model engine over HTTP.
+"""
+
+import argparse
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, NamedTuple
+
+import msgspec
+import trio
+
+from eelgrassfork.http_server import Call, HttpServer
+from eelgrassfork.transport import TCP, Transport
+
+from .engine_answers import answer_stream, answer_whole
+from .engine_batch import Batch, Generation, GenerationSpec
+from .engine_cache import CacheEvents, PrefixCache
+from .engine_orders import EngineOrders, OrderBody, OrderRefused
+from .engine_text import BadChat, ChatRequest, parse_chat
+from .server_faults import FaultGate, FaultsBody
+from .serving import (
+    BadAdminCall,
+    admin_fields,
+    respond_error,
+    respond_json,
+    serve_forever,
+)
+
+__all__ = ('EngineSettings', 'EngineStandin')
+
+_Answerer = Callable[[Call], Awaitable[None]]
+
+_REQUESTS: Final = '/v1/requests/'
+_KV: Final = '/v1/kv/'
+_BINARY: Final = (('content-type', 'application/octet-stream'),)
+_NORMAL_PRIORITY: Final = 1
+_BAD_CALLS: Final = (BadChat, BadAdminCall, ValueError, msgspec.DecodeError)
+
+
+class EngineSettings(NamedTuple):
+    """
+    How an engine is set up.
+
+    :param slots: sequences that run at once.
+    :param cache_blocks: size of the prefix cache in blocks of 16 words.
+    :param load_lag_s: seconds between load reports.
+    :param checks_fencing: whether orders with an old number are refused.
+    :param seed: decides which cache events are lost.
+    :param pace: factor on all times; below 1 is faster.
+    """
+
+    model: str
+    slots: int = 16
+    cache_blocks: int = 4096
+    load_lag_s: float = 0.5
+    checks_fencing: bool = False
+    seed: int = 1
+    pace: float = 1.0
+
+
+class EngineStandin:
+    """
+    A model engine in this process.
+
+    :param settings: how it is set up.
+    :param transport: how connections are accepted.
+    :ivar gate: faults.
+    :ivar generations_by_id: all generations, for tests that look inside.
+    """
+
+    def __init__(
+        self, settings: EngineSettings, transport: Transport = TCP
+    ) -> None:
+        self.gate = FaultGate()
+        self.generations_by_id: dict[str, Generation] = {}
+        self.orders = EngineOrders(settings.model, settings.checks_fencing)
+        self._settings = settings
+        self._events = CacheEvents(settings.seed)
+        self._cache = PrefixCache(settings.cache_blocks, self._events)
+        self._batch = Batch(settings.slots, self._cache, settings.pace)
+        self._load: tuple[int, int, float] = (0, 0, 0)
+        self._scope = trio.CancelScope()
+        self._server = HttpServer(self._serve, transport=transport)
+        self._answerers: dict[tuple[str, str], _Answerer] = {
+            ('POST', '/v1/chat/completions'): self._chat,
+            ('GET', '/v1/models'): self._models,
+            ('GET', '/v1/requests'): self._list_requests,
+            ('GET', '/v1/load'): self._show_load,
+            ('GET', '/v1/cache-events'): self._cache_events,
+            ('POST', '/v1/orders'): self._order,
+            ('POST', '/admin/faults'): self._admin_faults,
+            ('GET', '/admin/records'): self._admin_records,
+        }
+        self._answerers_by_prefix: dict[tuple[str, str], _Answerer] = {
+            ('DELETE', _REQUESTS): self._cancel,
+            ('GET', _KV): self._export,
+            ('PUT', _KV): self._import,
+        }
+
+    @property
+    def address(self) -> str:
+        """Where it listens, as ``ip:port``."""
+        return self._server.address
+
+    async def start(self, nursery: trio.Nursery, host: str, port: int) -> None:
+        """
+        Listen and run the batch.
+
+        :param nursery: where connections and the batch run.
+        :param host: IP address to bind.
+        :param port: port, or 0 for any free one.
+        """
+        await self._server.start(nursery, host, port)
+        nursery.start_soon(self._run)
+
+    async def close(self) -> None:
+        """Stop at once: generations end and connections break."""
+        self._scope.cancel()
+        await self._server.close()
+
+    def set_faults(self, **changes: Any) -> None:
+        """
+        Change some faults.
+
+        :param changes: fields of
+            :class:`~standins.server_faults.FaultsBody`.
+        """
+        self.gate.change(**changes)
+        self._batch.pace = self._settings.pace * self.gate.faults.slow_factor
+
+    def leave(self) -> None:
+        """Take no new work; generations go on."""
+        self.orders.leaving = True
+
+    def records(self) -> list[dict[str, Any]]:
+        """
+        Read the records of all generations.
+
+        :returns: the records in the order of arrival.
+        """
+        return [gen.record() for gen in self.generations_by_id.values()]
+
+    async def _run(self) -> None:
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._batch.run)
+                nursery.start_soon(self._report_load)
+
+    async def _report_load(self) -> None:
+        while True:
+            batch = self._batch
+            self._load = (batch.running, batch.waiting, trio.current_time())
+            await trio.sleep(self._settings.load_lag_s)
+
+    async def _serve(self, call: Call) -> None:
+        self.gate.arrive(call)
+        if self.gate.faults.fail and not call.path.startswith('/admin/'):
+            await respond_error(call, 500, 'engine_failed', 'fault in force')
+            return
+        try:
+            await self._answerer(call)(call)
+        except _BAD_CALLS as error:
+            await respond_error(call, 400, 'bad_call', str(error))
+
+    def _answerer(self, call: Call) -> _Answerer:
+        for (method, prefix), answerer in self._answerers_by_prefix.items():
+            if call.method == method and call.path.startswith(prefix):
+                return answerer
+        return self._answerers.get((call.method, call.path), self._not_found)
+
+    async def _chat(self, call: Call) -> None:
+        chat = parse_chat(call.body)
+        headers = call.headers_by_name
+        call.request_id = headers.get('x-request-id') or call.request_id
+        generation = self.generations_by_id.get(call.request_id)
+        if generation is None:
+            refusal = self._refusal(chat)
+            if refusal:
+                await self.gate.before_answer(call)
+                await respond_error(call, *refusal, 'it did not start')
+                return
+            generation = self._submit(call, chat)
+        generation.attached += 1
+        if chat.stream:
+            first = int(headers.get('x-resume-from', '0'))
+            await answer_stream(call, self.gate, generation, first)
+        else:
+            await answer_whole(call, self.gate, generation)
+
+    def _refusal(self, chat: ChatRequest) -> tuple[int, str] | None:
+        if self.orders.leaving:
+            return 503, 'draining'
+        if chat.model not in self.orders.models:
+            return 404, 'model_not_found'
+        return None
+
+    def _submit(self, call: Call, chat: ChatRequest) -> Generation:
+        headers = call.headers_by_name
+        cap = int(headers.get('x-max-tokens', chat.max_tokens))
+        length = min(chat.natural_words, chat.max_tokens, cap)
+        if length < 1:
+            raise BadChat('the cap on completion tokens is below 1')
+        spec = GenerationSpec(
+            call.request_id,
+            headers.get('x-payer', ''),
+            int(headers.get('x-priority', _NORMAL_PRIORITY)),
+            chat,
+            chat.natural_words if self.gate.faults.ignore_cap else length,
+            headers.get('x-prefix-hash', ''),
+        )
+        generation = Generation(spec)
+        self.generations_by_id[call.request_id] = generation
+        self._batch.submit(generation)
+        return generation
+
+    async def _models(self, call: Call) -> None:
+        listed = [
+            {'id': name, 'object': 'model'} for name in self.orders.models
+        ]
+        await self._respond(call, {'object': 'list', 'data': listed})
+
+    async def _list_requests(self, call: Call) -> None:
+        prefix = call.query_by_name.get('payer', '')
+        await self._respond(
+            call,
+            {
+                'requests': [
+                    record
+                    for record in self.records()
+                    if record['payer'].startswith(prefix)
+                ],
+            },
+        )
+
+    async def _cancel(self, call: Call) -> None:
+        request_id = call.path.removeprefix(_REQUESTS)
+        generation = self.generations_by_id.get(request_id)
+        if generation is None:
+            await self._not_found(call)
+            return
+        self._batch.cancel(generation)
+        await self._respond(call, generation.record())
+
+    async def _show_load(self, call: Call) -> None:
+        running, waiting, measured_at = self._load
+        age_ms = round((trio.current_time() - measured_at) * 1000)
+        load = {
+            'running': running,
+            'waiting': waiting,
+            'slots': self._settings.slots,
+            'measured_at_ms': round(time.time() * 1000) - age_ms,
+            'age_ms': age_ms,
+        }
+        await self._respond(call, load)
+
+    async def _cache_events(self, call: Call) -> None:
+        after = int(call.query_by_name.get('after', '0'))
+        events = [event._asdict() for event in self._events.after(after)]
+        await self._respond(call, {'events': events})
+
+    async def _order(self, call: Call) -> None:
+        try:
+            order = msgspec.json.decode(call.body, type=OrderBody)
+            await self.orders.carry_out(order, self._batch.pace)
+        except OrderRefused as error:
+            await self.gate.before_answer(call)
+            await respond_error(call, 409, error.code, str(error))
+            return
+        await self._respond(call, self.orders.state())
+
+    async def _export(self, call: Call) -> None:
+        blocks = self._cache.blocks(call.path.removeprefix(_KV))
+        if not blocks:
+            await self._not_found(call)
+            return
+        await self.gate.before_answer(call)
+        await call.respond(200, msgspec.msgpack.encode(blocks), _BINARY)
+
+    async def _import(self, call: Call) -> None:
+        blocks = msgspec.msgpack.decode(call.body, type=tuple[str, ...])
+        self._cache.store(call.path.removeprefix(_KV), blocks)
+        await self._respond(call, {'blocks': len(blocks)})
+
+    async def _respond(self, call: Call, content: object) -> None:
+        await self.gate.before_answer(call)
+        await respond_json(call, content)
+
+    async def _not_found(self, call: Call) -> None:
+        await self.gate.before_answer(call)
+        await respond_error(call, 404, 'not_found', f'nothing at {call.path}')
+
+    async def _admin_faults(self, call: Call) -> None:
+        self.set_faults(**admin_fields(call.body, FaultsBody))
+        await respond_json(call, {})
+
+    async def _admin_records(self, call: Call) -> None:
+        records = {
+            'requests': self.records(),
+            'orders': self.orders.carried_out,
+            'state': self.orders.state(),
+        }
+        await respond_json(call, records)
+
+
+def main() -> None:
+    """Run an engine until it is killed."""
+    parser = argparse.ArgumentParser(description='Stand-in for an engine.')
+    parser.add_argument('--host', default='127.0.0.1')
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--model', required=True)
+    parser.add_argument('--checks-fencing', action='store_true')
+    for field in ('slots', 'cache_blocks', 'load_lag_s', 'seed', 'pace'):
+        default = EngineSettings._field_defaults[field]
+        option = field.replace('_', '-')
+        parser.add_argument(f'--{option}', type=type(default), default=default)
+    options = parser.parse_args()
+    settings = EngineSettings(
+        *[getattr(options, name) for name in EngineSettings._fields]
+    )
+    serve_forever(EngineStandin(settings), options.host, options.port)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/engine_answers.py
@@ -0,0 +1,140 @@
+"""
+standins.engine_answers
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Chat answers of a stand-in engine, whole or as a stream of events.
+"""
+
+from typing import Any, Final
+
+import msgspec
+
+from eelgrassfork.http_server import Call, CallerGone
+
+from .engine_batch import Generation
+from .server_faults import FaultGate
+from .serving import respond_error
+
+__all__ = ('answer_stream', 'answer_whole')
+
+_DONE: Final = b'[DONE]'
+_EVENT_STREAM: Final = 'text/event-stream'
+
+
+async def answer_whole(
+    call: Call, gate: FaultGate, generation: Generation
+) -> None:
+    """
+    Answer with the whole generation once it has ended.
+
+    :param call: what to answer.
+    :param gate: faults.
+    :param generation: what to follow.
+    """
+    while not generation.ended:
+        await generation.wait()
+    await gate.before_answer(call)
+    if generation.state == 'cancelled':
+        await respond_error(call, 409, 'cancelled', 'it was cancelled')
+        return
+    words = [generation.word(number) for number in range(generation.produced)]
+    message = {'role': 'assistant', 'content': ''.join(words)}
+    choice = {
+        'index': 0,
+        'message': message,
+        'finish_reason': generation.finish_reason,
+    }
+    completion = {
+        **_head(generation, 'chat.completion'),
+        'choices': [choice],
+        'usage': _usage(generation),
+    }
+    headers = _headers(generation, 'application/json')
+    await call.respond(200, msgspec.json.encode(completion), headers)
+
+
+async def answer_stream(
+    call: Call, gate: FaultGate, generation: Generation, first: int
+) -> None:
+    """
+    Answer with the events of a generation as they come.
+
+    Events are numbered from 0: one a word, then one with the usage, then
+    ``[DONE]``. The stream of a cancelled generation breaks.
+
+    :param call: what to answer.
+    :param gate: faults.
+    :param generation: what to follow.
+    :param first: number of the first event to send.
+    """
+    while not (generation.produced or generation.ended):
+        await generation.wait()
+    await gate.before_answer(call)
+    if generation.state == 'cancelled' and generation.produced <= first:
+        await respond_error(call, 409, 'cancelled', 'it was cancelled')
+        return
+    await call.start(200, _headers(generation, _EVENT_STREAM))
+    number = first
+    while (event := await _event(generation, number)) is not None:
+        await gate.before_event(call, number - first)
+        await call.send(b'id: %d\ndata: %b\n\n' % (number, event))
+        number += 1
+    await call.finish()
+
+
+async def _event(generation: Generation, number: int) -> bytes | None:
+    while generation.produced <= number and not generation.ended:
+        await generation.wait()
+    if number < generation.produced:
+        return _word_event(generation, number)
+    if generation.state == 'cancelled':
+        raise CallerGone
+    last_events = (_usage_event(generation), _DONE)
+    after_words = number - generation.produced
+    return last_events[after_words] if after_words < 2 else None
+
+
+def _word_event(generation: Generation, number: int) -> bytes:
+    delta = {'role': 'assistant', 'content': generation.word(number)}
+    choice = {'index': 0, 'delta': delta, 'finish_reason': None}
+    head = _head(generation, 'chat.completion.chunk')
+    return msgspec.json.encode({**head, 'choices': [choice]})
+
+
+def _usage_event(generation: Generation) -> bytes:
+    reason = generation.finish_reason
+    choice = {'index': 0, 'delta': {}, 'finish_reason': reason}
+    last = {
+        **_head(generation, 'chat.completion.chunk'),
+        'choices': [choice],
+        'usage': _usage(generation),
+    }
+    return msgspec.json.encode(last)
+
+
+def _head(generation: Generation, kind: str) -> dict[str, Any]:
+    return {
+        'id': f'chatcmpl-{generation.spec.request_id}',
+        'object': kind,
+        'created': 0,
+        'model': generation.spec.chat.model,
+    }
+
+
+def _usage(generation: Generation) -> dict[str, Any]:
+    prompt_tokens = generation.spec.chat.prompt_tokens
+    return {
+        'prompt_tokens': prompt_tokens,
+        'completion_tokens': generation.produced,
+        'total_tokens': prompt_tokens + generation.produced,
+        'prompt_tokens_details': {'cached_tokens': generation.cached_tokens},
+    }
+
+
+def _headers(
+    generation: Generation, content_type: str
+) -> tuple[tuple[str, str], ...]:
+    return (
+        ('content-type', content_type),
+        ('x-payer', generation.spec.payer),
+    )
