Name the payer in a claim from the start

Cause: the accounts can allocate a payer tag before they reserve, so a claim can name it; a settlement that waits for the record of the outcome isn't needed then. A caller also waited for the timeout of a silent platform. Change: records carry the payer tag instead of the budget, paid_by lists by payer prefix, and the writer has no callbacks. A write within a request waits at most 1 s, and not at all while writes fail; one refused record no longer holds up the others.

--- a/eelgrassfork/claim_records.py
+++ b/eelgrassfork/claim_records.py
@@ -26,7 +26,6 @@
     'encode_claim',
     'keep_answer',
     'object_key',
-    'payer_holder',
     'refusal',
     'refusal_outcome',
     'supersedes',
@@ -81,9 +80,8 @@
         as the holder knew it, or 0.
     :param nonce: random identity of the claim.
     :param request_id: identity of the request at the backend server.
-    :param budget: what pays, ``<fleet>/<organisation>/<budget>``.
     :param price: tokens.
-    :param payer: payer tag of the reservation; empty until it is known.
+    :param payer: payer tag of the reservation; empty if the price is 0.
     :param attempt: raised when the issuer of a key allows another attempt
         after one that sent nothing.
     :param answer: set in the state ``ran``.
@@ -94,7 +92,6 @@
     listed_at: int
     nonce: str
     request_id: str
-    budget: str
     price: int
     state: ClaimState = 'claimed'
     payer: str = ''
@@ -187,19 +184,6 @@
     return ClaimAnswer(status, headers, None if too_large else body)
 
 
-def payer_holder(record: ClaimRecord) -> str:
-    """
-    Tell on whose account the price of a claim is reserved.
-
-    A claim names its payer from the start where another holder lends the
-    credit; without a payer, its own holder pays.
-
-    :param record: the claim.
-    :returns: the paying holder.
-    """
-    return record.payer.partition('/')[0] or record.holder
-
-
 def supersedes(wanted: ClaimRecord, found: ClaimRecord) -> bool:
     """
     Tell whether a record says more than the one at the platform.
--- a/eelgrassfork/claim_writer.py
+++ b/eelgrassfork/claim_writer.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from collections.abc import Callable
 from typing import Any, Final, Protocol
 
 import logbook
@@ -21,7 +20,12 @@
     supersedes,
 )
 from .errors import EelgrassError
-from .platform_types import AnswerLost, Conflict, StoredObject
+from .platform_types import (
+    AnswerLost,
+    Conflict,
+    PlatformUnavailable,
+    StoredObject,
+)
 
 __all__ = ('ClaimStore', 'ClaimWriter')
 
@@ -35,6 +39,8 @@
 _LEAST_JITTER: Final = 0.5
 # Another writer of the same claim can win a few races, never many.
 _MAX_RACES: Final = 4
+# A caller's answer waits this long for its record; the rest is background.
+_INLINE_S: Final = 1.0
 _MAX_DOUBLINGS: Final = 8
 
 
@@ -56,7 +62,6 @@
 class _Pending:
     def __init__(self, claim: Claim) -> None:
         self.claim = claim
-        self.on_written: list[Callable[[], None]] = []
         self.busy = False
 
 
@@ -79,6 +84,7 @@
         self._jitter = jitter or random.Random()  # noqa: S311
         self._pending_by_claim: dict[tuple[str, str], _Pending] = {}
         self._body_bytes = 0
+        self._failing = False
         self._added = trio.Event()
         self._scope = trio.CancelScope()
 
@@ -121,34 +127,30 @@
         ran = [record for record in records if record.state == 'ran']
         return next(iter(ran or records), None)
 
-    def add(
-        self, claim: Claim, on_written: Callable[[], None] | None = None
-    ) -> None:
+    def add(self, claim: Claim) -> None:
         """
         Write a record in the background, retried until it is there.
 
         :param claim: the record, and the version it replaces.
-        :param on_written: called once, after the platform holds this record
-            or one that says more.
         """
-        self._insert(claim, on_written)
+        self._insert(claim)
         self._added.set()
 
-    async def write(
-        self, claim: Claim, on_written: Callable[[], None] | None = None
-    ) -> None:
+    async def write(self, claim: Claim) -> None:
         """
         Write a record now, and in the background if that fails.
 
-        The record is pending from the start, so a cancelled call loses
-        nothing.
+        Waits at most a second, and not at all while writes fail. The record
+        is pending from the start, so a cancelled call loses nothing.
 
         :param claim: the record, and the version it replaces.
-        :param on_written: as for :meth:`add`.
         """
-        pending = self._insert(claim, on_written)
-        if not await self._flush(pending):
-            self._added.set()
+        pending = self._insert(claim)
+        bound = trio.move_on_after(0 if self._failing else _INLINE_S)
+        with bound:
+            await self._flush(pending)
+        self._failing = self._failing or bound.cancelled_caught
+        self._added.set()
 
     def dump(self) -> dict[str, Any]:
         """
@@ -167,9 +169,7 @@
             'pending_body_bytes': self._body_bytes,
         }
 
-    def _insert(
-        self, claim: Claim, on_written: Callable[[], None] | None
-    ) -> _Pending:
+    def _insert(self, claim: Claim) -> _Pending:
         identity = (claim.key, claim.record.nonce)
         pending = self._pending_by_claim.get(identity)
         if pending is None:
@@ -180,8 +180,6 @@
             self._body_bytes -= _body_size(pending.claim)
             pending.claim = self._within_budget(claim)
             self._body_bytes += _body_size(pending.claim)
-        if on_written is not None:
-            pending.on_written.append(on_written)
         return pending
 
     def _within_budget(self, claim: Claim) -> Claim:
@@ -211,14 +209,14 @@
         return part * min(doubled, _MAX_DELAY_S)
 
     async def _flush_all(self) -> bool:
-        for identity, pending in list(self._pending_by_claim.items()):
+        all_written = True
+        for pending in list(self._pending_by_claim.values()):
             if not await self._flush(pending):
-                # One record that can't be written must not stop the others.
-                still = self._pending_by_claim.pop(identity, None)
-                if still is not None:
-                    self._pending_by_claim[identity] = still
-                return False
-        return True
+                all_written = False
+                # One that is refused must not stop the others.
+                if self._failing:
+                    break
+        return all_written
 
     async def _flush(self, pending: _Pending) -> bool:
         if pending.busy:
@@ -239,10 +237,15 @@
 
     async def _try_write(self, claim: Claim) -> bool:
         try:
-            return await self._write(claim)
+            written = await self._write(claim)
+        except PlatformUnavailable as error:
+            _log.info('claims: {} is not written yet: {}', claim.key, error)
+            written = False
         except EelgrassError as error:
-            _log.info('claims: {} is not written: {}', claim.key, error)
+            _log.error('claims: {} cannot be written: {}', claim.key, error)
             return False
+        self._failing = not written
+        return written
 
     async def _write(self, claim: Claim) -> bool:
         body = encode_claim(claim.record)
@@ -269,10 +272,6 @@
         claim = pending.claim
         if self._pending_by_claim.pop((claim.key, claim.record.nonce), None):
             self._body_bytes -= _body_size(claim)
-        callbacks = pending.on_written
-        pending.on_written = []
-        for callback in callbacks:
-            callback()
 
 
 def _body_size(claim: Claim) -> int:
--- a/eelgrassfork/claims.py
+++ b/eelgrassfork/claims.py
@@ -22,7 +22,6 @@
     decode_claim,
     encode_claim,
     object_key,
-    payer_holder,
 )
 from .claim_writer import ClaimStore, ClaimWriter
 from .errors import Outcome, RequestError
@@ -64,6 +63,8 @@
     :param body_hash: hash of method, target and body.
     :param request_id: identity that the backend server will see.
     :param price: tokens.
+    :param payer: payer tag that the price will be reserved under; empty if
+        it is not known or the price is 0.
     :param first_attempt: whether no earlier attempt of the caller exists.
     """
 
@@ -72,6 +73,7 @@
     body_hash: str
     request_id: str
     price: int
+    payer: str = ''
     first_attempt: bool = False
 
 
@@ -89,8 +91,8 @@
         listed_at=identity.listed_at(),
         nonce=secrets.token_urlsafe(_NONCE_BYTES),
         request_id=wanted.request_id,
-        budget=wanted.budget,
         price=wanted.price,
+        payer=wanted.payer,
     )
 
 
@@ -149,10 +151,10 @@
 
     async def name_payer(self, claim: Claim, payer: str) -> Claim:
         """
-        Write down who pays before the request is sent.
+        Write down another payer before the request is sent.
 
-        Needed where another holder lends the credit: if this holder dies,
-        the lender finds the claim by its payer.
+        If this holder dies, a peer that lent the credit finds the claim by
+        its payer tag.
 
         :param claim: the claim.
         :param payer: payer tag of the reservation.
@@ -174,26 +176,19 @@
         claim: Claim,
         state: ClaimState,
         answer: ClaimAnswer | None = None,
-        on_recorded: Callable[[], None] | None = None,
     ) -> None:
         """
         Write the outcome of a claim; retried in the background.
 
-        The reservation is settled by ``on_recorded``. A dead holder's claim
-        in the state ``claimed`` therefore always is one whose price is not
-        settled yet, and a ``ran`` or ``unknown`` one names its payer, whose
-        number tells whether it is.
-
-        :param claim: the claim, its record naming the payer.
+        :param claim: the claim.
         :param state: ``ran``, ``unknown``, or ``released`` if nothing was
             sent.
         :param answer: the first answer of a request that ran.
-        :param on_recorded: called once the platform holds the outcome.
         """
         record = msgspec.structs.replace(
             claim.record, state=state, answer=answer
         )
-        await self.writer.write(claim._replace(record=record), on_recorded)
+        await self.writer.write(claim._replace(record=record))
 
     async def find(self, key: str) -> ClaimRecord | None:
         """
@@ -210,25 +205,27 @@
         stored = await self._store.get(key)
         return decode_claim(stored.body) if stored else None
 
-    async def paid_by(self, holder: str, fleet: str) -> list[ClaimRecord]:
+    async def paid_by(self, payer_prefix: str) -> list[ClaimRecord]:
         """
         List the claims that draw on a holder's accounts, for reclaiming.
 
-        Released claims cost nothing and are left out. The price of a claim
-        without a payer is not settled; one with a payer is, if its number
-        is settled in the ledger.
+        The price of a claim is spent unless its payer's number is settled in
+        the ledger. Released claims cost nothing and are left out.
 
-        :param holder: the paying holder.
-        :param fleet: name of the fleet.
-        :returns: the records, without the bodies of their answers.
+        :param payer_prefix: ``<holder>/``, or a whole payer tag.
+        :returns: the records, without their answers.
         :raises PlatformError: if the platform can't be read.
         """
-        stored = await self._store.list_objects(f'claims/{fleet}/')
+        _, _, budget = payer_prefix.partition('/')
+        organisation = '/'.join(budget.split('/')[:2])
+        prefix = f'claims/{organisation}/' if organisation else 'claims/'
+        stored = await self._store.list_objects(prefix)
         records = (decode_claim(each.body) for each in stored)
         return [
             msgspec.structs.replace(record, answer=None)
             for record in records
-            if payer_holder(record) == holder and record.state != 'released'
+            if record.state != 'released'
+            and record.payer.startswith(payer_prefix)
         ]
 
     def dump(self) -> dict[str, Any]:
