Add idempotency keys that routers issue

Cause: while the platform is down, no claim can be made, and orders under a caller's own key are refused. Change: a holder issues keys efk1.<holder>.<number> and alone decides who may use them, in bounded memory. Other routers ask it through the peer exchange with an identity for each ask, and report the outcome; if the report isn't noted, they write the claim to the platform as well.

--- /dev/null
+++ b/eelgrassfork/issued_key_use.py
@@ -0,0 +1,317 @@
+"""
+eelgrassfork.issued_key_use
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Uses idempotency keys that a router issued, this one or a peer.
+"""
+
+import functools
+import random
+import secrets
+from typing import Any, Final, Protocol
+
+import logbook
+import msgspec
+import trio
+
+from .claim_records import (
+    Claim,
+    ClaimAnswer,
+    ClaimState,
+    ReplayedAnswer,
+    answer_repeat,
+    object_key,
+)
+from .claims import Claims, NewClaim
+from .errors import EelgrassError, RequestError
+from .issued_key_messages import (
+    USE_ISSUED_KEY,
+    KeyMessage,
+    KeyReport,
+    KeyVerdict,
+    as_payload,
+    decode_message,
+    decode_verdict,
+    verdict_of,
+)
+from .issued_key_table import IssuedKey, KeyForgotten, parse_key
+from .issued_keys import Asker, IssuedKeys
+from .names import vm_of_holder
+from .peer_messages import Payload
+from .peering import PeerHandler, PeerRefused, PeerUnreachable
+from .permits import Permit
+from .platform_types import PlatformError
+
+__all__ = ('IssuedKeyUse', 'KeyPeers')
+
+_log = logbook.Logger('keys')
+
+_ASK_BYTES: Final = 12
+_MAX_ASKS: Final = 2
+_MAX_UNREPORTED: Final = 1024
+# A larger answer goes to the platform only, once its report has failed.
+_MAX_REPORTED_BYTES: Final = 4096
+_FIRST_DELAY_S: Final = 0.5
+_MAX_DELAY_S: Final = 10.0
+_LEAST_JITTER: Final = 0.5
+_MAX_DOUBLINGS: Final = 8
+
+
+class KeyPeers(Protocol):
+    """The part of the peer exchange that keys need."""
+
+    def register(self, kind: str, handler: PeerHandler) -> None:
+        """Let peers make one kind of call."""
+
+    async def call(self, vm: str, kind: str, payload: Payload) -> Payload:
+        """Call a peer."""
+
+
+class IssuedKeyUse:
+    """
+    Asks the issuer of a key, and reports the outcome to it.
+
+    :param keys: the keys of this holder.
+    :param claims: claims at the platform, and this holder's identity.
+    :param peers: the peer exchange.
+    """
+
+    def __init__(
+        self, keys: IssuedKeys, claims: Claims, peers: KeyPeers
+    ) -> None:
+        self._keys = keys
+        self._claims = claims
+        self._peers = peers
+        self._unreported_by_ask: dict[str, KeyMessage] = {}
+        self._added = trio.Event()
+        self._scope = trio.CancelScope()
+        self._jitter = random.Random()  # noqa: S311
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """
+        Answer peers, and repeat reports in the background.
+
+        :param nursery: where this runs.
+        """
+        self._peers.register(USE_ISSUED_KEY, self.serve)
+        nursery.start_soon(self._run)
+        await trio.lowlevel.checkpoint()
+
+    async def close(self) -> None:
+        """Stop repeating reports."""
+        self._scope.cancel()
+        await trio.lowlevel.checkpoint()
+
+    async def permit(self, key: IssuedKey, order: NewClaim) -> Permit:
+        """
+        Get permission to send a request under an issued key.
+
+        :param key: parts of the order's key.
+        :param order: the request.
+        :returns: permission to send it once.
+        :raises ReplayedAnswer: if the request ran and its answer was kept.
+        :raises RequestError: if the request may not be sent.
+        """
+        own = self._claims.identity
+        asker = Asker(
+            own.holder, own.listed_at(), secrets.token_urlsafe(_ASK_BYTES)
+        )
+        if key.holder == own.holder:
+            return await self._permit_here(asker, key.number, order)
+        if vm_of_holder(key.holder) == vm_of_holder(own.holder):
+            # This holder runs in the issuer's place, so the issuer is gone.
+            raise await self._without_issuer(order)
+        return await self._permit_there(asker, key, order)
+
+    async def serve(self, sender: str, payload: Payload) -> Payload:
+        """
+        Answer a peer that asks for a key of this holder, or reports.
+
+        :param sender: the peer's holder.
+        :param payload: a :class:`KeyMessage`.
+        :returns: a :class:`KeyVerdict`.
+        :raises EelgrassError: ``bad_call`` if the payload is no such message.
+        """
+        try:
+            message = decode_message(payload)
+        except msgspec.DecodeError as error:
+            raise EelgrassError('bad_call', str(error)) from None
+        key = parse_key(message.key)
+        verdict = KeyVerdict('gone')
+        if key is not None and key.holder == self._claims.identity.holder:
+            asker = Asker(sender, message.listed_at, message.ask)
+            verdict = await self._decide(asker, key.number, message)
+        return as_payload(verdict)
+
+    def dump(self) -> dict[str, Any]:
+        """
+        Describe the state for operators.
+
+        :returns: keys issued here, and reports that no issuer has noted.
+        """
+        return {**self._keys.dump(), 'unreported': len(self._unreported_by_ask)}
+
+    async def _permit_here(
+        self, asker: Asker, number: int, order: NewClaim
+    ) -> Permit:
+        try:
+            await self._keys.use(asker, number, order)
+        except KeyForgotten:
+            raise await self._without_issuer(order) from None
+        return functools.partial(self._keys.report, asker, number)
+
+    async def _permit_there(
+        self, asker: Asker, key: IssuedKey, order: NewClaim
+    ) -> Permit:
+        message = KeyMessage(order.key, asker.ask, asker.listed_at, order)
+        verdict = await self._ask(key, message)
+        if verdict.kind == 'granted' and verdict.claim is not None:
+            place = Claim(
+                object_key(order.budget, order.key), verdict.claim, None
+            )
+            return functools.partial(self._finish, message, place)
+        if verdict.kind == 'replay' and verdict.answer is not None:
+            raise ReplayedAnswer(verdict.answer)
+        if verdict.kind == 'refused':
+            raise verdict.error()
+        raise await self._without_issuer(order)
+
+    async def _ask(self, key: IssuedKey, message: KeyMessage) -> KeyVerdict:
+        doubtful = False
+        for _ in range(_MAX_ASKS):
+            try:
+                return await self._call(key, message)
+            except PeerUnreachable as error:
+                doubtful = doubtful or error.sent
+            except EelgrassError as error:
+                _log.warning('keys: {} refused to answer: {}', key, error)
+                doubtful = True
+                break
+        if doubtful:
+            # A yes may be on its way; it won't be used any more.
+            self._report_later(message, KeyReport('released'))
+        return KeyVerdict('gone')
+
+    async def _call(self, key: IssuedKey, message: KeyMessage) -> KeyVerdict:
+        payload = await self._peers.call(
+            vm_of_holder(key.holder), USE_ISSUED_KEY, as_payload(message)
+        )
+        try:
+            return decode_verdict(payload)
+        except msgspec.DecodeError as error:
+            raise PeerRefused('bad_answer', str(error)) from None
+
+    async def _without_issuer(
+        self, order: NewClaim
+    ) -> RequestError | ReplayedAnswer:
+        try:
+            record = await self._claims.find(
+                object_key(order.budget, order.key)
+            )
+        except PlatformError:
+            return _not_sent(
+                'claim_unreachable',
+                'neither the issuer of the key nor the platform can be asked',
+            )
+        if record is None or record.state == 'released':
+            return _not_sent(
+                'outcome_unknown',
+                'the router that issued the key cannot be asked',
+            )
+        return answer_repeat(
+            record, order.body_hash, self._claims.identity.is_dead
+        )
+
+    async def _finish(
+        self,
+        message: KeyMessage,
+        place: Claim,
+        state: ClaimState,
+        answer: ClaimAnswer | None,
+    ) -> None:
+        # Noted before the first try, so that a cancelled one loses nothing.
+        self._report_later(message, KeyReport(state, answer))
+        report = _report_of(message, KeyReport(state, answer))
+        if await self._try_report(report) == 'noted':
+            self._unreported_by_ask.pop(message.ask, None)
+            return
+        record = msgspec.structs.replace(
+            place.record, state=state, answer=answer
+        )
+        self._claims.writer.add(place._replace(record=record))
+
+    def _report_later(self, message: KeyMessage, report: KeyReport) -> None:
+        kept = report
+        if _body_size(report) > _MAX_REPORTED_BYTES and report.answer:
+            answer = msgspec.structs.replace(report.answer, body=None)
+            kept = KeyReport(report.state, answer)
+        self._unreported_by_ask[message.ask] = _report_of(message, kept)
+        if len(self._unreported_by_ask) > _MAX_UNREPORTED:
+            oldest = next(iter(self._unreported_by_ask))
+            dropped = self._unreported_by_ask.pop(oldest)
+            _log.error('keys: report for {} is dropped', dropped.key)
+        self._added.set()
+
+    async def _run(self) -> None:
+        failures = 0
+        with self._scope:
+            while True:
+                if not self._unreported_by_ask:
+                    self._added = trio.Event()
+                    await self._added.wait()
+                await trio.sleep(self._delay(failures))
+                failures = 0 if await self._report_all() else failures + 1
+
+    def _delay(self, failures: int) -> float:
+        part: float = self._jitter.uniform(_LEAST_JITTER, 1)
+        doubled: float = _FIRST_DELAY_S * 2 ** min(failures, _MAX_DOUBLINGS)
+        return part * min(doubled, _MAX_DELAY_S)
+
+    async def _report_all(self) -> bool:
+        all_noted = True
+        for ask, report in list(self._unreported_by_ask.items()):
+            if await self._try_report(report):
+                self._unreported_by_ask.pop(ask, None)
+            else:
+                all_noted = False
+        return all_noted
+
+    async def _try_report(self, report: KeyMessage) -> str:
+        key = parse_key(report.key)
+        if key is None or self._claims.identity.is_dead(key.holder, 0):
+            return 'gone'
+        try:
+            verdict = await self._call(key, report)
+        except EelgrassError as error:
+            _log.info('keys: report for {} is not noted: {}', key, error)
+            return ''
+        return verdict.kind
+
+    async def _decide(
+        self, asker: Asker, number: int, message: KeyMessage
+    ) -> KeyVerdict:
+        if message.report is not None:
+            await self._keys.report(asker, number, *message.report)
+            return KeyVerdict('noted')
+        if message.order is None:
+            raise EelgrassError('bad_call', 'neither an order nor a report')
+        try:
+            record = await self._keys.use(asker, number, message.order)
+        except KeyForgotten:
+            return KeyVerdict('gone')
+        except (RequestError, ReplayedAnswer) as error:
+            return verdict_of(error)
+        return KeyVerdict('granted', claim=record)
+
+
+def _report_of(message: KeyMessage, report: KeyReport) -> KeyMessage:
+    return KeyMessage(message.key, message.ask, message.listed_at, None, report)
+
+
+def _body_size(report: KeyReport) -> int:
+    answer = report.answer
+    return 0 if answer is None or answer.body is None else len(answer.body)
+
+
+def _not_sent(code: str, message: str) -> RequestError:
+    return RequestError(code, message, 'unknown', attempt='not_run')
--- /dev/null
+++ b/tests/test_issued_key_table.py
@@ -0,0 +1,54 @@
+"""
+tests.test_issued_key_table
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against unbounded memory, and forgotten keys that look unused.
+"""
+
+import testtools
+
+from eelgrassfork import claim_records as records
+from eelgrassfork.issued_key_table import (
+    KeyForgotten,
+    KeyLimits,
+    KeyTable,
+    parse_key,
+)
+
+LIMITS = KeyLimits(keys=6, keys_per_organisation=4, answer_bytes=100)
+
+
+class TableTests(testtools.TestCase):
+    def number(self, organisation='p/a'):
+        return parse_key(self.table.issue(organisation)).number
+
+    def setUp(self):
+        super().setUp()
+        self.table = KeyTable('vm.x.1', LIMITS)
+
+    def test_an_organisation_only_makes_its_own_keys_be_forgotten(self):
+        other = self.number('p/b')
+        first = self.number()
+        for _ in range(4):
+            self.number()
+        self.assertRaises(KeyForgotten, self.table.find, first, 'p/a')
+        self.table.find(other, 'p/b')
+        for _ in range(3):
+            self.number('p/c')
+        self.assertRaises(KeyForgotten, self.table.find, other, 'p/b')
+        self.assertEqual(6, self.table.dump()['remembered'])
+
+    def test_old_bodies_are_dropped_but_not_their_outcomes(self):
+        entries = [self.table.find(self.number(), 'p/a') for _ in range(3)]
+        for entry in entries:
+            answer = records.ClaimAnswer(200, (), b'x' * 40)
+            self.table.keep(
+                entry,
+                records.ClaimRecord(
+                    'h', 'vm.x.1', 0, entry.nonce, 'r', 1, 'ran', answer=answer
+                ),
+            )
+        bodies = [entry.record.answer.body for entry in entries]
+        self.assertEqual([None, b'x' * 40, b'x' * 40], bodies)
+        self.assertEqual('ran', entries[0].record.state)
+        self.assertEqual(80, self.table.dump()['answer_bytes'])
--- /dev/null
+++ b/tests/test_issued_keys.py
@@ -0,0 +1,196 @@
+"""
+tests.test_issued_keys
+~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against a second run under an issued key, whatever fails in between.
+"""
+
+import testtools
+import trio
+
+from eelgrassfork import claim_records as records
+from eelgrassfork.claims import NewClaim
+from eelgrassfork.errors import RequestError
+from eelgrassfork.issued_key_table import parse_key
+from tests.order_fakes import run_world
+
+BUDGET = 'pazlen/atelier/main'
+ORGANISATION = 'pazlen/atelier'
+ANSWER = records.ClaimAnswer(200, (), b'cut')
+
+
+def order_of(key, body_hash='hash'):
+    return NewClaim(BUDGET, key, body_hash, 'req-1', 5)
+
+
+async def ask(router, order):
+    """Return the permit and what was told instead of one."""
+    try:
+        permit = await router.use.permit(parse_key(order.key), order)
+    except RequestError as error:
+        return None, f'{error.code}/{error.outcome}'
+    except records.ReplayedAnswer as replay:
+        return None, replay.answer.body
+    return permit, 'granted'
+
+
+class IssuerTests(testtools.TestCase):
+    @run_world
+    async def test_key_runs_once_here_without_the_platform(self, world):
+        issuer = await world.router('a')
+        world.platform.set_faults(down=True)
+        order = order_of(issuer.keys.issue(ORGANISATION))
+        permit, _ = await ask(issuer, order)
+        self.assertEqual(
+            'request_in_progress/unknown', (await ask(issuer, order))[1]
+        )
+        await permit('ran', ANSWER)
+        self.assertEqual(b'cut', (await ask(issuer, order))[1])
+        other = order._replace(body_hash='other')
+        self.assertEqual(
+            'idempotency_key_reused/unknown', (await ask(issuer, other))[1]
+        )
+        self.assertEqual(5, issuer.credit.spent)
+        world.platform.set_faults(down=False)
+        await trio.sleep(30)
+        (claim,) = await issuer.claims.paid_by(f'{issuer.holder}/')
+        self.assertEqual('ran', claim.state)
+
+    @run_world
+    async def test_refused_credit_leaves_the_key_unused(self, world):
+        issuer, asker = await world.router('a'), await world.router('b')
+        order = order_of(issuer.keys.issue(ORGANISATION))
+        issuer.credit.code = 'credit_unreachable'
+        for router in (issuer, asker):
+            told = (await ask(router, order))[1]
+            self.assertEqual('credit_unreachable/not_run', told)
+        issuer.credit.code = ''
+        self.assertEqual('granted', (await ask(asker, order))[1])
+
+    @run_world
+    async def test_only_real_keys_of_the_organisation_count(self, world):
+        issuer = await world.router('a')
+        key = issuer.keys.issue('pazlen/other')
+        for text in (key, f'{key}9', 'efk1.a.1.99'):
+            told = (await ask(issuer, order_of(text)))[1]
+            self.assertEqual('invalid_request/not_run', told)
+        for text in ('efk1.a', 'efk1..1', 'efk1.a.x', f'efk1.a.{9**40}'):
+            self.assertRaises(RequestError, parse_key, text)
+        self.assertIsNone(parse_key('efk2.a.1'))
+
+
+class AskerTests(testtools.TestCase):
+    @run_world
+    async def test_answer_is_replayed_by_the_issuer(self, world):
+        issuer, asker = await world.router('a'), await world.router('b')
+        third = await world.router('c')
+        world.platform.set_faults(down=True)
+        order = order_of(issuer.keys.issue(ORGANISATION))
+        permit, _ = await ask(asker, order)
+        for router in (issuer, third):
+            told = (await ask(router, order))[1]
+            self.assertEqual('request_in_progress/unknown', told)
+        await permit('ran', ANSWER)
+        self.assertEqual(b'cut', (await ask(third, order))[1])
+        self.assertEqual((5, 0), (issuer.credit.spent, asker.credit.spent))
+
+    @run_world
+    async def test_asker_dies_after_the_yes(self, world):
+        issuer, asker = await world.router('a'), await world.router('b')
+        order = order_of(issuer.keys.issue(ORGANISATION))
+        await ask(asker, order)
+        world.kill(asker, proven=False)
+        await trio.sleep(60)
+        told = (await ask(issuer, order))[1]
+        self.assertEqual('request_in_progress/unknown', told)
+        world.dead.add(asker.holder)
+        await trio.sleep(60)
+        told = (await ask(issuer, order))[1]
+        self.assertEqual('outcome_unknown/unknown', told)
+        self.assertEqual((5, 0), (issuer.credit.spent, issuer.keys.in_use))
+
+    @run_world
+    async def test_lost_or_late_yes_never_blocks_the_key(self, world):
+        for fault in ('lost', 'late'):
+            issuer = await world.router(f'issuer-{fault}')
+            asker = await world.router(f'asker-{fault}')
+            order = order_of(issuer.keys.issue(ORGANISATION))
+            asker.peers.fault = fault
+            told = (await ask(asker, order))[1]
+            self.assertIn(
+                told,
+                ('outcome_unknown/unknown', 'request_in_progress/unknown'),
+            )
+            asker.peers.fault = ''
+            # Longer than the delayed asks take to arrive.
+            await trio.sleep(100)
+            self.assertEqual(0, issuer.keys.in_use, fault)
+            permit, _ = await ask(asker, order)
+            await permit('ran', ANSWER)
+            self.assertEqual(5, issuer.credit.spent)
+
+    @run_world
+    async def test_one_lost_answer_is_asked_for_again(self, world):
+        issuer, asker = await world.router('a'), await world.router('b')
+        order = order_of(issuer.keys.issue(ORGANISATION))
+        call, faults = asker.peers.call, ['lost', '']
+
+        async def call_with_faults(*call_arguments):
+            asker.peers.fault = faults.pop(0)
+            return await call(*call_arguments)
+
+        asker.peers.call = call_with_faults
+        self.assertEqual('granted', (await ask(asker, order))[1])
+        self.assertEqual(1, issuer.keys.in_use)
+
+    @run_world
+    async def test_gone_issuer_never_means_a_run(self, world):
+        issuer, asker = await world.router('a'), await world.router('b')
+        unused = order_of(issuer.keys.issue(ORGANISATION))
+        used = order_of(issuer.keys.issue(ORGANISATION))
+        permit, _ = await ask(asker, used)
+        await permit('ran', ANSWER)
+        await trio.sleep(30)
+        world.kill(issuer)
+        for successor in (None, await world.router('a', incarnation=2)):
+            for router in filter(None, (asker, successor)):
+                told = (await ask(router, unused))[1]
+                self.assertEqual('outcome_unknown/unknown', told)
+                self.assertEqual(b'cut', (await ask(router, used))[1])
+        world.platform.set_faults(down=True)
+        told = (await ask(asker, unused))[1]
+        self.assertEqual('claim_unreachable/unknown', told)
+
+    @run_world
+    async def test_report_to_a_lost_issuer_reaches_the_platform(self, world):
+        issuer, asker = await world.router('a'), await world.router('b')
+        order = order_of(issuer.keys.issue(ORGANISATION))
+        permit, _ = await ask(asker, order)
+        world.cut.add('a')
+        await permit('ran', ANSWER)
+        await trio.sleep(30)
+        (claim,) = await asker.claims.paid_by(f'{issuer.holder}/')
+        self.assertEqual('ran', claim.state)
+        # The issuer hears of it as soon as it can be reached.
+        world.cut.clear()
+        await trio.sleep(30)
+        self.assertEqual((5, 0), (issuer.credit.spent, issuer.keys.in_use))
+        self.assertEqual(0, asker.use.dump()['unreported'])
+        self.assertEqual(b'cut', (await ask(issuer, order))[1])
+
+    @run_world
+    async def test_released_key_can_be_used_again_at_the_platform(self, world):
+        issuer, asker = await world.router('a'), await world.router('b')
+        order = order_of(issuer.keys.issue(ORGANISATION))
+        permit, _ = await ask(asker, order)
+        await permit('released', None)
+        await trio.sleep(30)
+        permit, _ = await ask(issuer, order)
+        await trio.sleep(30)
+        (claim,) = await asker.claims.paid_by(f'{issuer.holder}/')
+        self.assertEqual('claimed', claim.state)
+        await permit('ran', ANSWER)
+        await trio.sleep(30)
+        self.assertEqual(5, issuer.credit.spent)
+        world.kill(issuer)
+        self.assertEqual(b'cut', (await ask(asker, order))[1])
