Tell that a request left on a pooled connection that broke

HttpClient.request() sends on a pooled connection and, if that breaks, opens a new one. When the new one failed, the error said that nothing was sent, although the server may have received the request before it died; a router would then tell a caller "not run". The error now has sent set.

--- a/eelgrassfork/http_client.py
+++ b/eelgrassfork/http_client.py
@@ -42,7 +42,11 @@
 
 
 class ConnectFailed(HttpClientError):
-    """No connection could be opened; nothing was sent."""
+    """
+    No connection could be opened.
+
+    Nothing was sent, unless a pooled connection broke before.
+    """
 
 
 class ConnectionLost(HttpClientError):
@@ -233,7 +237,8 @@
         :param request: what to send.
         :param timeouts: bounds; the client's own where it is ``None``.
         :returns: the answer, to be closed by the caller.
-        :raises ConnectFailed: if no connection could be opened.
+        :raises ConnectFailed: if no connection could be opened; ``sent`` is
+            set if the request had left on a pooled connection.
         :raises ConnectionLost: if the connection broke.
         :raises ConnectionSilent: if the first byte came too late.
         """
@@ -244,7 +249,11 @@
                 return await self._exchange(connection, request, bounds)
             except ConnectionLost:
                 await trio.lowlevel.checkpoint()
-        fresh = await self._open(request.address, bounds.connect_s)
+        try:
+            fresh = await self._open(request.address, bounds.connect_s)
+        except ConnectFailed as error:
+            error.sent = connection is not None
+            raise
         return await self._exchange(fresh, request, bounds)
 
     async def fetch(
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -131,6 +131,20 @@
         with testtools.ExpectedException(ConnectFailed):
             await client.fetch(request._replace(fresh=True))
 
+    @run_with_server
+    async def test_lost_pooled_connection_counts_as_sent(self, server, client):
+        # Guards against "not run" for a request that left before the server
+        # died.
+        request = ClientRequest(server.address, 'GET', '/')
+        await client.fetch(request)
+        await server.close()
+        error = None
+        try:
+            await client.fetch(request)
+        except ConnectFailed as failed:
+            error = failed
+        self.assertTrue(error.sent)
+
 
 class ProtocolTests(testtools.TestCase):
     def test_h11_gives_the_status_for_large_headers(self):
