Add the client of the model engines

Chat calls, streams, records, cancellation and orders under a lease, with one table that says for each failure whether the engine may have worked on the request, whether the failure counts against the server and whether another server may succeed. A silent connection is closed and the request sent again on a new one, where it attaches by its identity. An answer with another identity is refused, and the text of a crossed refusal is dropped.

--- /dev/null
+++ b/eelgrassfork/engine_client.py
@@ -0,0 +1,307 @@
+"""
+eelgrassfork.engine_client
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Client of the engines: chat, streams, records, cancellation and orders.
+"""
+
+from collections.abc import AsyncIterator
+from typing import Final, TypeVar
+from urllib.parse import quote, urlencode
+
+import msgspec
+import trio
+
+from .engine_types import EngineCall, EngineError, EngineRecord, refusal_code
+from .http_client import (
+    ClientRequest,
+    ClientTimeouts,
+    ConnectFailed,
+    ConnectionSilent,
+    HttpClient,
+    HttpClientError,
+    Response,
+)
+from .leases import Lease
+from .sse import EventSplitter, EventTooLarge
+
+__all__ = ('EngineAnswer', 'EngineClient')
+
+_Decoded = TypeVar('_Decoded')
+
+_OK: Final = 200
+_NOT_FOUND: Final = 404
+_CONNECT_S: Final = 1.0
+_SHORT_CALL: Final = ClientTimeouts(_CONNECT_S, 2, 2)
+_ORDER_CALL: Final = ClientTimeouts(_CONNECT_S, 60, 10)
+_JSON: Final = ('content-type', 'application/json')
+
+
+class _Records(msgspec.Struct):
+    requests: list[EngineRecord]
+
+
+class _ErrorDetail(msgspec.Struct):
+    code: str = ''
+    message: str = ''
+
+
+class _ErrorBody(msgspec.Struct):
+    error: _ErrorDetail
+
+
+class EngineAnswer:
+    """
+    A checked answer that has begun; :meth:`close` must be called.
+
+    :ivar payer: text form of the payer tag of the request's first call.
+    """
+
+    def __init__(self, response: Response, payer: str) -> None:
+        self._response = response
+        self.payer = payer
+
+    async def read(self) -> bytes:
+        """
+        Read a whole answer that is no stream.
+
+        :returns: the body.
+        :raises EngineError: if the answer is cut or goes silent.
+        """
+        try:
+            return await self._response.read()
+        except HttpClientError as error:
+            raise _engine_error(error) from None
+
+    async def events(self) -> AsyncIterator[list[bytes]]:
+        """
+        Read a stream.
+
+        :returns: iterator of the events that came together, unchanged; it
+            ends only after the terminating chunk.
+        :raises EngineError: if the stream is cut, silent or not valid.
+        """
+        splitter = EventSplitter()
+        try:
+            async for chunk in self._response.chunks():
+                events = splitter.feed(chunk)
+                if events:
+                    yield events
+        except HttpClientError as error:
+            raise _engine_error(error) from None
+        except EventTooLarge as error:
+            raise EngineError('bad_answer', error.message) from None
+        if splitter.rest:
+            raise EngineError('bad_answer', 'the last event is not whole')
+
+    async def close(self) -> None:
+        """Give the connection back if the answer is whole, or close it."""
+        await self._response.close()
+
+
+class EngineClient:
+    """
+    Calls engines.
+
+    :param http: connections.
+    """
+
+    def __init__(self, http: HttpClient) -> None:
+        self._http = http
+
+    async def open(self, call: EngineCall) -> EngineAnswer:
+        """
+        Send a chat request and wait for the head of its answer.
+
+        A connection that stays silent is closed and the request sent again
+        on a new one, where it attaches to the same generation.
+
+        :param call: what to send.
+        :returns: the answer, to be closed by the caller.
+        :raises EngineError: if there is no answer to this request.
+        """
+        sent = False
+        for wait_s in call.head_waits_s:
+            try:
+                return await self._try(call, wait_s, resume_from=0, fresh=sent)
+            except ConnectionSilent:
+                sent = True
+                # Other idle connections may have gone silent with this one.
+                await self._http.forget(call.address)
+            except HttpClientError as error:
+                raise _engine_error(error, sent) from None
+        message = f'{call.address} did not answer in time'
+        raise EngineError('engine_silent', message)
+
+    async def resume(self, call: EngineCall, next_event: int) -> EngineAnswer:
+        """
+        Attach to a stream that broke, on a new connection.
+
+        :param call: the call that broke.
+        :param next_event: number of the first event to send.
+        :returns: the answer, to be closed by the caller.
+        :raises EngineError: if there is no answer to this request.
+        """
+        try:
+            return await self._try(
+                call, call.silence_s, resume_from=next_event, fresh=True
+            )
+        except HttpClientError as error:
+            raise _engine_error(error, sent=True) from None
+
+    async def cancel(
+        self, address: str, request_id: str
+    ) -> EngineRecord | None:
+        """
+        Cancel a request; one that has ended stays as it is.
+
+        :param address: of the engine.
+        :param request_id: identity of the request.
+        :returns: its record, or ``None`` if the engine doesn't know it.
+        :raises EngineError: if the engine can't be asked.
+        """
+        target = f'/v1/requests/{quote(request_id, safe="")}'
+        status, body = await self._ask(address, 'DELETE', target)
+        if status == _NOT_FOUND:
+            return None
+        return _decoded(status, body, EngineRecord)
+
+    async def records(
+        self, address: str, payer_prefix: str
+    ) -> list[EngineRecord]:
+        """
+        List what an engine did for a payer.
+
+        :param address: of the engine.
+        :param payer_prefix: beginning of the payer tags.
+        :returns: the records.
+        :raises EngineError: if the engine can't be asked.
+        """
+        query = urlencode({'payer': payer_prefix})
+        status, body = await self._ask(address, 'GET', f'/v1/requests?{query}')
+        return _decoded(status, body, _Records).requests
+
+    async def order(
+        self, address: str, order: str, name: str, lease: Lease
+    ) -> None:
+        """
+        Give an engine an order under a lease.
+
+        An engine that ignores fencing numbers also takes an order whose
+        lease lapses on the way; callers renew the lease just before.
+
+        :param address: of the engine.
+        :param order: what to do.
+        :param name: model, version, adapter or role that it is about.
+        :param lease: the lease held.
+        :raises EngineError: if the order was refused or may not have taken
+            effect.
+        """
+        if trio.current_time() >= lease.valid_until:
+            message = f'the lease {lease.name} lapsed before the order'
+            raise EngineError('engine_rejected', message)
+        fields = {
+            'order': order,
+            'name': name,
+            'fencing_number': lease.fencing_number,
+        }
+        status, body = await self._ask(
+            address,
+            'POST',
+            '/v1/orders',
+            msgspec.json.encode(fields),
+            _ORDER_CALL,
+        )
+        if status != _OK:
+            refusal = _refusal(status, body)
+            if refusal.code == 'engine_cancelled':
+                raise EngineError('engine_rejected', refusal.message)
+            raise refusal
+
+    async def _try(
+        self, call: EngineCall, wait_s: float, resume_from: int, fresh: bool
+    ) -> EngineAnswer:
+        headers = [
+            _JSON,
+            ('x-request-id', call.request_id),
+            ('x-payer', call.payer),
+            ('x-priority', str(call.priority)),
+            ('x-max-tokens', str(call.max_tokens)),
+            ('x-prefix-hash', call.prefix),
+        ]
+        if resume_from:
+            headers.append(('x-resume-from', str(resume_from)))
+        response = await self._http.request(
+            ClientRequest(
+                call.address,
+                'POST',
+                '/v1/chat/completions',
+                tuple(headers),
+                call.body,
+                fresh,
+            ),
+            ClientTimeouts(_CONNECT_S, wait_s, call.silence_s),
+        )
+        try:
+            return await _checked(response, call)
+        except BaseException:
+            await response.close()
+            raise
+
+    async def _ask(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        body: bytes = b'',
+        bounds: ClientTimeouts = _SHORT_CALL,
+    ) -> tuple[int, bytes]:
+        request = ClientRequest(address, method, target, (_JSON,), body)
+        try:
+            response, answer = await self._http.fetch(request, bounds)
+        except HttpClientError as error:
+            raise _engine_error(error) from None
+        return response.status, answer
+
+
+async def _checked(response: Response, call: EngineCall) -> EngineAnswer:
+    headers = response.headers_by_name
+    identity = headers.get('x-request-id', '')
+    if response.status != _OK:
+        body = await response.read()
+        # The text of a crossed refusal may be about another's request.
+        is_own = identity == call.request_id
+        raise _refusal(response.status, body if is_own else b'')
+    if identity != call.request_id:
+        raise EngineError(
+            'wrong_identity',
+            f'{call.address} answered {identity!r} to {call.request_id!r}',
+        )
+    return EngineAnswer(response, headers.get('x-payer', call.payer))
+
+
+def _refusal(status: int, body: bytes) -> EngineError:
+    try:
+        detail = msgspec.json.decode(body, type=_ErrorBody).error
+    except msgspec.DecodeError:
+        detail = _ErrorDetail()
+    message = detail.message or f'the engine answered {status}'
+    return EngineError(refusal_code(status, detail.code), message)
+
+
+def _engine_error(error: HttpClientError, sent: bool = False) -> EngineError:
+    code = 'engine_lost'
+    if isinstance(error, ConnectFailed):
+        code = 'engine_unreachable'
+    elif isinstance(error, ConnectionSilent):
+        code = 'engine_silent'
+    return EngineError(code, error.message, sent or error.sent)
+
+
+def _decoded(status: int, body: bytes, kind: type[_Decoded]) -> _Decoded:
+    if status != _OK:
+        raise _refusal(status, body)
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        raise EngineError('bad_answer', str(error)) from None
--- /dev/null
+++ b/eelgrassfork/engine_types.py
@@ -0,0 +1,133 @@
+"""
+eelgrassfork.engine_types
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Records and errors of the engine API.
+"""
+
+from typing import Final, NamedTuple
+
+import msgspec
+
+from .errors import EelgrassError
+
+__all__ = (
+    'FAILURES',
+    'EngineCall',
+    'EngineError',
+    'EngineRecord',
+    'FailureKind',
+    'refusal_code',
+)
+
+_SERVER_ERROR: Final = 500
+
+
+class EngineCall(NamedTuple):
+    """
+    A chat request as it is sent to an engine.
+
+    :param request_id: identity; a repeated one attaches to the same
+        generation.
+    :param payer: text form of the payer tag.
+    :param max_tokens: cap on completion tokens.
+    :param prefix: hash of the prefix, under which the engine's cache events
+        name it.
+    :param head_waits_s: how long to wait for the answer to begin on one
+        connection after the other, in seconds.
+    :param silence_s: longest silence between bytes, in seconds.
+    """
+
+    address: str
+    request_id: str
+    payer: str
+    body: bytes
+    priority: int
+    max_tokens: int
+    prefix: str
+    head_waits_s: tuple[float, ...]
+    silence_s: float
+
+
+class EngineRecord(msgspec.Struct, frozen=True):
+    """What an engine knows of one request."""
+
+    request_id: str
+    payer: str
+    prompt_tokens: int
+    completion_tokens: int
+    state: str
+
+    @property
+    def tokens(self) -> int:
+        """Tokens to bill."""
+        return self.prompt_tokens + self.completion_tokens
+
+
+class FailureKind(NamedTuple):
+    """
+    What a failed attempt means.
+
+    :param may_have_run: whether the engine may have worked on it.
+    :param counts: whether it counts towards ejection of the server.
+    :param retryable: whether another server may succeed.
+    """
+
+    may_have_run: bool
+    counts: bool
+    retryable: bool = True
+
+
+FAILURES: Final = {
+    'engine_unreachable': FailureKind(may_have_run=False, counts=True),
+    'engine_lost': FailureKind(may_have_run=True, counts=True),
+    'engine_silent': FailureKind(may_have_run=True, counts=True),
+    'engine_failed': FailureKind(may_have_run=True, counts=True),
+    'wrong_identity': FailureKind(may_have_run=True, counts=True),
+    'bad_answer': FailureKind(may_have_run=True, counts=True),
+    'model_missing': FailureKind(may_have_run=False, counts=True),
+    'engine_busy': FailureKind(may_have_run=False, counts=False),
+    'engine_draining': FailureKind(may_have_run=False, counts=False),
+    'engine_cancelled': FailureKind(may_have_run=True, counts=False),
+    'engine_rejected': FailureKind(
+        may_have_run=False, counts=False, retryable=False
+    ),
+}
+
+_CODES_BY_STATUS: Final = {
+    400: 'engine_rejected',
+    404: 'model_missing',
+    409: 'engine_cancelled',
+    413: 'engine_rejected',
+    422: 'engine_rejected',
+    429: 'engine_busy',
+    503: 'engine_busy',
+}
+
+
+class EngineError(EelgrassError):
+    """
+    An engine gave no usable answer.
+
+    :param code: a key of :data:`FAILURES`.
+    :param sent: whether an earlier try on another connection left.
+    """
+
+    def __init__(self, code: str, message: str, sent: bool = False) -> None:
+        super().__init__(code, message)
+        self.kind = FAILURES[code]
+        self.may_have_run = sent or self.kind.may_have_run
+
+
+def refusal_code(status: int, engine_code: str) -> str:
+    """
+    Translate an engine's refusal.
+
+    :param status: HTTP status other than 200.
+    :param engine_code: code in the engine's answer, or empty.
+    :returns: a key of :data:`FAILURES`.
+    """
+    if engine_code == 'draining':
+        return 'engine_draining'
+    default = 'engine_failed' if status >= _SERVER_ERROR else 'bad_answer'
+    return _CODES_BY_STATUS.get(status, default)
--- /dev/null
+++ b/tests/test_engine_client.py
@@ -0,0 +1,194 @@
+"""
+tests.test_engine_client
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against another's answer, a cut answer and orders out of their lease.
+"""
+
+import functools
+
+import msgspec
+import testtools
+import trio
+from trio.testing import MockClock
+
+from eelgrassfork.engine_client import EngineClient
+from eelgrassfork.engine_types import EngineCall, EngineError
+from eelgrassfork.http_client import HttpClient
+from eelgrassfork.leases import Lease
+from standins.engine import EngineSettings, EngineStandin
+from tests.memory_network import MemoryNetwork
+
+PAYER = 'vm-1.a/p/o/main/1'
+
+
+def chat_body(**fields) -> bytes:
+    chat = {
+        'model': 'm',
+        'messages': [{'role': 'user', 'content': 'a b c'}],
+        'stream': True,
+        'metadata': {'words': '6'},
+    }
+    return msgspec.json.encode({**chat, **fields})
+
+
+class Setting:
+    def __init__(self, nursery):
+        self.network = MemoryNetwork()
+        self.engine = EngineStandin(
+            EngineSettings('m', checks_fencing=True),
+            self.network.transport('engine'),
+        )
+        http = HttpClient(transport=self.network.transport('router'))
+        self.client = EngineClient(http)
+
+    def call(self, request_id='one', payer=PAYER, **fields) -> EngineCall:
+        return EngineCall(
+            self.engine.address,
+            request_id,
+            payer,
+            chat_body(**fields),
+            priority=1,
+            max_tokens=100,
+            prefix='',
+            head_waits_s=(1, 2),
+            silence_s=1,
+        )
+
+    async def stream(self, answer):
+        try:
+            found = [batch async for batch in answer.events()]
+        finally:
+            await answer.close()
+        return [event for batch in found for event in batch]
+
+    async def code_of(self, call):
+        try:
+            answer = await self.client.open(call)
+            await self.stream(answer)
+        except EngineError as error:
+            return error.code, error.may_have_run
+        return 'whole', True
+
+
+def with_engine(test):
+    @functools.wraps(test)
+    def wrapper(self):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                setting = Setting(nursery)
+                await setting.engine.start(nursery, '127.0.0.1', 0)
+                await test(self, setting)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    return wrapper
+
+
+class AnswerTests(testtools.TestCase):
+    @with_engine
+    async def test_failures_tell_whether_the_request_may_have_run(
+        self, setting
+    ):
+        cases = (
+            ({}, ('whole', True)),
+            ({'fail': True}, ('engine_failed', True)),
+            ({'wrong_identity': True}, ('wrong_identity', True)),
+            ({'silent': True}, ('engine_silent', True)),
+            ({'cut_after_events': 2}, ('engine_lost', True)),
+            ({'silent_after_events': 2}, ('engine_silent', True)),
+        )
+        for number, (faults, expected) in enumerate(cases):
+            with self.subTest(faults=faults):
+                setting.engine.set_faults(**faults)
+                call = setting.call(f'request-{number}')
+                self.assertEqual(expected, await setting.code_of(call))
+                cleared = {name: None for name in faults if 'after' in name}
+                setting.engine.set_faults(
+                    **{**dict.fromkeys(faults, False), **cleared}
+                )
+
+    @with_engine
+    async def test_refusals_did_not_run(self, setting):
+        call = setting.call()
+        missing = setting.call(model='other')
+        bad = call._replace(body=b'{}')
+        self.assertEqual(
+            ('model_missing', False), await setting.code_of(missing)
+        )
+        self.assertEqual(('engine_rejected', False), await setting.code_of(bad))
+        setting.engine.leave()
+        self.assertEqual(
+            ('engine_draining', False), await setting.code_of(call)
+        )
+        # The request left on a pooled connection before this was noticed.
+        setting.network.kill('engine')
+        self.assertEqual(
+            ('engine_unreachable', True), await setting.code_of(call)
+        )
+
+    @with_engine
+    async def test_silenced_connection_is_replaced(self, setting):
+        await setting.code_of(setting.call('first'))
+        setting.network.silence('router', 'engine')
+        self.assertEqual(
+            ('whole', True), await setting.code_of(setting.call('second'))
+        )
+        self.assertEqual(2, len(setting.engine.records()))
+
+    @with_engine
+    async def test_resumed_stream_goes_on_at_the_next_event(self, setting):
+        whole = await setting.stream(await setting.client.open(setting.call()))
+        answer = await setting.client.resume(setting.call(), 3)
+        self.assertEqual(whole[3:], await setting.stream(answer))
+
+    @with_engine
+    async def test_attached_answer_names_the_first_payer(self, setting):
+        first = await setting.client.open(setting.call())
+        other = setting.call(payer='vm-2.b/p/o/main/9')
+        second = await setting.client.open(other)
+        self.assertEqual([PAYER, PAYER], [first.payer, second.payer])
+        self.assertEqual(
+            await setting.stream(first), await setting.stream(second)
+        )
+
+
+class RecordTests(testtools.TestCase):
+    @with_engine
+    async def test_cancelled_request_keeps_its_record(self, setting):
+        answer = await setting.client.open(setting.call())
+        await answer.close()
+        address = setting.engine.address
+        record = await setting.client.cancel(address, 'one')
+        self.assertEqual(('cancelled', PAYER), (record.state, record.payer))
+        self.assertEqual(3 + record.completion_tokens, record.tokens)
+        self.assertIsNone(await setting.client.cancel(address, 'unknown'))
+        records = await setting.client.records(address, 'vm-1.a/')
+        self.assertEqual([record], records)
+        self.assertEqual([], await setting.client.records(address, 'vm-2'))
+
+
+class OrderTests(testtools.TestCase):
+    @with_engine
+    async def test_lapsed_or_overtaken_lease_gives_no_order(self, setting):
+        async def code_of(number, rest_s):
+            until = trio.current_time() + rest_s
+            lease = Lease('orders', number, 1, until)
+            try:
+                await setting.client.order(
+                    setting.engine.address, 'load_adapter', f'a{number}', lease
+                )
+            except EngineError as error:
+                return error.code
+            return 'done'
+
+        codes = [
+            await code_of(number, rest_s)
+            for number, rest_s in ((2, 5), (3, 0), (1, 5), (3, 5))
+        ]
+        self.assertEqual(
+            ['done', 'engine_rejected', 'engine_rejected', 'done'], codes
+        )
+        names = [order['name'] for order in setting.engine.orders.carried_out]
+        self.assertEqual(['a2', 'a3'], names)
