Add the check of chat requests and the bound of their cost

Credit is reserved before a request runs, so everything that reaches the prompt must have a bound: text bytes, 8 tokens a message, a fixed bound an image, tools and the cap. Content of other types is refused because its tokens have no known bound. The identity of a request with an idempotency key includes a hash of the body: engines attach to a known identity without comparing bodies, so the same key with another body must never find the first answer.

--- /dev/null
+++ b/eelgrassfork/chat_request.py
@@ -0,0 +1,271 @@
+"""
+eelgrassfork.chat_request
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Checks a chat request and works out what it may cost and how it is sent.
+"""
+
+import hashlib
+import math
+from typing import Any, Final, NamedTuple
+
+import msgspec
+import trio
+
+from .bundle_types import Bundle, Caller, Service
+from .errors import RequestError
+from .http_server import Call
+from .names import BadName, qualify
+from .routing import prefix_hash
+
+__all__ = ('ChatRequest', 'model_name', 'parse_request')
+
+_MESSAGE_TOKENS: Final = 8
+_MAX_KEY_CHARACTERS: Final = 255
+_DIGEST_BYTES: Final = 16
+_MS: Final = 1000
+# Fields beside the messages whose text engines put into the prompt.
+_PROMPT_FIELDS: Final = (
+    'tools',
+    'functions',
+    'tool_choice',
+    'response_format',
+    'chat_template_kwargs',
+    'documents',
+)
+
+_Message = dict[str, Any]
+_RawFields = dict[str, msgspec.Raw]
+
+
+class _StreamOptions(msgspec.Struct):
+    include_usage: bool = False
+
+
+class _ChatBody(msgspec.Struct):
+    model: str
+    messages: list[_Message]
+    stream: bool | None = False
+    stream_options: _StreamOptions | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    n: int | None = 1
+
+
+class ChatRequest(NamedTuple):
+    """
+    A checked chat request.
+
+    :param identity: identity at the engines.
+    :param key: idempotency key, empty if there is none.
+    :param body_hash: hash of the body as the caller sent it.
+    :param max_tokens: cap on completion tokens.
+    :param bound: most tokens that the request can cost.
+    :param deadline: time on the clock of trio, infinite if there is none.
+    :param body: what is sent to the engine.
+    """
+
+    caller: Caller
+    service: Service
+    identity: str
+    key: str
+    body_hash: str
+    stream: bool
+    include_usage: bool
+    max_tokens: int
+    bound: int
+    prefix: str
+    deadline: float
+    body: bytes
+
+
+def parse_request(call: Call, caller: Caller, bundle: Bundle) -> ChatRequest:
+    """
+    Check a chat request.
+
+    :param call: the request as it arrived.
+    :param caller: who sent it.
+    :param bundle: configuration in force.
+    :returns: the checked request.
+    :raises RequestError: if it may not be sent to an engine.
+    """
+    chat, fields = _decode(call.body)
+    service = _service(chat.model, caller, bundle)
+    max_tokens = _cap(chat, service)
+    key = call.headers_by_name.get('idempotency-key', '')
+    if len(key) > _MAX_KEY_CHARACTERS:
+        raise _invalid('the Idempotency-Key is too long')
+    body_hash = _digest(call.body)
+    return ChatRequest(
+        caller=caller,
+        service=service,
+        identity=_identity(caller, key, body_hash) or call.request_id,
+        key=key,
+        body_hash=body_hash,
+        stream=bool(chat.stream),
+        include_usage=_wants_usage(chat),
+        max_tokens=max_tokens,
+        bound=_prompt_bound(chat, fields, service) + max_tokens,
+        prefix=prefix_hash(service.name, _leading_texts(chat.messages)),
+        deadline=_deadline(call.headers_by_name),
+        body=_engine_body(chat, fields, service, max_tokens),
+    )
+
+
+def model_name(service: str, fleet: str) -> str:
+    """
+    Name a service as its callers name it in ``model``.
+
+    :param service: qualified name.
+    :param fleet: fleet of the caller.
+    :returns: the unqualified name for the own fleet's services.
+    """
+    return service.removeprefix(f'{fleet}/')
+
+
+def _decode(body: bytes) -> tuple[_ChatBody, _RawFields]:
+    try:
+        chat = msgspec.json.decode(body, type=_ChatBody)
+        fields = msgspec.json.decode(body, type=_RawFields)
+    except msgspec.DecodeError as error:
+        raise _invalid(f'the body is no chat request: {error}') from None
+    if not chat.messages:
+        raise _invalid('there are no messages')
+    if chat.n not in {None, 1}:
+        raise _invalid('n above 1 is not supported')
+    return chat, fields
+
+
+def _service(model: str, caller: Caller, bundle: Bundle) -> Service:
+    try:
+        name = str(qualify(model, caller.fleet))
+    except BadName:
+        name = ''
+    service = bundle.services_by_name.get(name)
+    if service is None or service.kind != 'model':
+        raise RequestError(
+            'unknown_service',
+            f'no model {model!r} in bundle version {bundle.version}',
+        )
+    if name not in caller.organisation.services:
+        raise RequestError(
+            'service_forbidden', f'the organisation may not call {name}'
+        )
+    return service
+
+
+def _cap(chat: _ChatBody, service: Service) -> int:
+    asked = chat.max_completion_tokens
+    if asked is None:
+        asked = chat.max_tokens
+    if asked is None:
+        return service.max_tokens
+    if asked < 1:
+        raise _invalid('the largest number of tokens is below 1')
+    return min(asked, service.max_tokens)
+
+
+def _identity(caller: Caller, key: str, body_hash: str) -> str:
+    # The body is part of the identity because engines attach to a known
+    # identity without comparing bodies: the same key with another body must
+    # never get the answer to the first one.
+    if not key:
+        return ''
+    named = f'{caller.fleet}\n{caller.organisation.name}\n{key}'
+    return f'key-{_digest(named.encode())}-{body_hash}'
+
+
+def _wants_usage(chat: _ChatBody) -> bool:
+    return chat.stream_options is not None and chat.stream_options.include_usage
+
+
+def _prompt_bound(chat: _ChatBody, fields: _RawFields, service: Service) -> int:
+    extra = sum(len(bytes(fields.get(name, b''))) for name in _PROMPT_FIELDS)
+    return extra + sum(
+        _MESSAGE_TOKENS + _message_bound(message, service)
+        for message in chat.messages
+    )
+
+
+def _message_bound(message: _Message, service: Service) -> int:
+    texts, images = _content(message)
+    others = [
+        msgspec.json.encode(value)
+        for name, value in message.items()
+        if name not in {'role', 'content'} and value is not None
+    ]
+    text_bytes = sum(len(text.encode()) for text in texts)
+    return (
+        text_bytes + sum(map(len, others)) + len(images) * service.image_tokens
+    )
+
+
+def _content(message: _Message) -> tuple[list[str], list[str]]:
+    content = message.get('content')
+    if content is None:
+        return [], []
+    if isinstance(content, str):
+        return [content], []
+    texts: list[str] = []
+    images: list[str] = []
+    for part in content if isinstance(content, list) else [content]:
+        fields = part if isinstance(part, dict) else {}
+        kind = fields.get('type')
+        if kind == 'image_url':
+            images.append(str(fields.get('image_url')))
+        elif kind in {'text', 'refusal'}:
+            texts.append(str(fields.get(kind, '')))
+        else:
+            # Its tokens have no known bound.
+            raise _invalid(f'content of type {kind!r} is not supported')
+    return texts, images
+
+
+def _leading_texts(messages: list[_Message]) -> list[str]:
+    leading: list[str] = []
+    for message in messages:
+        role = str(message.get('role'))
+        texts, images = _content(message)
+        leading += [role, *texts, *images]
+        if role == 'user':
+            break
+    return leading
+
+
+def _deadline(headers_by_name: dict[str, str]) -> float:
+    timeout = headers_by_name.get('x-request-timeout-ms')
+    if timeout is None:
+        return math.inf
+    if not timeout.isdecimal():
+        raise _invalid('X-Request-Timeout-Ms is not a whole number')
+    return trio.current_time() + int(timeout) / _MS
+
+
+def _engine_body(
+    chat: _ChatBody, fields: _RawFields, service: Service, max_tokens: int
+) -> bytes:
+    cap_field = (
+        'max_tokens'
+        if chat.max_completion_tokens is None
+        else 'max_completion_tokens'
+    )
+    body: dict[str, Any] = {
+        name: value
+        for name, value in fields.items()
+        if name not in {'max_tokens', 'max_completion_tokens'}
+    }
+    body['model'] = service.model
+    body[cap_field] = max_tokens
+    if chat.stream:
+        # The router needs the usage, whether or not the caller does.
+        options = msgspec.json.decode(fields.get('stream_options', b'null'))
+        body['stream_options'] = {**(options or {}), 'include_usage': True}
+    return msgspec.json.encode(body)
+
+
+def _digest(text: bytes) -> str:
+    return hashlib.blake2b(text, digest_size=_DIGEST_BYTES).hexdigest()
+
+
+def _invalid(message: str) -> RequestError:
+    return RequestError('invalid_request', message)
