Add the check of plain calls and of a caller's access

Cause: a call must reach the service that the caller means and may use, and must not pass for one that may be repeated. Change: authentication by the hash of the key, permission by the bundle in force. An unqualified service is one of the caller's own fleet, and comes before a fleet of that name. Paths with dot segments are refused, method override headers are left out, and prefixes that may be repeated are compared with the path as it is sent, so that stock/../orders is no look-up. Without a time-out of the caller, an order starts within first_byte_ms or not at all.

--- /dev/null
+++ b/eelgrassfork/access.py
@@ -0,0 +1,74 @@
+"""
+eelgrassfork.access
+~~~~~~~~~~~~~~~~~~~
+
+Who a caller is, and which services it may call.
+"""
+
+import hashlib
+from collections.abc import Mapping
+
+from .bundle_types import Bundle, Caller, Service
+from .claim_records import refusal
+from .errors import RequestError
+
+__all__ = ('authenticate', 'bearer_key', 'check_permission')
+
+
+def bearer_key(headers_by_name: Mapping[str, str]) -> str:
+    """
+    Read the key of an ``Authorization: Bearer`` header.
+
+    :param headers_by_name: the request's headers by lower-case name.
+    :returns: the key, or an empty string.
+    """
+    scheme, _, key = headers_by_name.get('authorization', '').partition(' ')
+    return key.strip() if scheme.lower() == 'bearer' else ''
+
+
+def authenticate(bundle: Bundle, headers_by_name: Mapping[str, str]) -> Caller:
+    """
+    Find who sent a request.
+
+    :param bundle: configuration in force.
+    :param headers_by_name: the request's headers by lower-case name.
+    :returns: the caller.
+    :raises RequestError: ``unknown_key``, naming the bundle version.
+    """
+    key = bearer_key(headers_by_name)
+    # Only a hash is compared, so the time of the look-up tells nothing.
+    digest = hashlib.sha256(key.encode('utf-8', 'surrogateescape')).hexdigest()
+    caller = bundle.callers_by_key_hash.get(digest) if key else None
+    if caller is None:
+        raise refusal(
+            'unknown_key',
+            f'bundle version {bundle.version} has no such key',
+            headers_by_name,
+        )
+    return caller
+
+
+def check_permission(
+    bundle: Bundle, caller: Caller, service: Service | None, name: str
+) -> Service:
+    """
+    Check that a caller may call a service.
+
+    :param bundle: configuration in force.
+    :param caller: who calls.
+    :param service: the service, or ``None`` if there is none.
+    :param name: the service as the caller named it.
+    :returns: the service.
+    :raises RequestError: ``unknown_service`` or ``service_forbidden``,
+        naming the bundle version.
+    """
+    version = f'bundle version {bundle.version}'
+    if service is None:
+        raise RequestError('unknown_service', f'{version} has no {name!r}')
+    if service.name not in caller.organisation.services:
+        raise RequestError(
+            'service_forbidden',
+            f'{version} does not let {caller.organisation.name} call '
+            f'{service.name}',
+        )
+    return service
--- a/eelgrassfork/claim_records.py
+++ b/eelgrassfork/claim_records.py
@@ -244,7 +244,10 @@
 
 
 def refusal(
-    code: str, message: str, headers_by_name: Mapping[str, str]
+    code: str,
+    message: str,
+    headers_by_name: Mapping[str, str],
+    retry_after_s: float | None = None,
 ) -> RequestError:
     """
     Make the answer to a request that this router did not run.
@@ -252,10 +255,12 @@
     :param code: a key of :data:`~eelgrassfork.errors.CODES`.
     :param message: one plain sentence for the caller.
     :param headers_by_name: the request's headers by lower-case name.
+    :param retry_after_s: seconds until a retry makes sense; the code's
+        default where it is ``None``.
     :returns: the error, with the outcome of :func:`refusal_outcome`.
     """
     outcome = refusal_outcome(headers_by_name)
-    return RequestError(code, message, outcome, attempt='not_run')
+    return RequestError(code, message, outcome, retry_after_s, 'not_run')
 
 
 def _rank(record: ClaimRecord) -> tuple[int, int]:
--- /dev/null
+++ b/eelgrassfork/plain_request.py
@@ -0,0 +1,235 @@
+"""
+eelgrassfork.plain_request
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Checks a call of a plain service, and decides whether it may be repeated.
+"""
+
+import hashlib
+import math
+import re
+from collections.abc import Mapping
+from typing import Final, NamedTuple
+from urllib.parse import unquote
+
+import trio
+
+from .access import check_permission
+from .bundle_types import Bundle, Caller, Service
+from .claim_records import refusal, refusal_outcome
+from .errors import RequestError
+from .http_server import Call
+from .names import BadName, qualify
+
+__all__ = (
+    'PlainRequest',
+    'end_to_end_headers',
+    'parse_plain_request',
+)
+
+_PREFIX: Final = '/services/'
+_MAX_KEY_CHARACTERS: Final = 255
+_MS: Final = 1000
+_TIMEOUT_MS: Final = re.compile('[0-9]{1,9}')
+_UNSUPPORTED: Final = frozenset(('CONNECT', 'TRACE'))
+_HOP_BY_HOP: Final = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    ),
+)
+# The router sets these itself, or they are meant for it alone. A server must
+# not see another method than the one that was checked.
+_NOT_PASSED_ON: Final = frozenset(
+    (
+        'authorization',
+        'content-length',
+        'expect',
+        'host',
+        'x-http-method',
+        'x-http-method-override',
+        'x-method-override',
+        'x-request-id',
+    ),
+)
+
+
+class PlainRequest(NamedTuple):
+    """
+    A checked call of a plain service.
+
+    :param target: path and query at the backend server.
+    :param headers: what is passed on.
+    :param may_repeat: whether the call is idempotent.
+    :param key: idempotency key, empty if there is none.
+    :param body_hash: hash of service, method, target and body.
+    :param deadline: time on the clock of trio after which the call is not
+        sent any more.
+    """
+
+    caller: Caller
+    service: Service
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    request_id: str
+    may_repeat: bool
+    key: str
+    body_hash: str
+    first_attempt: bool
+    deadline: float
+
+
+class _Place(NamedTuple):
+    service: Service
+    target: str
+
+
+def parse_plain_request(
+    call: Call, caller: Caller, bundle: Bundle
+) -> PlainRequest:
+    """
+    Check a call of a plain service.
+
+    :param call: the request as it arrived.
+    :param caller: who sent it.
+    :param bundle: configuration in force.
+    :returns: the checked call.
+    :raises RequestError: if it may not be sent.
+    """
+    place = _find_service(call.target, caller, bundle)
+    service = place.service
+    headers = call.headers_by_name
+    if call.method in _UNSUPPORTED:
+        raise _invalid(f'method {call.method} is not supported', headers)
+    may_repeat = _may_repeat(service, call.method, place.target)
+    return PlainRequest(
+        caller=caller,
+        service=service,
+        method=call.method,
+        target=place.target,
+        headers=tuple(end_to_end_headers(headers).items()),
+        body=call.body,
+        request_id=call.request_id,
+        may_repeat=may_repeat,
+        key=_check_key(headers, may_repeat),
+        body_hash=_body_hash(service, call, place.target),
+        first_attempt=refusal_outcome(headers) == 'not_run',
+        deadline=_deadline(headers, service, may_repeat),
+    )
+
+
+def end_to_end_headers(headers_by_name: Mapping[str, str]) -> dict[str, str]:
+    """
+    Leave out headers that are only for the next hop, or for this router.
+
+    :param headers_by_name: all headers by lower-case name.
+    :returns: what may be passed on.
+    """
+    named = headers_by_name.get('connection', '').lower().split(',')
+    left_out = _HOP_BY_HOP | _NOT_PASSED_ON | {name.strip() for name in named}
+    return {
+        name: text
+        for name, text in headers_by_name.items()
+        if name not in left_out
+    }
+
+
+def _find_service(target: str, caller: Caller, bundle: Bundle) -> _Place:
+    path, question, query = target.partition('?')
+    first, slash, rest = path.removeprefix(_PREFIX).partition('/')
+    second, second_slash, rest_after_second = rest.partition('/')
+    # The own fleet's service comes first, so that a merger with a fleet of
+    # that name changes no calls. "fleet%2Fname" always names the fleet.
+    candidates = (
+        (unquote(first), slash + rest),
+        (
+            f'{unquote(first)}/{unquote(second)}',
+            second_slash + rest_after_second,
+        ),
+    )
+    service = None
+    for name, path_there in candidates:
+        service = _plain_service(name, caller, bundle)
+        if service is not None:
+            _check_path(path_there)
+            check_permission(bundle, caller, service, name)
+            return _Place(service, f'{path_there or "/"}{question}{query}')
+    raise RequestError(
+        'unknown_service',
+        f'bundle version {bundle.version} has no plain service for {path!r}',
+    )
+
+
+def _plain_service(name: str, caller: Caller, bundle: Bundle) -> Service | None:
+    try:
+        qualified = str(qualify(name, caller.fleet))
+    except BadName:
+        return None
+    service = bundle.services_by_name.get(qualified)
+    return service if service and service.kind == 'plain' else None
+
+
+def _check_path(path: str) -> None:
+    # A server that resolves "stock/../orders" would run an order under a path
+    # that may be repeated.
+    decoded = unquote(path).replace('\\', '/')
+    if {'.', '..'} & set(decoded.split('/')):
+        raise RequestError(
+            'invalid_request', 'the path has a segment "." or ".."'
+        )
+
+
+def _may_repeat(service: Service, method: str, target: str) -> bool:
+    if method in service.idempotent_methods:
+        return True
+    path = target.partition('?')[0]
+    return any(
+        f'{path}/'.startswith(f'/{prefix.strip("/")}/'.replace('//', '/'))
+        for prefix in service.idempotent_paths
+    )
+
+
+def _check_key(headers: Mapping[str, str], may_repeat: bool) -> str:
+    key = headers.get('idempotency-key', '')
+    if len(key) > _MAX_KEY_CHARACTERS:
+        raise _invalid('the Idempotency-Key is too long', headers)
+    if not key and not may_repeat:
+        raise RequestError(
+            'idempotency_key_required',
+            'a call that must not be repeated needs an Idempotency-Key',
+        )
+    return key
+
+
+def _body_hash(service: Service, call: Call, target: str) -> str:
+    hashed = hashlib.sha256()
+    for part in (service.name, call.method, target):
+        hashed.update(f'{part}\n'.encode('utf-8', 'surrogateescape'))
+    hashed.update(call.body)
+    return hashed.hexdigest()
+
+
+def _deadline(
+    headers: Mapping[str, str], service: Service, may_repeat: bool
+) -> float:
+    timeout = headers.get('x-request-timeout-ms')
+    if timeout is None:
+        # An order whose router was paused for long must not start any more.
+        bound_s = service.first_byte_ms / _MS
+        return math.inf if may_repeat else trio.current_time() + bound_s
+    if not _TIMEOUT_MS.fullmatch(timeout):
+        raise _invalid('X-Request-Timeout-Ms is not a whole number', headers)
+    return trio.current_time() + int(timeout) / _MS
+
+
+def _invalid(message: str, headers: Mapping[str, str]) -> RequestError:
+    return refusal('invalid_request', message, headers)
