Add calls of plain services

Cause: look-ups must go on through faults, and orders must run at most once. Change: idempotent calls are sent again within the retry budget until their answer begins, on a new connection first if one was silent. Other calls are claimed, priced, checked against their deadline, and sent once on a new connection; another server is tried only if no byte can have left. Answers are checked by X-Request-Id.

--- /dev/null
+++ b/eelgrassfork/plain_calls.py
@@ -0,0 +1,43 @@
+"""
+eelgrassfork.plain_calls
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Calls of plain services at ``/services/<service>/<path>``.
+"""
+
+from .bundle_types import Bundle, Caller
+from .claim_records import refusal
+from .http_server import Call
+from .limits import LimitExceeded
+from .look_ups import look_up
+from .orders import run_order
+from .plain_parts import PlainParts, admission_request
+from .plain_request import parse_plain_request
+
+__all__ = ('PlainParts', 'serve_plain_call')
+
+
+async def serve_plain_call(
+    parts: PlainParts, call: Call, caller: Caller, bundle: Bundle
+) -> None:
+    """
+    Answer a call of a plain service.
+
+    :param parts: dependencies.
+    :param call: the request as it arrived.
+    :param caller: who sent it.
+    :param bundle: configuration in force.
+    :raises RequestError: if there is no whole answer.
+    """
+    request = parse_plain_request(call, caller, bundle)
+    serve = look_up if request.may_repeat else run_order
+    try:
+        async with parts.admission.slot(admission_request(parts, request)):
+            await serve(parts, call, request)
+    except LimitExceeded as error:
+        raise refusal(
+            error.code,
+            error.message,
+            call.headers_by_name,
+            error.retry_after_s,
+        ) from None
--- /dev/null
+++ b/eelgrassfork/plain_parts.py
@@ -0,0 +1,247 @@
+"""
+eelgrassfork.plain_parts
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+What all calls of plain services share: servers, one exchange, the answer.
+"""
+
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Final, NamedTuple
+
+import trio
+
+from .backends import Backends
+from .claims import Claims
+from .errors import RequestError
+from .http_client import (
+    ClientRequest,
+    ClientTimeouts,
+    ConnectionLost,
+    ConnectionSilent,
+    HttpClient,
+    HttpClientError,
+    Response,
+)
+from .http_server import Call
+from .issued_key_use import IssuedKeyUse
+from .limits import Admission, AdmissionRequest
+from .metrics import Metrics
+from .permits import Credit
+from .plain_request import PlainRequest
+from .retries import RetryBudget
+from .routing import RoutePolicy, RouteSnapshot, ServerState, choose
+
+__all__ = (
+    'Headers',
+    'PlainParts',
+    'Sending',
+    'admission_request',
+    'choose_server',
+    'deliver',
+    'open_answer',
+    'relay_rest',
+)
+
+Headers = tuple[tuple[str, str], ...]
+
+_MS: Final = 1000
+_CONNECT_S: Final = 1.0
+_LOOK_UP_PRIORITY: Final = 0
+_WITHOUT_BODY: Final = frozenset((204, 304))
+
+
+class PlainParts(NamedTuple):
+    """
+    Dependencies of plain calls.
+
+    :param failure_domain: place of this router.
+    :param source: random source of routing.
+    """
+
+    claims: Claims
+    issued_keys: IssuedKeyUse
+    credit: Credit
+    backends: Backends
+    admission: Admission
+    retry_budget: RetryBudget
+    http: HttpClient
+    metrics: Metrics
+    failure_domain: str
+    source: random.Random
+
+
+class Sending(NamedTuple):
+    """
+    One try of a call.
+
+    :param fresh: use a new connection.
+    :param first_byte_s: longest wait for the head of the answer.
+    """
+
+    server: ServerState
+    request: PlainRequest
+    fresh: bool
+    first_byte_s: float
+
+
+def admission_request(
+    parts: PlainParts, request: PlainRequest
+) -> AdmissionRequest:
+    """
+    Describe a call for admission; look-ups start first and are shed last.
+
+    :param parts: dependencies.
+    :param request: the call.
+    :returns: its bounds.
+    """
+    service = request.service
+    organisation = request.caller.organisation
+    priority = max(service.priority, organisation.priority)
+
+    def slots() -> int:
+        return service.in_flight_per_server * parts.backends.usable(
+            service.name
+        )
+
+    return AdmissionRequest(
+        service=service.name,
+        organisation=organisation.name,
+        slots=slots,
+        organisation_slots=organisation.max_in_flight,
+        priority=_LOOK_UP_PRIORITY if request.may_repeat else priority,
+        queue_s=service.queue_ms / _MS,
+        deadline=request.deadline,
+    )
+
+
+def choose_server(
+    parts: PlainParts, request: PlainRequest, excluded: frozenset[str]
+) -> ServerState | None:
+    """
+    Choose a backend server by load and place.
+
+    :param parts: dependencies.
+    :param request: the call.
+    :param excluded: VMs that already failed this call.
+    :returns: a server, or ``None`` if none may be used.
+    """
+    service = request.service
+    servers = tuple(parts.backends.servers(service.name))
+    return choose(
+        RouteSnapshot(servers, parts.failure_domain, excluded=excluded),
+        RoutePolicy(in_flight_per_server=service.in_flight_per_server),
+        parts.source,
+    )
+
+
+@asynccontextmanager
+async def open_answer(
+    parts: PlainParts, sending: Sending
+) -> AsyncIterator[Response]:
+    """
+    Send a call and check that the answer is its own.
+
+    A connection whose answer was given up or is not the call's own is closed
+    and never pooled.
+
+    :param parts: dependencies.
+    :param sending: what to send where.
+    :returns: context manager with the answer, whose head has arrived.
+    :raises HttpClientError: if there is no such answer; ``sent`` tells
+        whether any byte of the call may have left.
+    """
+    vm = sending.server.vm
+    parts.backends.begin(vm)
+    try:
+        response = await _send(parts, sending)
+        try:
+            _check_identity(response, sending.request)
+            parts.backends.succeeded(vm)
+            yield response
+        finally:
+            await response.close()
+    except HttpClientError as error:
+        await _note_failure(parts, sending, error)
+        raise
+    finally:
+        parts.backends.end(vm)
+
+
+async def deliver(
+    call: Call, status: int, headers: Headers, body: bytes
+) -> None:
+    """
+    Send a whole answer to the caller.
+
+    :param call: what to answer.
+    :param status: HTTP status.
+    :param headers: headers besides length and request identity.
+    :param body: the whole body.
+    """
+    if status not in _WITHOUT_BODY:
+        headers = (*headers, ('content-length', str(len(body))))
+    await call.start(status, headers)
+    await call.send(body)
+    await call.finish()
+
+
+async def relay_rest(call: Call, response: Response) -> None:
+    """
+    Pass on what is left of an answer, and end it only if it is whole.
+
+    :param call: what to answer, already started.
+    :param response: the server's answer.
+    :raises RequestError: ``server_failed`` if the answer is cut.
+    """
+    try:
+        async for chunk in response.chunks():
+            await call.send(chunk)
+    except HttpClientError as error:
+        raise RequestError(
+            'server_failed', f'the answer was cut: {error.message}', 'ran'
+        ) from None
+    await call.finish()
+
+
+async def _send(parts: PlainParts, sending: Sending) -> Response:
+    request = sending.request
+    bounds = ClientTimeouts(
+        _CONNECT_S, sending.first_byte_s, request.service.silence_ms / _MS
+    )
+    # A server that does not read the request is as good as silent.
+    with trio.move_on_after(_CONNECT_S + sending.first_byte_s):
+        return await parts.http.request(
+            ClientRequest(
+                sending.server.address,
+                request.method,
+                request.target,
+                (*request.headers, ('x-request-id', request.request_id)),
+                request.body,
+                sending.fresh,
+            ),
+            bounds,
+        )
+    raise ConnectionSilent(
+        'connection_silent', 'the server does not take the request', sent=True
+    )
+
+
+def _check_identity(response: Response, request: PlainRequest) -> None:
+    echoed = response.headers_by_name.get('x-request-id', request.request_id)
+    if echoed != request.request_id:
+        raise ConnectionLost(
+            'wrong_identity', 'the answer is of another request', sent=True
+        )
+
+
+async def _note_failure(
+    parts: PlainParts, sending: Sending, error: HttpClientError
+) -> None:
+    silent = isinstance(error, ConnectionSilent)
+    if silent:
+        # Other idle connections may have gone silent with this one.
+        await parts.http.forget(sending.server.address)
+    if sending.fresh or not silent:
+        parts.backends.failed(sending.server.vm, silent)
