--- /dev/null
+++ b/eelgrassfork/signing.py
@@ -0,0 +1,181 @@
+"""
+eelgrassfork.signing
+~~~~~~~~~~~~~~~~~~~~
+
+Ed25519 keys of operators, and signatures over bundle manifests.
+"""
+
+import base64
+import binascii
+import hashlib
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Final
+
+import msgspec
+from nacl.exceptions import BadSignatureError
+from nacl.signing import SigningKey, VerifyKey
+
+from .errors import EelgrassError
+
+__all__ = (
+    'KeyPair',
+    'SigningError',
+    'check_trusted_key',
+    'key_id_of',
+    'load_key',
+    'make_key',
+    'verify',
+)
+
+# Keeps a signature over a bundle from being valid for anything else.
+_CONTEXT: Final = b'eelgrassfork bundle manifest 1\n'
+_KEY_BYTES: Final = 32
+_KEY_ID_DIGITS: Final = 16
+_OWNER_ONLY: Final = 0o600
+_NEW_FILE: Final = os.O_WRONLY | os.O_CREAT | os.O_EXCL
+
+
+class SigningError(EelgrassError):
+    """A key or a signature can't be used."""
+
+
+class _KeyFile(msgspec.Struct, forbid_unknown_fields=True):
+    key_id: str
+    private_key: str
+
+
+class KeyPair:
+    """
+    An operator's key. The private half never leaves the object.
+
+    :ivar key_id: identifier of the public key.
+    :ivar public_key: public key in base64, as settings list it.
+    """
+
+    def __init__(self, private: SigningKey) -> None:
+        public = bytes(private.verify_key)
+        self.key_id = _key_id(public)
+        self.public_key = base64.b64encode(public).decode()
+        self._private = private
+
+    def __repr__(self) -> str:
+        return f'KeyPair({self.key_id})'
+
+    def sign(self, message: bytes) -> bytes:
+        """
+        Sign a manifest.
+
+        :param message: encoded manifest.
+        :returns: the signature, 64 bytes.
+        """
+        return self._private.sign(_CONTEXT + message).signature
+
+
+def make_key(path: str) -> KeyPair:
+    """
+    Make a key and store it in a new file that only its owner can read.
+
+    :param path: path of the file; it must not exist.
+    :returns: the key.
+    :raises SigningError: ``key_file`` if the file can't be made.
+    """
+    private = SigningKey.generate()
+    pair = KeyPair(private)
+    secret = base64.b64encode(bytes(private)).decode()
+    encoded = msgspec.json.encode(_KeyFile(pair.key_id, secret))
+    try:
+        with open(os.open(path, _NEW_FILE, _OWNER_ONLY), 'wb') as stream:
+            stream.write(encoded)
+    except (OSError, ValueError) as error:
+        raise SigningError('key_file', f'{path}: {error}') from None
+    return pair
+
+
+def load_key(path: str) -> KeyPair:
+    """
+    Read a key that :func:`make_key` stored.
+
+    :param path: path of the file.
+    :returns: the key.
+    :raises SigningError: ``key_file`` if the file can't be read or holds
+        no key.
+    """
+    try:
+        stored = msgspec.json.decode(Path(path).read_bytes(), type=_KeyFile)
+        secret = base64.b64decode(stored.private_key, validate=True)
+        pair = KeyPair(SigningKey(secret))
+    except OSError as error:
+        raise SigningError('key_file', f'{path}: {error.strerror}') from None
+    except Exception:
+        # The error's own text could show part of the key.
+        raise SigningError('key_file', f'{path}: holds no key') from None
+    if pair.key_id != stored.key_id:
+        raise SigningError('key_file', f'{path}: key_id is not that of the key')
+    return pair
+
+
+def key_id_of(public_key: str) -> str:
+    """
+    Tell the identifier of a public key.
+
+    :param public_key: the key in base64.
+    :returns: 16 hexadecimal digits of its SHA-256.
+    :raises SigningError: ``bad_key`` if it is no key.
+    """
+    return _key_id(_decode_public(public_key))
+
+
+def check_trusted_key(key_id: str, public_key: str) -> None:
+    """
+    Check an entry of a table of trusted keys.
+
+    :param key_id: identifier it is listed by.
+    :param public_key: the key in base64.
+    :raises SigningError: ``bad_key`` if they don't belong together.
+    """
+    expected = key_id_of(public_key)
+    if key_id != expected:
+        raise SigningError('bad_key', f'this key has the identifier {expected}')
+
+
+def verify(
+    trusted_keys: Mapping[str, str],
+    key_id: str,
+    message: bytes,
+    signature: bytes,
+) -> None:
+    """
+    Check a signature by one of the trusted keys.
+
+    :param trusted_keys: public keys in base64 by key identifier.
+    :param key_id: the key said to have signed.
+    :param message: encoded manifest.
+    :param signature: what :meth:`KeyPair.sign` returned.
+    :raises SigningError: ``untrusted_key`` or ``bad_signature``.
+    """
+    public_key = trusted_keys.get(key_id)
+    if public_key is None:
+        raise SigningError('untrusted_key', f'key {key_id!r} is not trusted')
+    try:
+        VerifyKey(_decode_public(public_key)).verify(
+            _CONTEXT + message, signature
+        )
+    except (BadSignatureError, ValueError):
+        message_text = f'the signature is not by key {key_id!r}'
+        raise SigningError('bad_signature', message_text) from None
+
+
+def _decode_public(public_key: str) -> bytes:
+    try:
+        public = base64.b64decode(public_key, validate=True)
+    except (binascii.Error, ValueError):
+        raise SigningError('bad_key', 'not base64') from None
+    if len(public) != _KEY_BYTES:
+        raise SigningError('bad_key', f'not {_KEY_BYTES} bytes')
+    return public
+
+
+def _key_id(public: bytes) -> str:
+    return hashlib.sha256(public).hexdigest()[:_KEY_ID_DIGITS]
