--- /dev/null
+++ b/eelgrassfork/bundle.py
@@ -0,0 +1,288 @@
+"""
+eelgrassfork.bundle
+~~~~~~~~~~~~~~~~~~~
+
+Signed manifests and the parts they name, decoded and verified by msgspec.
+"""
+
+import hashlib
+from collections.abc import Iterator, Mapping
+from typing import Any, Final, NamedTuple, TypedDict
+
+import msgspec
+
+from .bundle_types import (
+    Bundle,
+    Caller,
+    Fleet,
+    Organisation,
+    Place,
+    Service,
+)
+from .errors import EelgrassError
+from .options import OptionsError, Problems, read_record
+from .signing import KeyPair, SigningError, verify
+
+__all__ = (
+    'CURRENT_KEY',
+    'RECORD_TYPES',
+    'BundleError',
+    'Manifest',
+    'Part',
+    'Record',
+    'SignedManifest',
+    'assemble',
+    'missing_parts',
+    'needed_parts',
+    'new_part',
+    'open_manifest',
+    'part_key',
+    'read_part',
+    'seal_manifest',
+)
+
+CURRENT_KEY: Final = 'bundle/current'
+
+Record = Fleet | Organisation | Place | Service
+
+RecordType = type[Record]
+
+RECORD_TYPES: Final[Mapping[str, RecordType]] = {
+    'fleets': Fleet,
+    'organisations': Organisation,
+    'places': Place,
+    'services': Service,
+}
+
+
+class BundleError(EelgrassError):
+    """A manifest or a part is not what it has to be."""
+
+
+class Manifest(NamedTuple):
+    """
+    What a person signs.
+
+    :param version: higher than that of the bundle it replaces.
+    :param parts: SHA-256 of the parts in hexadecimal; a part of kind
+        ``index`` names further parts.
+    """
+
+    version: int
+    parts: tuple[str, ...]
+
+
+class SignedManifest(NamedTuple):
+    """A manifest whose signature was verified, and its encoded form."""
+
+    manifest: Manifest
+    envelope: bytes
+    key_id: str
+
+
+class Part(NamedTuple):
+    """
+    A part that matches its hash.
+
+    :param body: the bytes that are hashed.
+    :param hashes: further parts, of an index.
+    :param records: records of a part of another kind.
+    """
+
+    body: bytes
+    hashes: tuple[str, ...]
+    records: tuple[Record, ...]
+
+
+class _ManifestBody(TypedDict):
+    version: int
+    parts: tuple[str, ...]
+
+
+class _Envelope(TypedDict):
+    manifest: bytes
+    key_id: str
+    signature: bytes
+
+
+class _PartBody(TypedDict):
+    kind: str
+    content: Any
+
+
+def part_key(part_hash: str) -> str:
+    """
+    Tell where the platform keeps a part.
+
+    :param part_hash: its SHA-256 in hexadecimal.
+    :returns: key of the object.
+    """
+    return f'bundle/parts/{part_hash}'
+
+
+def new_part(kind: str, content: Any) -> tuple[str, bytes]:
+    """
+    Encode a part.
+
+    :param kind: ``index`` or a key of :data:`RECORD_TYPES`.
+    :param content: hashes of an index, otherwise fields by name.
+    :returns: the part's hash and body.
+    """
+    encoder = msgspec.msgpack.Encoder(order='sorted')
+    body = encoder.encode({'kind': kind, 'content': content})
+    return _hash(body), body
+
+
+def read_part(part_hash: str, body: bytes) -> Part:
+    """
+    Verify and decode a part.
+
+    :param part_hash: SHA-256 it must have.
+    :param body: the part as received from anyone.
+    :returns: the part.
+    :raises BundleError: ``bad_part``.
+    """
+    if _hash(body) != part_hash:
+        raise BundleError('bad_part', f'part {part_hash} has another hash')
+    try:
+        decoded = msgspec.msgpack.decode(body, type=_PartBody)
+        return _read_content(body, decoded['kind'], decoded['content'])
+    except (msgspec.DecodeError, OptionsError, RecursionError) as error:
+        message = f'part {part_hash}: {error}'
+        raise BundleError('bad_part', message) from None
+
+
+def seal_manifest(manifest: Manifest, key: KeyPair) -> bytes:
+    """
+    Encode and sign a manifest.
+
+    :param manifest: what to sign.
+    :param key: the operator's key.
+    :returns: the envelope, as stored at the platform.
+    """
+    body = msgspec.msgpack.encode(manifest._asdict())
+    return msgspec.msgpack.encode(
+        {
+            'manifest': body,
+            'key_id': key.key_id,
+            'signature': key.sign(body),
+        },
+    )
+
+
+def open_manifest(
+    envelope: bytes, trusted_keys: Mapping[str, str]
+) -> SignedManifest:
+    """
+    Verify and decode a signed manifest.
+
+    :param envelope: as received from anyone.
+    :param trusted_keys: public keys in base64 by key identifier.
+    :returns: the manifest.
+    :raises BundleError: ``bad_manifest`` if it is malformed, not signed, or
+        not signed by a trusted key.
+    """
+    try:
+        signed = msgspec.msgpack.decode(envelope, type=_Envelope)
+        body = signed['manifest']
+        verify(trusted_keys, signed['key_id'], body, signed['signature'])
+        decoded = msgspec.msgpack.decode(body, type=_ManifestBody)
+    except (msgspec.DecodeError, SigningError) as error:
+        raise BundleError('bad_manifest', str(error)) from None
+    if decoded['version'] < 1:
+        raise BundleError('bad_manifest', 'the version is below 1')
+    manifest = Manifest(decoded['version'], decoded['parts'])
+    return SignedManifest(manifest, envelope, signed['key_id'])
+
+
+def needed_parts(
+    manifest: Manifest, parts_by_hash: Mapping[str, Part]
+) -> Iterator[str]:
+    """
+    List the parts of a manifest as far as its indexes are at hand.
+
+    :param manifest: the manifest.
+    :param parts_by_hash: parts at hand.
+    :returns: iterator of hashes.
+    """
+    for part_hash in manifest.parts:
+        yield part_hash
+        part = parts_by_hash.get(part_hash)
+        if part is not None:
+            yield from part.hashes
+
+
+def missing_parts(
+    manifest: Manifest, parts_by_hash: Mapping[str, Part]
+) -> list[str]:
+    """
+    List the parts still to be fetched; more follow once an index is there.
+
+    :param manifest: the manifest.
+    :param parts_by_hash: parts at hand.
+    :returns: hashes.
+    """
+    needed = needed_parts(manifest, parts_by_hash)
+    return [part for part in needed if part not in parts_by_hash]
+
+
+def assemble(manifest: Manifest, parts_by_hash: Mapping[str, Part]) -> Bundle:
+    """
+    Put verified parts together.
+
+    :param manifest: a verified manifest.
+    :param parts_by_hash: all its parts, and maybe others.
+    :returns: the bundle.
+    :raises BundleError: ``bad_bundle`` if records clash or are incomplete.
+    """
+    bundle = Bundle(manifest.version, {}, {}, {}, {}, {})
+    by_type: dict[RecordType, dict[str, Any]] = {
+        Fleet: bundle.fleets_by_name,
+        Organisation: bundle.organisations_by_name,
+        Place: bundle.places_by_name,
+        Service: bundle.services_by_name,
+    }
+    for part_hash in needed_parts(manifest, parts_by_hash):
+        for record in parts_by_hash[part_hash].records:
+            by_name = by_type[type(record)]
+            if record.name in by_name:
+                raise BundleError('bad_bundle', f'{record.name} stands twice')
+            by_name[record.name] = record
+    for organisation in bundle.organisations_by_name.values():
+        _add_callers(bundle, organisation)
+    return bundle
+
+
+def _add_callers(bundle: Bundle, organisation: Organisation) -> None:
+    fleet = organisation.name.partition('/')[0]
+    if fleet not in bundle.fleets_by_name:
+        message = f'{organisation.name} is of no fleet in the bundle'
+        raise BundleError('bad_bundle', message)
+    callers = bundle.callers_by_key_hash
+    for key_hash, budget in organisation.budgets_by_key_hash.items():
+        if key_hash in callers:
+            message = f'{organisation.name} has a key of another organisation'
+            raise BundleError('bad_bundle', message)
+        callers[key_hash] = Caller(
+            fleet, organisation, f'{organisation.name}/{budget}'
+        )
+
+
+def _read_content(body: bytes, kind: str, content: Any) -> Part:
+    if kind == 'index':
+        return Part(body, msgspec.convert(content, tuple[str, ...]), ())
+    record_type = RECORD_TYPES.get(kind)
+    if record_type is None:
+        raise BundleError('bad_part', f'parts of kind {kind!r} are unknown')
+    fields_by_name = msgspec.convert(content, dict[str, dict[str, Any]])
+    problems = Problems()
+    records = [
+        read_record(record_type, fields, (name,), problems, {'name': name})
+        for name, fields in fields_by_name.items()
+    ]
+    problems.check()
+    return Part(body, (), tuple(record for record in records if record))
+
+
+def _hash(body: bytes) -> str:
+    return hashlib.sha256(body).hexdigest()
--- /dev/null
+++ b/eelgrassfork/bundle_rules.py
@@ -0,0 +1,108 @@
+"""
+eelgrassfork.bundle_rules
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Rules that records of a bundle's sources follow beyond their types.
+"""
+
+import re
+from collections.abc import Callable, Collection
+from typing import Final
+
+from .bundle_types import Organisation, Service
+from .names import BadName, qualify
+from .options import FieldPath
+
+__all__ = ('check_organisation', 'check_ranges', 'check_service')
+
+AddProblem = Callable[[FieldPath, str], None]
+
+_KEY_HASH: Final = re.compile('[0-9a-f]{64}')
+_METHOD: Final = re.compile('[A-Z]{1,16}')
+_HOUR_MS: Final = 3_600_000
+_LOWEST_PRIORITY: Final = 2
+
+_RANGES_BY_FIELD: Final = {
+    'ledger_shards': (1, 4096),
+    'draw_fraction': (0.001, 1),
+    'priority': (0, _LOWEST_PRIORITY),
+    'max_in_flight': (1, 1_000_000),
+    'price_tokens': (0, 1_000_000_000),
+    'first_byte_ms': (1, _HOUR_MS),
+    'silence_ms': (1, _HOUR_MS),
+    'queue_ms': (0, _HOUR_MS),
+    'in_flight_per_server': (1, 100_000),
+    'max_tokens': (1, 10_000_000),
+    'image_tokens': (0, 10_000_000),
+}
+
+
+def check_ranges(record: object, add_problem: AddProblem) -> None:
+    """
+    Check a record's numbers.
+
+    :param record: any record of a bundle.
+    :param add_problem: takes field and message of what is wrong.
+    """
+    for field, (least, most) in _RANGES_BY_FIELD.items():
+        number = getattr(record, field, least)
+        if not least <= number <= most:
+            add_problem((field,), f'{number} is not from {least} to {most}')
+
+
+def check_service(service: Service, add_problem: AddProblem) -> None:
+    """
+    Check what a service's kind asks for.
+
+    :param service: the service.
+    :param add_problem: takes field and message of what is wrong.
+    """
+    if service.kind == 'model' and not service.model:
+        add_problem(('model',), 'is missing for a service of kind model')
+    if service.kind == 'plain' and service.model:
+        add_problem(('model',), 'is only for services of kind model')
+    for method in service.idempotent_methods:
+        if not _METHOD.fullmatch(method):
+            message = f'{method!r} is not a method in upper case'
+            add_problem(('idempotent_methods',), message)
+    for path in service.idempotent_paths:
+        if not path.startswith('/') or path == '/':
+            message = f'{path!r} is not a path below /'
+            add_problem(('idempotent_paths',), message)
+
+
+def check_organisation(
+    organisation: Organisation,
+    services: Collection[str],
+    owners_by_hash: dict[str, str],
+    add_problem: AddProblem,
+) -> None:
+    """
+    Check an organisation's keys, budgets and services.
+
+    :param organisation: the organisation.
+    :param services: qualified names of all services.
+    :param owners_by_hash: organisations of the keys seen so far; its own
+        keys are added.
+    :param add_problem: takes field and message of what is wrong.
+    """
+    for service in sorted(organisation.services):
+        if service not in services:
+            add_problem(('services',), f'service {service!r} does not exist')
+    for key_hash, budget in organisation.budgets_by_key_hash.items():
+        path = ('budgets_by_key_hash', key_hash)
+        if not _KEY_HASH.fullmatch(key_hash):
+            add_problem(path, 'is not a SHA-256 in lower-case hexadecimal')
+        owner = owners_by_hash.setdefault(key_hash, organisation.name)
+        if owner != organisation.name:
+            add_problem(path, f'is also a key of {owner}')
+        if not _is_budget(budget):
+            add_problem(path, f'{budget!r} is not the name of a budget')
+
+
+def _is_budget(budget: str) -> bool:
+    try:
+        qualify(budget, 'fleet')
+    except BadName:
+        return False
+    return '/' not in budget
--- a/eelgrassfork/options.py
+++ b/eelgrassfork/options.py
@@ -90,6 +90,16 @@
         line = self._find_line(path) if self._find_line else None
         self.found.append(Problem(message, field, self._file, line))
 
+    def place_of(self, path: FieldPath) -> str:
+        """
+        Tell where an option stands.
+
+        :param path: names that lead to the option, outermost first.
+        :returns: file and line, as far as they are known.
+        """
+        line = self._find_line(path) if self._find_line else None
+        return self._file if line is None else f'{self._file}:{line}'
+
     def check(self) -> None:
         """
         Report what was noted.
--- /dev/null
+++ b/tests/bundles.py
@@ -0,0 +1,53 @@
+"""
+tests.bundles
+~~~~~~~~~~~~~
+
+Signed bundles for tests.
+"""
+
+import hashlib
+
+from nacl.signing import SigningKey
+
+from eelgrassfork import bundle
+from eelgrassfork.signing import KeyPair
+
+__all__ = ('KEY', 'OTHER_KEY', 'TRUSTED', 'key_hash', 'signed_bundle')
+
+KEY = KeyPair(SigningKey(b'1' * 32))
+OTHER_KEY = KeyPair(SigningKey(b'2' * 32))
+TRUSTED = {KEY.key_id: KEY.public_key}
+
+
+def key_hash(key):
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def signed_bundle(version, organisations=('atelier',), key=KEY):
+    """Return an envelope and its parts by hash."""
+    bodies = {}
+
+    def add(kind, content):
+        part_hash, body = bundle.new_part(kind, content)
+        bodies[part_hash] = body
+        return part_hash
+
+    leaves = [
+        add(
+            'organisations',
+            {
+                f'pazlen/{name}': {
+                    'budgets_by_key_hash': {key_hash(name): 'main'},
+                    'services': ['pazlen/matcher'],
+                },
+            },
+        )
+        for name in organisations
+    ]
+    roots = (
+        add('fleets', {'pazlen': {}}),
+        add('services', {'pazlen/matcher': {'kind': 'model', 'model': 'm'}}),
+        add('index', leaves),
+    )
+    manifest = bundle.Manifest(version, roots)
+    return bundle.seal_manifest(manifest, key), bodies
