Keep the callers of each decoded part

A key in two leaves, in two organisations of one leaf, or in an organisation without a fleet is still refused, now while the part is read where it can be seen there. tests/test_bundle.py and tests/test_bundle_source.py: 12 passed.

--- a/eelgrassfork/bundle.py
+++ b/eelgrassfork/bundle.py
@@ -6,7 +6,8 @@
 """
 
 import hashlib
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
+from types import MappingProxyType
 from typing import Any, Final, NamedTuple, TypedDict
 
 import msgspec
@@ -87,11 +88,13 @@
     :param body: the bytes that are hashed.
     :param hashes: further parts, of an index.
     :param records: records of a part of another kind.
+    :param callers_by_key_hash: callers of the records.
     """
 
     body: bytes
-    hashes: tuple[str, ...]
-    records: tuple[Record, ...]
+    hashes: tuple[str, ...] = ()
+    records: tuple[Record, ...] = ()
+    callers_by_key_hash: Mapping[str, Caller] = MappingProxyType({})
 
 
 class _ManifestBody(TypedDict):
@@ -242,46 +245,62 @@
         Place: bundle.places_by_name,
         Service: bundle.services_by_name,
     }
+    keys = 0
     for part_hash in needed_parts(manifest, parts_by_hash):
-        for record in parts_by_hash[part_hash].records:
+        part = parts_by_hash[part_hash]
+        for record in part.records:
             by_name = by_type[type(record)]
             if record.name in by_name:
                 raise BundleError('bad_bundle', f'{record.name} stands twice')
             by_name[record.name] = record
-    for organisation in bundle.organisations_by_name.values():
-        _add_callers(bundle, organisation)
+        bundle.callers_by_key_hash.update(part.callers_by_key_hash)
+        keys += len(part.callers_by_key_hash)
+    if keys > len(bundle.callers_by_key_hash):
+        raise BundleError('bad_bundle', 'a key belongs to two organisations')
+    _check_fleets(bundle)
     return bundle
 
 
-def _add_callers(bundle: Bundle, organisation: Organisation) -> None:
-    fleet = organisation.name.partition('/')[0]
-    if fleet not in bundle.fleets_by_name:
-        message = f'{organisation.name} is of no fleet in the bundle'
-        raise BundleError('bad_bundle', message)
-    callers = bundle.callers_by_key_hash
-    for key_hash, budget in organisation.budgets_by_key_hash.items():
-        if key_hash in callers:
-            message = f'{organisation.name} has a key of another organisation'
+def _check_fleets(bundle: Bundle) -> None:
+    for name in bundle.organisations_by_name:
+        if name.partition('/')[0] not in bundle.fleets_by_name:
+            message = f'{name} is of no fleet in the bundle'
             raise BundleError('bad_bundle', message)
-        callers[key_hash] = Caller(
-            fleet, organisation, f'{organisation.name}/{budget}'
-        )
+
+
+def _callers_of(records: Iterable[Record]) -> dict[str, Caller]:
+    callers = [
+        (key_hash, _caller(organisation, budget))
+        for organisation in records
+        if isinstance(organisation, Organisation)
+        for key_hash, budget in organisation.budgets_by_key_hash.items()
+    ]
+    by_key_hash = dict(callers)
+    if len(by_key_hash) < len(callers):
+        raise BundleError('bad_part', 'a key belongs to two organisations')
+    return by_key_hash
+
+
+def _caller(organisation: Organisation, budget: str) -> Caller:
+    fleet = organisation.name.partition('/')[0]
+    return Caller(fleet, organisation, f'{organisation.name}/{budget}')
 
 
 def _read_content(body: bytes, kind: str, content: Any) -> Part:
     if kind == 'index':
-        return Part(body, msgspec.convert(content, tuple[str, ...]), ())
+        return Part(body, msgspec.convert(content, tuple[str, ...]))
     record_type = RECORD_TYPES.get(kind)
     if record_type is None:
         raise BundleError('bad_part', f'parts of kind {kind!r} are unknown')
     fields_by_name = msgspec.convert(content, dict[str, dict[str, Any]])
     problems = Problems()
-    records = [
+    read = [
         read_record(record_type, fields, (name,), problems, {'name': name})
         for name, fields in fields_by_name.items()
     ]
     problems.check()
-    return Part(body, (), tuple(record for record in records if record))
+    records = tuple(record for record in read if record is not None)
+    return Part(body, (), records, _callers_of(records))
 
 
 def _hash(body: bytes) -> str:
--- a/tests/test_bundle.py
+++ b/tests/test_bundle.py
@@ -122,6 +122,11 @@
                 ('fleets', {'f': {}}),
                 ('organisations', {'f/a': organisation, 'f/b': organisation}),
             ],
+            [
+                ('fleets', {'f': {}}),
+                ('organisations', {'f/a': organisation}),
+                ('organisations', {'f/b': organisation}),
+            ],
         )
         for content in contents:
             with self.subTest(content=content):
@@ -129,9 +134,7 @@
                 manifest = bundle.Manifest(1, tuple(bodies))
                 self.assertRaises(
                     bundle.BundleError,
-                    bundle.assemble,
-                    manifest,
-                    read_parts(bodies),
+                    lambda: bundle.assemble(manifest, read_parts(bodies)),
                 )
 
     def test_altered_part_is_refused(self):
