Add the rollout of bundles

A bundle that was accepted has to come into force at every place within seconds and may never revert. A start without the platform takes the highest verified version of the ready peers or stays not ready; a lower one is not taken when the parts of the highest can't be had.

--- /dev/null
+++ b/eelgrassfork/bundle_holder.py
@@ -0,0 +1,194 @@
+"""
+eelgrassfork.bundle_holder
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The highest verified bundle at this router, and where newer ones come from.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import logbook
+
+from .bundle import CURRENT_KEY, BundleError, SignedManifest, open_manifest
+from .bundle_fetch import (
+    BundleSources,
+    ask_peer,
+    ask_ready_peers,
+    parts_from_anywhere,
+    parts_from_peer,
+)
+from .errors import EelgrassError
+from .held_bundle import FetchParts, FetchRequest, HeldBundle, gather
+from .names import vm_of_holder
+
+__all__ = ('BundleHolder',)
+
+_log = logbook.Logger('rollout')
+
+
+class BundleHolder:
+    """
+    Takes bundles that are verified and higher than the one held.
+
+    :param trusted_keys: public keys in base64 by key identifier.
+    :param sources: the platform and the peers.
+    :param on_newer: command to be run when a higher bundle is held.
+    :ivar held: the bundle, or ``None``.
+    :ivar problem: why a bundle was last refused or missed, or empty.
+    """
+
+    def __init__(
+        self,
+        trusted_keys: Mapping[str, str],
+        sources: BundleSources,
+        on_newer: Callable[[], None],
+    ) -> None:
+        self.held: HeldBundle | None = None
+        self.problem = ''
+        self._trusted_keys = trusted_keys
+        self._sources = sources
+        self._on_newer = on_newer
+        # Versions on their way from a peer, so that the heartbeats of many
+        # peers don't fetch the same one many times.
+        self._fetching: set[int] = set()
+
+    @property
+    def version(self) -> int:
+        """Version held, or 0."""
+        return self.held.bundle.version if self.held else 0
+
+    async def read_platform(self) -> bool:
+        """
+        Take the accepted bundle from the platform.
+
+        :returns: whether a bundle at least as new is held now.
+        """
+        try:
+            stored = await self._sources.platform.get(CURRENT_KEY)
+            if stored is None:
+                return False
+            await self.take_accepted(stored.body)
+        except EelgrassError as error:
+            self.note_problem('the platform', error)
+            return False
+        return True
+
+    async def take_accepted(self, envelope: bytes) -> None:
+        """
+        Take a bundle that the platform has accepted.
+
+        :param envelope: signed manifest as stored there.
+        :raises EelgrassError: if it is refused or its parts can't be had.
+        """
+        signed = self._open(envelope)
+        version = signed.manifest.version
+        await self._take(signed, parts_from_anywhere(self._sources, version))
+
+    async def take_from_peers(self) -> bool:
+        """
+        Take the highest bundle that is in force at any peer.
+
+        :returns: whether a bundle at least as new is held now.
+        """
+        envelopes_by_vm = await ask_ready_peers(self._sources)
+        signed_by_vm: dict[str, SignedManifest] = {}
+        for vm, envelope in envelopes_by_vm.items():
+            try:
+                signed_by_vm[vm] = self._open(envelope)
+            except BundleError as error:
+                self.note_problem(vm, error)
+        versions = [each.manifest.version for each in signed_by_vm.values()]
+        # A lower version is not taken in place of the highest, even if the
+        # parts of that one can't be had now.
+        highest = max(versions, default=0)
+        for vm, signed in signed_by_vm.items():
+            if signed.manifest.version == highest:
+                if await self._took_from_peer(vm, signed):
+                    return True
+        return False
+
+    async def fetch_from_peer(self, vm: str, version: int) -> None:
+        """
+        Take a bundle that a peer has told of; a failure is only noted.
+
+        :param vm: the peer's VM.
+        :param version: the version told.
+        """
+        if not self.is_wanted(version):
+            return
+        self._fetching.add(version)
+        request = FetchRequest(have_version=self.version, parts=[])
+        try:
+            answer = await ask_peer(self._sources, vm, request)
+            if answer['manifest']:
+                signed = self._open(answer['manifest'])
+                await self._take(signed, parts_from_peer(self._sources, vm))
+        except EelgrassError as error:
+            self.note_problem(vm, error)
+        finally:
+            self._fetching.discard(version)
+
+    async def take_offer(self, sender: str, payload: Mapping[str, Any]) -> None:
+        """
+        Take a bundle that a peer offers.
+
+        :param sender: the peer's holder.
+        :param payload: ``manifest``, the signed manifest.
+        :raises EelgrassError: if it is refused or its parts can't be had.
+        """
+        envelope = payload.get('manifest')
+        if not isinstance(envelope, bytes):
+            raise BundleError('bad_request', 'an offer needs a manifest')
+        signed = self._open(envelope)
+        version = signed.manifest.version
+        if not self.is_wanted(version):
+            return
+        self._fetching.add(version)
+        fetch = parts_from_peer(self._sources, vm_of_holder(sender))
+        try:
+            await self._take(signed, fetch)
+        finally:
+            self._fetching.discard(version)
+
+    def is_wanted(self, version: int) -> bool:
+        """
+        Tell whether a version is worth fetching from a peer.
+
+        :param version: version that a peer has.
+        :returns: whether it is higher and not already on its way.
+        """
+        return version > self.version and version not in self._fetching
+
+    def note_problem(self, source: str, error: EelgrassError) -> None:
+        """
+        Note why there is no newer bundle; a repetition is not logged.
+
+        :param source: where it was to come from.
+        :param error: what went wrong.
+        """
+        problem = f'no bundle from {source}: {error.message}'
+        if problem != self.problem:
+            _log.warning('rollout: {}', problem)
+        self.problem = problem
+
+    async def _took_from_peer(self, vm: str, signed: SignedManifest) -> bool:
+        try:
+            await self._take(signed, parts_from_peer(self._sources, vm))
+        except EelgrassError as error:
+            self.note_problem(vm, error)
+            return False
+        return True
+
+    async def _take(self, signed: SignedManifest, fetch: FetchParts) -> None:
+        if signed.manifest.version <= self.version:
+            return
+        held = await gather(signed, self.held, fetch)
+        # Another source may have brought a newer one in the meantime.
+        if held.bundle.version > self.version:
+            self.held = held
+            self.problem = ''
+            self._on_newer()
+
+    def _open(self, envelope: bytes) -> SignedManifest:
+        return open_manifest(envelope, self._trusted_keys)
--- /dev/null
+++ b/eelgrassfork/held_bundle.py
@@ -0,0 +1,162 @@
+"""
+eelgrassfork.held_bundle
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+A verified bundle with its parts, and how one is gathered and passed on.
+"""
+
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, Final, NamedTuple, TypedDict
+
+import msgspec
+import trio
+
+from .bundle import (
+    BundleError,
+    Part,
+    SignedManifest,
+    assemble,
+    missing_parts,
+    needed_parts,
+    read_part,
+)
+from .bundle_types import Bundle
+
+__all__ = (
+    'FetchAnswer',
+    'FetchParts',
+    'FetchRequest',
+    'HeldBundle',
+    'answer_fetch',
+    'gather',
+    'read_fetch_answer',
+)
+
+# Bounds the time an answer takes and the memory it needs at both ends.
+_MAX_ANSWER_BYTES: Final = 524_288
+
+FetchParts = Callable[[list[str]], Awaitable[Mapping[str, bytes]]]
+
+
+class HeldBundle(NamedTuple):
+    """A verified bundle and what is needed to pass it on."""
+
+    signed: SignedManifest
+    parts_by_hash: dict[str, Part]
+    bundle: Bundle
+
+
+class FetchRequest(TypedDict):
+    """
+    Payload of ``fetch_bundle``.
+
+    :ivar have_version: a manifest is sent only if it is higher.
+    :ivar parts: hashes of parts to send.
+    """
+
+    have_version: int
+    parts: list[str]
+
+
+class FetchAnswer(TypedDict):
+    """
+    Result of ``fetch_bundle``.
+
+    :ivar version: version the peer holds, or 0.
+    :ivar ready: whether a bundle is in force at the peer.
+    :ivar manifest: signed manifest, or empty.
+    :ivar parts: those of the asked parts that fit, by hash.
+    """
+
+    version: int
+    ready: bool
+    manifest: bytes
+    parts: dict[str, bytes]
+
+
+def answer_fetch(
+    held: HeldBundle | None, ready: bool, payload: Mapping[str, Any]
+) -> FetchAnswer:
+    """
+    Answer a peer that asks for a manifest or parts.
+
+    :param held: newest verified bundle here.
+    :param ready: whether a bundle is in force here.
+    :param payload: a :class:`FetchRequest`, not yet checked.
+    :returns: the answer.
+    :raises BundleError: ``bad_request`` if the payload has another form.
+    """
+    try:
+        request = msgspec.convert(dict(payload), FetchRequest)
+    except msgspec.ValidationError as error:
+        raise BundleError('bad_request', str(error)) from None
+    if held is None:
+        return FetchAnswer(version=0, ready=False, manifest=b'', parts={})
+    version = held.bundle.version
+    newer = version > request['have_version']
+    return FetchAnswer(
+        version=version,
+        ready=ready,
+        manifest=held.signed.envelope if newer else b'',
+        parts=_bounded_parts(held, request['parts']),
+    )
+
+
+def read_fetch_answer(payload: Mapping[str, Any]) -> FetchAnswer:
+    """
+    Check the form of a peer's answer.
+
+    :param payload: result of the call.
+    :returns: the answer.
+    :raises BundleError: ``bad_answer`` if it has another form.
+    """
+    try:
+        return msgspec.convert(dict(payload), FetchAnswer)
+    except msgspec.ValidationError as error:
+        raise BundleError('bad_answer', str(error)) from None
+
+
+async def gather(
+    signed: SignedManifest, held: HeldBundle | None, fetch: FetchParts
+) -> HeldBundle:
+    """
+    Fetch, verify and assemble what a manifest names.
+
+    :param signed: a verified manifest.
+    :param held: bundle whose parts are at hand.
+    :param fetch: gives some or all of the asked parts.
+    :returns: the whole bundle.
+    :raises BundleError: ``parts_missing`` if no asked part came, or another
+        code if the content is refused.
+    :raises EelgrassError: what ``fetch`` raises.
+    """
+    manifest = signed.manifest
+    known = dict(held.parts_by_hash) if held else {}
+    while missing := missing_parts(manifest, known):
+        bodies = await fetch(missing)
+        wanted = [part for part in missing if part in bodies]
+        if not wanted:
+            message = f'no part came of version {manifest.version}'
+            raise BundleError('parts_missing', message)
+        for part_hash in wanted:
+            known[part_hash] = read_part(part_hash, bodies[part_hash])
+            # Decoding a thousand parts takes over half a second.
+            await trio.lowlevel.checkpoint()
+    parts_by_hash = {
+        needed: known[needed] for needed in needed_parts(manifest, known)
+    }
+    return HeldBundle(signed, parts_by_hash, assemble(manifest, parts_by_hash))
+
+
+def _bounded_parts(held: HeldBundle, hashes: list[str]) -> dict[str, bytes]:
+    bodies: dict[str, bytes] = {}
+    size = 0
+    for part_hash in hashes:
+        part = held.parts_by_hash.get(part_hash)
+        if part is None:
+            continue
+        size += len(part.body)
+        if bodies and size > _MAX_ANSWER_BYTES:
+            break
+        bodies[part_hash] = part.body
+    return bodies
