Test stale, concurrent and damaged bundles more strictly

Trials with single checks removed from the code showed three that no test needed: the hash of a part (the altered part did not decode anyway), the ready flag in a peer's answer, and the version check after a slow fetch. Tests now provoke each.

--- a/tests/rollout_net.py
+++ b/tests/rollout_net.py
@@ -60,7 +60,8 @@
                 f'{peer.vm}.0',
                 peer.domain,
                 '',
-                'ready' if peer.rollout.current else 'starting',
+                self.net.reported_state
+                or ('ready' if peer.rollout.current else 'starting'),
                 peer.rollout.version,
                 suspect=self.cut or peer.cut,
             )
@@ -86,6 +87,7 @@
     def __init__(self):
         self.platform = FakePlatform()
         self.routers = {}
+        self.reported_state = ''
 
     async def add(self, nursery, vm, **options):
         router = Router(self, vm, **options)
--- a/tests/test_bundle.py
+++ b/tests/test_bundle.py
@@ -138,8 +138,8 @@
                 )
 
     def test_altered_part_is_refused(self):
-        _, bodies = bundles.signed_bundle(3)
-        part_hash, body = next(iter(bodies.items()))
+        part_hash, _ = bundle.new_part('fleets', {'pazlen': {}})
+        _, other = bundle.new_part('fleets', {'other': {}})
         self.assertRaises(
-            bundle.BundleError, bundle.read_part, part_hash, body + b'\0'
+            bundle.BundleError, bundle.read_part, part_hash, other
         )
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -113,6 +113,7 @@
         self.assertNotEqual(altered, decoded['manifest'])
         damaged, damaged_bodies = bundles.signed_bundle(9, ('damaged',))
         leaf = next(iter(damaged_bodies))
+        other_leaf = next(iter(bodies.values()))
         partial, partial_bodies = bundles.signed_bundle(9, ('partial',))
         return {
             'older': bundles.signed_bundle(4, ('other',)),
@@ -126,7 +127,7 @@
                 bodies,
             ),
             'other key': bundles.signed_bundle(9, key=bundles.OTHER_KEY),
-            'altered part': (damaged, {**damaged_bodies, leaf: b'altered'}),
+            'altered part': (damaged, {**damaged_bodies, leaf: other_leaf}),
             'part missing': (partial, dict(list(partial_bodies.items())[1:])),
             'no bundle': (b'\0', {}),
         }
@@ -181,6 +182,34 @@
                 with testtools.ExpectedException(BundleError):
                     await liar.call('vm-1', kind, payload)
 
+    @run_net
+    async def test_slow_older_bundle_does_not_replace_newer(self, net, nursery):
+        await net.accept(1)
+        router = await net.add(nursery, 'vm-1')
+        await net.add(nursery, 'vm-2', watches=True)
+        behind = await net.add(nursery, 'vm-3')
+        await trio.sleep(3)
+        slow, slow_bodies = bundles.signed_bundle(2, ('slow',))
+
+        async def slow_fetch(sender, payload):
+            await trio.sleep(2 if payload['parts'] else 0)
+            return {
+                'version': 2,
+                'ready': True,
+                'manifest': slow,
+                'parts': slow_bodies,
+            }
+
+        behind.handlers['fetch_bundle'] = slow_fetch
+        router.rollout.heard(2, 'vm-3')
+        await trio.sleep(1)
+        await net.accept(3)
+        await trio.sleep(1)
+        self.assertEqual(3, router.rollout.version)
+        for _ in range(500):
+            await trio.sleep(0.01)
+            self.assertEqual(3, router.rollout.held_version)
+
 
 class RestartTests(testtools.TestCase):
     async def fleet(self, net, nursery):
@@ -234,10 +263,31 @@
         await trio.sleep(60)
         self.assertFalse(first.rollout.is_ready())
         self.assertFalse(second.rollout.is_ready())
+        # Bundles that are held but in force nowhere, and heartbeats that
+        # wrongly say ready, make no difference.
+        net.reported_state = 'ready'
+        envelope, bodies = bundles.signed_bundle(3)
+        offering = await net.add(nursery, 'vm-3')
+
+        async def serve(sender, payload):
+            await trio.lowlevel.checkpoint()
+            return {
+                'version': 3,
+                'ready': False,
+                'manifest': envelope,
+                'parts': bodies,
+            }
+
+        offering.handlers['fetch_bundle'] = serve
+        for vm in ('vm-1', 'vm-2'):
+            await offering.call(vm, 'offer_bundle', {'manifest': envelope})
+        await trio.sleep(20)
+        self.assertEqual([0, 0, 0], net.versions())
+        self.assertEqual(3, first.rollout.held_version)
         net.platform.set_faults(down=False)
         await net.accept(7)
         await trio.sleep(10)
-        self.assertEqual([7, 7], net.versions())
+        self.assertEqual([7, 7, 7], net.versions())
 
 
 class FrozenTests(testtools.TestCase):
