Answer HEAD requests without a body

Cause: h11 refuses body bytes in the answer to HEAD, so a handler that gives one broke the connection (read in h11's documentation, then seen in a test). Change: the server skips the body of such an answer. Result: two HEAD requests in a row are answered on one connection.

--- a/eelgrassfork/http_server.py
+++ b/eelgrassfork/http_server.py
@@ -136,7 +136,7 @@
 
         :param chunk: bytes to send now.
         """
-        if chunk:
+        if chunk and self.method != 'HEAD':
             await self._connection.send(h11.Data(data=chunk))
 
     async def finish(self) -> None:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -88,6 +88,13 @@
         with testtools.ExpectedException(ConnectionLost):
             await client.fetch(request)
 
+    @run_with_server
+    async def test_head_is_answered_without_a_body(self, server, client):
+        for _ in range(2):
+            request = ClientRequest(server.address, 'HEAD', '/')
+            response, body = await client.fetch(request)
+            self.assertEqual((200, b''), (response.status, body))
+
     @run_with_server
     async def test_silence_is_bounded(self, server, client):
         request = ClientRequest(server.address, 'GET', '/silent')
