--- /dev/null
+++ b/eelgrassfork/budget_admin.py
@@ -0,0 +1,143 @@
+"""
+eelgrassfork.budget_admin
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Top-ups and views of budgets for operators, through the platform.
+"""
+
+import random
+from typing import Final, NamedTuple
+
+import trio
+
+from .bundle_submit import ObjectStore
+from .bundle_types import Bundle
+from .errors import EelgrassError
+from .ledger import (
+    BudgetView,
+    LedgerShard,
+    Refusal,
+    decode_shard,
+    empty_shard,
+    encode_shard,
+    top_up,
+    view_budget,
+)
+from .names import shard_of
+from .platform_types import AnswerLost, Conflict
+
+__all__ = (
+    'BudgetError',
+    'TopUp',
+    'apply_top_up',
+    'ledger_key',
+    'read_budget',
+)
+
+# Routers write each shard about once a report interval, so a top-up loses
+# a few races at most.
+_MAX_ATTEMPTS: Final = 20
+_MAX_PAUSE_S: Final = 0.5
+
+
+class BudgetError(EelgrassError):
+    """A budget does not exist, or the ledger refuses a change of it."""
+
+
+class TopUp(NamedTuple):
+    """
+    Tokens to grant.
+
+    :param budget: ``<fleet>/<organisation>/<budget>``.
+    :param operation_id: repeating a top-up with it changes nothing.
+    :param amount: tokens, above 0.
+    """
+
+    budget: str
+    operation_id: str
+    amount: int
+
+
+def ledger_key(bundle: Bundle, budget: str) -> str:
+    """
+    Tell which ledger object holds a budget.
+
+    :param bundle: the accepted bundle.
+    :param budget: ``<fleet>/<organisation>/<budget>``.
+    :returns: key of the object.
+    :raises BudgetError: ``unknown_budget`` if no key in the bundle draws on
+        it.
+    """
+    organisation_name, _, name = budget.rpartition('/')
+    organisation = bundle.organisations_by_name.get(organisation_name)
+    known = organisation.budgets_by_key_hash.values() if organisation else ()
+    if name not in known:
+        message = f'no key of bundle {bundle.version} draws on {budget!r}'
+        raise BudgetError('unknown_budget', message)
+    fleet = budget.partition('/')[0]
+    shards = bundle.fleets_by_name[fleet].ledger_shards
+    return f'ledger/{fleet}/{shard_of(budget, shards)}'
+
+
+async def apply_top_up(platform: ObjectStore, key: str, change: TopUp) -> bool:
+    """
+    Grant tokens to a budget by conditional update, once for an operation.
+
+    :param platform: where the ledger stands.
+    :param key: the ledger object.
+    :param change: what to grant.
+    :returns: false if the operation had been applied before.
+    :raises BudgetError: with the ledger's code if it refuses the change.
+    :raises PlatformError: if the platform does not answer; the operation
+        may be repeated.
+    """
+    lost = False
+    for _ in range(_MAX_ATTEMPTS):
+        try:
+            return await _try_top_up(platform, key, change) or lost
+        except AnswerLost:
+            # If the write took effect, the next try finds its operation id.
+            lost = True
+        except Conflict:
+            await trio.sleep(random.uniform(0, _MAX_PAUSE_S))
+    return await _try_top_up(platform, key, change) or lost
+
+
+async def read_budget(
+    platform: ObjectStore, key: str, budget: str
+) -> BudgetView:
+    """
+    Read a budget's state.
+
+    :param platform: where the ledger stands.
+    :param key: the ledger object.
+    :param budget: ``<fleet>/<organisation>/<budget>``.
+    :returns: what was granted, spent and is held.
+    :raises BudgetError: ``unknown_budget`` if it was never topped up.
+    :raises PlatformError: if the platform does not answer.
+    """
+    _, shard = await _read_shard(platform, key)
+    view = view_budget(shard, budget)
+    if isinstance(view, Refusal):
+        raise BudgetError(view.code, f'{budget} was never topped up')
+    return view
+
+
+async def _try_top_up(platform: ObjectStore, key: str, change: TopUp) -> bool:
+    version, shard = await _read_shard(platform, key)
+    changed = top_up(shard, change.budget, change.operation_id, change.amount)
+    if isinstance(changed, Refusal):
+        raise BudgetError(changed.code, changed.message)
+    if changed is shard:
+        return False
+    await platform.put(key, encode_shard(changed), version)
+    return True
+
+
+async def _read_shard(
+    platform: ObjectStore, key: str
+) -> tuple[int | None, LedgerShard]:
+    stored = await platform.get(key)
+    if stored is None:
+        return None, empty_shard()
+    return stored.version, decode_shard(stored.body)
--- /dev/null
+++ b/tests/test_budget_admin.py
@@ -0,0 +1,114 @@
+"""
+tests.test_budget_admin
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against top-ups that are applied twice or lost.
+"""
+
+import testtools
+import trio
+import trio.testing
+
+from eelgrassfork import budget_admin, bundle
+from eelgrassfork.errors import EelgrassError
+from standins.fake_platform import FakePlatform
+
+from . import bundles
+
+BUDGET = 'pazlen/atelier/main'
+KEY = 'ledger/pazlen/0'
+
+
+def run(test):
+    return trio.run(
+        test, FakePlatform(), clock=trio.testing.MockClock(autojump_threshold=0)
+    )
+
+
+async def top_up(platform, operation_id='op-1', amount=100):
+    change = budget_admin.TopUp(BUDGET, operation_id, amount)
+    return await budget_admin.apply_top_up(platform, KEY, change)
+
+
+async def granted(platform):
+    view = await budget_admin.read_budget(platform, KEY, BUDGET)
+    return view.granted
+
+
+class TopUpTests(testtools.TestCase):
+    def test_repeated_operation_is_applied_once(self):
+        async def main(platform):
+            applied = [await top_up(platform) for _ in range(3)]
+            self.assertEqual([True, False, False], applied)
+            await top_up(platform, 'op-2', 50)
+            self.assertEqual(150, await granted(platform))
+
+        run(main)
+
+    def test_faults_neither_double_nor_lose_it(self):
+        cases = (
+            {'lose_answers': 3},
+            {'drop_writes': 3},
+            {'lose_answers': 1, 'drop_writes': 1},
+        )
+        for faults in cases:
+            with self.subTest(faults=faults):
+
+                async def main(platform, faults=faults):
+                    platform.set_faults(**faults)
+                    self.assertTrue(await top_up(platform))
+                    self.assertEqual(100, await granted(platform))
+
+                run(main)
+
+    def test_racing_operators_both_succeed(self):
+        async def main(platform):
+            platform.set_faults(delay_s=0.01)
+            async with trio.open_nursery() as nursery:
+                for number in range(8):
+                    nursery.start_soon(top_up, platform, f'op-{number}')
+            self.assertEqual(800, await granted(platform))
+
+        run(main)
+
+    def test_refusals(self):
+        async def main(platform):
+            await top_up(platform)
+            for operation_id, amount, code in (
+                ('op-1', 200, 'operation_id_reused'),
+                ('op-2', 0, 'bad_amount'),
+                ('op-3', -5, 'bad_amount'),
+            ):
+                try:
+                    await top_up(platform, operation_id, amount)
+                except budget_admin.BudgetError as error:
+                    self.assertEqual(code, error.code)
+                else:
+                    self.fail(code)
+            platform.set_faults(down=True)
+            try:
+                await top_up(platform, 'op-4')
+            except EelgrassError as error:
+                self.assertNotIsInstance(error, budget_admin.BudgetError)
+            platform.set_faults(down=False)
+            self.assertEqual(100, await granted(platform))
+
+        run(main)
+
+
+class LedgerKeyTests(testtools.TestCase):
+    def test_only_budgets_of_the_bundle_have_a_key(self):
+        envelope, bodies = bundles.signed_bundle(1)
+        parts = {key: bundle.read_part(key, bodies[key]) for key in bodies}
+        signed = bundle.open_manifest(envelope, bundles.TRUSTED)
+        whole = bundle.assemble(signed.manifest, parts)
+        self.assertTrue(
+            budget_admin.ledger_key(whole, BUDGET).startswith('ledger/pazlen/')
+        )
+        for budget in ('pazlen/atelier/mian', 'pazlen/other/main', 'x', ''):
+            self.assertRaises(
+                budget_admin.BudgetError,
+                budget_admin.ledger_key,
+                whole,
+                budget,
+            )
