--- a/eelgrassfork/settings.py
+++ b/eelgrassfork/settings.py
@@ -73,7 +73,8 @@
     :param report_interval_ms: interval of ledger writes.
     :param platform_timeout_ms: bound on one call of the platform.
     :param vm_list_ms: interval of reads of the VM list.
-    :param watch_wait_ms: longest wait of a watch at the platform.
+    :param watch_wait_ms: longest wait of a watch at the platform; bounds
+        how long a watch whose connection went silent delays a bundle.
     :param offer_wait_ms: longest wait for peers to take an offered bundle.
     :param frozen_after_ms: lateness of the event loop after which the
         bundle is caught up before requests are served.
@@ -104,7 +105,7 @@
     report_interval_ms: _Ms = 2_000
     platform_timeout_ms: _Ms = 1_000
     vm_list_ms: _Ms = 1_000
-    watch_wait_ms: _Ms = 30_000
+    watch_wait_ms: _Ms = 5_000
     offer_wait_ms: _Ms = 2_000
     frozen_after_ms: _Ms = 5_000
     drain_grace_ms: _Ms = 2_000
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,6 +6,8 @@
 """
 
 import json
+import subprocess
+import sys
 from pathlib import Path
 
 import testtools
@@ -99,6 +101,20 @@
         }
         self.assertEqual(8, len(domains))
 
+    def test_daemon_modules_spare_what_the_command_line_needs(self):
+        # json5 and defopt would count towards the router's 32 MB.
+        code = (
+            'import sys, eelgrassfork.settings, eelgrassfork.rollout;'
+            'print(sorted({"json5", "defopt", "grpc"} & set(sys.modules)))'
+        )
+        shown = subprocess.run(
+            [sys.executable, '-c', code],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        self.assertEqual('[]', shown.stdout.strip())
+
     @hypothesis_settings(max_examples=150, deadline=None, derandomize=True)
     @given(st.sampled_from(sorted(settings.RouterSettings._fields)), any_json)
     def test_only_own_errors(self, name, wrong):
