Add the eelgrassfork command

Operators check and sign bundles, let the platform accept them, create organisations, top budgets up and look at or drain routers. An organisation is added to the sources without touching comments; its key is printed once and only its hash is stored. The operators' key for routers is read from a file, so it is on no command line; a private signing key is never shown.

--- /dev/null
+++ b/eelgrassfork/cli_bundle.py
@@ -0,0 +1,159 @@
+"""
+eelgrassfork.cli_bundle
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Commands on bundles: check, sign, submit, show and status.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+
+from .bundle_source import compile_parts, read_sources
+from .bundle_submit import (
+    read_accepted,
+    read_signed_file,
+    submit,
+    write_signed_file,
+)
+from .bundle_types import Fleet, Place, Service
+from .cli_common import Session, run_session, say, say_json
+from .held_bundle import HeldBundle
+from .router_admin import RouterStatus, read_operator_key, read_statuses
+from .settings import load_settings
+from .signing import load_key
+
+__all__ = (
+    'bundle_check',
+    'bundle_show',
+    'bundle_sign',
+    'bundle_status',
+    'bundle_submit',
+)
+
+
+def bundle_check(*directories: str) -> None:
+    """
+    Check the sources of a bundle and name all that is wrong.
+
+    :param directories: source directories, one for each fleet.
+    """
+    sources = read_sources(directories)
+    parts = compile_parts(sources)
+    for kind, entries in sources.entries_by_kind.items():
+        say(f'{len(entries)} {kind}')
+    size = sum(len(body) for body in parts.bodies_by_hash.values())
+    say(f'{len(parts.bodies_by_hash)} parts, {size} bytes')
+
+
+def bundle_sign(*directories: str, key: str, base: int, out: str) -> None:
+    """
+    Compile and sign a bundle.
+
+    :param directories: source directories, one for each fleet.
+    :param key: the operator's key file.
+    :param base: accepted version that the sources were made from; the
+        bundle gets the next one.
+    :param out: file for the signed bundle.
+    """
+    parts = compile_parts(read_sources(directories))
+    pair = load_key(key)
+    write_signed_file(out, base + 1, parts, pair)
+    say(f'{out}: version {base + 1}, signed by {pair.key_id}')
+
+
+def bundle_submit(file: str, *, settings: str) -> None:
+    """
+    Let the platform accept a signed bundle.
+
+    :param file: the signed bundle.
+    :param settings: settings file of any router of the fleet.
+    """
+    held = read_signed_file(file, load_settings(settings).trusted_keys)
+
+    async def action(session: Session) -> bool:
+        accepted = await read_accepted(
+            session.platform, session.settings.trusted_keys
+        )
+        return await submit(session.platform, held, accepted)
+
+    is_new = run_session(settings, action)
+    was = 'is' if is_new else 'was already'
+    say(f'version {held.bundle.version} {was} accepted')
+
+
+def bundle_show(file: str = '', *, settings: str) -> None:
+    """
+    Show a signed bundle, or the accepted one.
+
+    :param file: the signed bundle; the accepted one where it is left out.
+    :param settings: settings file of any router of the fleet.
+    """
+    held: HeldBundle | None
+    if file:
+        held = read_signed_file(file, load_settings(settings).trusted_keys)
+    else:
+        held = run_session(settings, _accepted)
+    say_json(_summary(held) if held else {'version': 0})
+
+
+def bundle_status(*, settings: str, operator_key_file: str) -> None:
+    """
+    Show which version is in force at each router and place.
+
+    :param settings: settings file of any router of the fleet.
+    :param operator_key_file: file with the operators' key.
+    """
+    key = read_operator_key(operator_key_file)
+
+    async def action(session: Session) -> tuple[int, list[RouterStatus]]:
+        held = await _accepted(session)
+        vm_list = await session.platform.vms()
+        statuses = await read_statuses(session.http, vm_list.vms, key)
+        return held.bundle.version if held else 0, statuses
+
+    accepted, statuses = run_session(settings, action)
+    say(f'version {accepted} is accepted')
+    for status in statuses:
+        say(_status_line(status))
+
+
+async def _accepted(session: Session) -> HeldBundle | None:
+    accepted = await read_accepted(
+        session.platform, session.settings.trusted_keys
+    )
+    return accepted.held
+
+
+def _summary(held: HeldBundle) -> dict[str, Any]:
+    bundle = held.bundle
+    return {
+        'version': bundle.version,
+        'signed_by': held.signed.key_id,
+        'parts': len(held.parts_by_hash),
+        'fleets': _fields_by_name(bundle.fleets_by_name),
+        'places': _fields_by_name(bundle.places_by_name),
+        'services': _fields_by_name(bundle.services_by_name),
+        'organisations': {
+            name: {
+                'budgets': sorted(organisation.budgets_by_key_hash.values()),
+                'services': sorted(organisation.services),
+                'priority': organisation.priority,
+                'max_in_flight': organisation.max_in_flight,
+            }
+            for name, organisation in bundle.organisations_by_name.items()
+        },
+    }
+
+
+def _fields_by_name(
+    records: Mapping[str, Fleet | Place | Service],
+) -> dict[str, dict[str, Any]]:
+    return {name: record._asdict() for name, record in records.items()}
+
+
+def _status_line(status: RouterStatus) -> str:
+    line = f'{status.failure_domain}  {status.vm}  {status.state}'
+    if status.version is None:
+        return f'{line}  version unknown'
+    line = f'{line}  version {status.version}'
+    return line if status.note == '' else f'{line}  {status.note}'
--- /dev/null
+++ b/eelgrassfork/cli_files.py
@@ -0,0 +1,96 @@
+"""
+eelgrassfork.cli_files
+~~~~~~~~~~~~~~~~~~~~~~
+
+Commands on files: settings, keys and organisations in the sources.
+"""
+
+import hashlib
+import secrets
+from typing import Any, Final
+
+from .cli_common import say
+from .options import OptionsError, Problem
+from .settings import load_settings
+from .signing import SigningError, load_key, make_key
+from .source_edit import NewOrganisation, add_organisation
+
+__all__ = ('keys_list', 'keys_make', 'organisation_create', 'settings_check')
+
+_CALLER_KEY_BYTES: Final = 24
+
+
+def settings_check(*files: str) -> None:
+    """
+    Check settings files of routers.
+
+    :param files: settings files.
+    """
+    problems: list[Problem] = []
+    for file in files:
+        try:
+            load_settings(file)
+        except OptionsError as error:
+            problems.extend(error.problems)
+        else:
+            say(f'{file}: ok')
+    if not files:
+        problems.append(Problem('no settings file is given'))
+    if problems:
+        raise OptionsError(*problems)
+
+
+def keys_make(file: str) -> None:
+    """
+    Make an operator's key; the private half is only in the file.
+
+    :param file: new file for the key.
+    """
+    pair = make_key(file)
+    say('add this to trusted_keys in the settings of all routers:')
+    say(f'"{pair.key_id}": "{pair.public_key}",')
+
+
+def keys_list(*files: str) -> None:
+    """
+    List identifiers and public halves of operators' keys.
+
+    :param files: key files.
+    """
+    if not files:
+        raise SigningError('key_file', 'no key file is given')
+    for file in files:
+        pair = load_key(file)
+        say(f'{pair.key_id}  {pair.public_key}  {file}')
+
+
+def organisation_create(
+    name: str,
+    *,
+    sources: str,
+    services: list[str],
+    budget: str = 'main',
+    priority: int = 1,
+    max_in_flight: int = 64,
+) -> None:
+    """
+    Add an organisation to the sources and print its key, once.
+
+    :param name: name within the fleet, or fleet/name.
+    :param sources: directory of the sources.
+    :param services: services it may call.
+    :param budget: budget that its key draws on.
+    :param priority: 0 is shed last, 2 first.
+    :param max_in_flight: requests in progress at one router.
+    """
+    key = f'ek_{secrets.token_urlsafe(_CALLER_KEY_BYTES)}'
+    key_hash = hashlib.sha256(key.encode()).hexdigest()
+    fields: dict[str, Any] = {
+        'budgets_by_key_hash': {key_hash: budget},
+        'services': services,
+        'priority': priority,
+        'max_in_flight': max_in_flight,
+    }
+    add_organisation(sources, NewOrganisation(name, fields))
+    say(f'{name} is in the sources; its key is not stored anywhere:')
+    say(key)
--- /dev/null
+++ b/eelgrassfork/cli_fleet.py
@@ -0,0 +1,145 @@
+"""
+eelgrassfork.cli_fleet
+~~~~~~~~~~~~~~~~~~~~~~
+
+Commands on budgets and on running routers.
+"""
+
+import secrets
+from typing import Any, Final
+
+from .budget_admin import TopUp, apply_top_up, ledger_key, read_budget
+from .bundle_submit import read_accepted
+from .cli_common import Session, run_session, say, say_json
+from .ledger import BudgetView
+from .router_admin import (
+    RouterCall,
+    RouterError,
+    call_router,
+    find_router,
+    read_operator_key,
+)
+from .vm_list import VmList
+
+__all__ = (
+    'budget_show',
+    'budget_top_up',
+    'router_drain',
+    'router_dump',
+    'router_list',
+)
+
+_OPERATION_ID_BYTES: Final = 8
+
+
+def budget_top_up(
+    budget: str, amount: int, *, settings: str, operation_id: str = ''
+) -> None:
+    """
+    Grant tokens to a budget; with the same operation id only once.
+
+    :param budget: fleet/organisation/budget.
+    :param amount: tokens, above 0.
+    :param settings: settings file of any router of the fleet.
+    :param operation_id: names the top-up, so that it can be repeated; a new
+        one where it is left out.
+    """
+    name = operation_id or f'op-{secrets.token_hex(_OPERATION_ID_BYTES)}'
+    # Printed first: it is needed if the answer of the platform is lost.
+    say(f'operation id {name}')
+
+    async def action(session: Session) -> bool:
+        key = await _ledger_key(session, budget)
+        change = TopUp(budget, name, amount)
+        return await apply_top_up(session.platform, key, change)
+
+    if run_session(settings, action):
+        say(f'{budget} was granted {amount} tokens')
+    else:
+        say(f'{budget} had been granted {amount} tokens by {name}')
+
+
+def budget_show(budget: str, *, settings: str) -> None:
+    """
+    Show what a budget was granted and what became of it.
+
+    :param budget: fleet/organisation/budget.
+    :param settings: settings file of any router of the fleet.
+    """
+
+    async def action(session: Session) -> BudgetView:
+        key = await _ledger_key(session, budget)
+        return await read_budget(session.platform, key, budget)
+
+    say_json(run_session(settings, action)._asdict())
+
+
+def router_list(*, settings: str) -> None:
+    """
+    List the routers that the platform knows.
+
+    :param settings: settings file of any router of the fleet.
+    """
+
+    async def action(session: Session) -> VmList:
+        return await session.platform.vms()
+
+    for record in run_session(settings, action).vms:
+        if record.role == 'router':
+            place = f'{record.failure_domain}  {record.vm}  {record.state}'
+            say(f'{place}  {record.operator_address}')
+
+
+def router_drain(
+    vm: str, *, settings: str, operator_key_file: str, address: str = ''
+) -> None:
+    """
+    Let a router finish its requests and exit.
+
+    :param vm: name of the VM.
+    :param settings: settings file of any router of the fleet.
+    :param operator_key_file: file with the operators' key.
+    :param address: its operator port, if the platform can't be asked.
+    """
+    call = RouterCall(
+        address, 'POST', '/drain', read_operator_key(operator_key_file)
+    )
+    _call(settings, vm, call)
+    say(f'{vm} is draining')
+
+
+def router_dump(
+    vm: str, *, settings: str, operator_key_file: str, address: str = ''
+) -> None:
+    """
+    Show the state of a router.
+
+    :param vm: name of the VM.
+    :param settings: settings file of any router of the fleet.
+    :param operator_key_file: file with the operators' key.
+    :param address: its operator port, if the platform can't be asked.
+    """
+    call = RouterCall(
+        address, 'GET', '/state', read_operator_key(operator_key_file)
+    )
+    say_json(_call(settings, vm, call))
+
+
+async def _ledger_key(session: Session, budget: str) -> str:
+    accepted = await read_accepted(
+        session.platform, session.settings.trusted_keys
+    )
+    if accepted.held is None:
+        raise RouterError('no_bundle', 'no bundle was accepted yet')
+    return ledger_key(accepted.held.bundle, budget)
+
+
+def _call(settings: str, vm: str, call: RouterCall) -> Any:
+    async def action(session: Session) -> Any:
+        address = call.address
+        if not address:
+            vm_list = await session.platform.vms()
+            address = find_router(vm_list.vms, vm)
+        return await call_router(session.http, call._replace(address=address))
+
+    return run_session(settings, action)
