Relay the answer of an engine with resume, cap and bill

A stream that breaks or goes silent is resumed at the same engine on a new connection, up to three times; an answer beyond its cap is cut. The bill is settled before the last event leaves. An answer that is no stream begins only after its last token, so the wait for it grows with its cap and is split over new connections, which notices a dead server in between.

--- /dev/null
+++ b/eelgrassfork/chat_relay.py
@@ -0,0 +1,181 @@
+"""
+eelgrassfork.chat_relay
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Relays the answer of one engine, with resume, cap and bill.
+"""
+
+from contextlib import aclosing
+from typing import Final
+
+from .chat_meter import Usage, answer_usage
+from .chat_run import CallerSink, ChatRun
+from .chat_settlement import Settlement
+from .engine_client import EngineAnswer, EngineClient
+from .engine_types import EngineCall, EngineError
+from .errors import RequestError
+from .http_server import Call
+from .routing import ServerState
+
+__all__ = ('Relay',)
+
+_OK: Final = 200
+_MAX_RESUMES: Final = 3
+_RESUMABLE: Final = frozenset(('engine_lost', 'engine_silent'))
+_MS: Final = 1000
+# An engine that batches fully takes about this long per token.
+_TOKEN_S: Final = 0.05
+_FIRST_WAIT_FRACTION: Final = 1 / 3
+
+
+class Relay:
+    """
+    Relays answers.
+
+    :param engines: client of the engines.
+    :param settlement: where requests are billed.
+    """
+
+    def __init__(self, engines: EngineClient, settlement: Settlement) -> None:
+        self._engines = engines
+        self._settlement = settlement
+        self.resumed = 0
+
+    async def relay(
+        self, call: Call, run: ChatRun, server: ServerState
+    ) -> None:
+        """
+        Send a request to one server and relay its answer, billed once.
+
+        :param call: the caller's request.
+        :param run: its state.
+        :param server: where to send it.
+        :raises EngineError: if the engine's answer is not whole.
+        :raises RequestError: ``server_failed`` if it exceeds its cap.
+        :raises CallerGone: if the caller has gone.
+        """
+        run.tried.append(server)
+        engine_call = _engine_call(run, server)
+        if run.request.stream:
+            await self._relay_stream(call, run, engine_call)
+        else:
+            await self._relay_whole(call, run, engine_call)
+
+    async def _relay_whole(
+        self, call: Call, run: ChatRun, engine_call: EngineCall
+    ) -> None:
+        answer = await self._engines.open(engine_call)
+        _answer_began(run, answer)
+        try:
+            body = await answer.read()
+        finally:
+            await answer.close()
+        usage = answer_usage(body)
+        if usage.completion_tokens > run.request.max_tokens:
+            run.meter.overrun = True
+            raise _overrun()
+        self._settlement.whole(run, usage)
+        await call.respond(_OK, body)
+
+    async def _relay_stream(
+        self, call: Call, run: ChatRun, engine_call: EngineCall
+    ) -> None:
+        sink = CallerSink(call)
+        answer = await self._engines.open(engine_call)
+        resumes = 0
+        while not await _relay_events(answer, run, sink, resumes):
+            resumes += 1
+            self.resumed += 1
+            answer = await self._engines.resume(
+                engine_call, run.meter.next_event
+            )
+        usage = run.meter.usage or await self._recorded_usage(engine_call, run)
+        self._settlement.whole(run, usage)
+        await sink.finish(run.meter.done)
+
+    async def _recorded_usage(
+        self, engine_call: EngineCall, run: ChatRun
+    ) -> Usage:
+        relayed = Usage(0, run.meter.tokens)
+        try:
+            records = await self._engines.records(
+                engine_call.address, engine_call.payer
+            )
+        except EngineError:
+            return relayed
+        for record in records:
+            if record.request_id == engine_call.request_id:
+                return Usage(record.prompt_tokens, record.completion_tokens)
+        return relayed
+
+
+async def _relay_events(
+    answer: EngineAnswer, run: ChatRun, sink: CallerSink, resumes: int
+) -> bool:
+    _answer_began(run, answer)
+    try:
+        await _pump(answer, run, sink)
+    except EngineError as error:
+        if error.code in _RESUMABLE and resumes < _MAX_RESUMES:
+            return False
+        raise
+    finally:
+        await answer.close()
+    return True
+
+
+async def _pump(answer: EngineAnswer, run: ChatRun, sink: CallerSink) -> None:
+    meter = run.meter
+    try:
+        async with aclosing(answer.events()) as batches:
+            async for events in batches:
+                await sink.send(meter.take(events))
+                if meter.overrun:
+                    raise _overrun()
+    except EngineError:
+        if not meter.done:
+            raise
+    if not meter.done:
+        raise EngineError('engine_lost', 'the stream ended early')
+
+
+def _answer_began(run: ChatRun, answer: EngineAnswer) -> None:
+    run.answering = run.tried[-1]
+    run.first_payer = answer.payer
+
+
+def _engine_call(run: ChatRun, server: ServerState) -> EngineCall:
+    request = run.request
+    service = request.service
+    first_byte_s = service.first_byte_ms / _MS
+    return EngineCall(
+        address=server.address,
+        request_id=request.identity,
+        payer=run.payer,
+        body=request.body,
+        priority=request.priority,
+        max_tokens=request.max_tokens,
+        prefix=request.prefix,
+        head_waits_s=_head_waits_s(
+            first_byte_s, request.max_tokens, request.stream
+        ),
+        silence_s=service.silence_ms / _MS,
+    )
+
+
+def _head_waits_s(
+    first_byte_s: float, max_tokens: int, stream: bool
+) -> tuple[float, ...]:
+    if stream:
+        short_s = first_byte_s * _FIRST_WAIT_FRACTION
+        return short_s, first_byte_s - short_s
+    # The answer begins only after its last token; each further wait is on a
+    # new connection, so that a dead server is noticed in between.
+    rest_s = max_tokens * _TOKEN_S
+    return (first_byte_s,) * (1 + int(rest_s // first_byte_s) + 1)
+
+
+def _overrun() -> RequestError:
+    return RequestError(
+        'server_failed', 'the answer exceeded its cap and was cut', 'ran'
+    )
