Retry chat requests on other servers before the first byte

The retry budget bounds retries; only the refusal of a leaving server, which happens once per server, takes nothing from it. A request that may have run ends as server_failed with the outcome unknown, one that surely did not as no_server with the outcome not_run.

--- /dev/null
+++ b/eelgrassfork/chat_attempts.py
@@ -0,0 +1,167 @@
+"""
+eelgrassfork.chat_attempts
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Tries one server after the other until an answer was relayed.
+"""
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+import logbook
+
+from .backends import Backends
+from .bundle_types import Bundle
+from .chat_relay import Relay
+from .chat_run import Accounts, ChatRun
+from .engine_client import EngineClient
+from .engine_types import EngineError
+from .errors import RequestError
+from .http_server import Call
+from .limits import Admission
+from .retries import RetryBudget
+from .routing import (
+    Chooser,
+    RoutePolicy,
+    RouteSnapshot,
+    ServerState,
+    choose,
+    choose_keyed,
+)
+
+__all__ = ('Attempts', 'ChatParts')
+
+_log = logbook.Logger('chat')
+
+
+class ChatParts(NamedTuple):
+    """
+    What chat needs from other parts.
+
+    :param bundle: query for the bundle in force, ``None`` before the first.
+    :param failure_domain: place of this router.
+    :param source: random source of jitter and ties.
+    """
+
+    bundle: Callable[[], Bundle | None]
+    accounts: Accounts
+    admission: Admission
+    backends: Backends
+    engines: EngineClient
+    retry_budget: RetryBudget
+    failure_domain: str
+    source: random.Random
+    choose: Chooser = choose
+    policy: RoutePolicy = RoutePolicy()
+
+
+class Attempts:
+    """
+    Chooses servers and retries before the first byte.
+
+    :param parts: other parts.
+    :param relay: relays one answer.
+    """
+
+    def __init__(self, parts: ChatParts, relay: Relay) -> None:
+        self._parts = parts
+        self._relay = relay
+        self.retried = 0
+
+    async def run(self, call: Call, run: ChatRun) -> None:
+        """
+        Relay an answer to a request that was admitted.
+
+        :param call: the caller's request.
+        :param run: its state.
+        :raises RequestError: if there is no whole answer.
+        :raises CallerGone: if the caller has gone.
+        """
+        failed: frozenset[str] = frozenset()
+        error: EngineError | None = None
+        while True:
+            server = self._choose(run, failed)
+            if server is None:
+                raise self._no_server(run, error)
+            error = await self._try(call, run, server)
+            if error is None:
+                return
+            failed |= {server.vm}
+            if call.started:
+                raise _failure(run, error)
+            self._check_retry(run, error)
+
+    async def _try(
+        self, call: Call, run: ChatRun, server: ServerState
+    ) -> EngineError | None:
+        backends = self._parts.backends
+        backends.begin(server.vm)
+        try:
+            await self._relay.relay(call, run, server)
+        except EngineError as error:
+            _log.info('chat: {} failed: {}', server.vm, error)
+            self._note_failure(run, server, error)
+            return error
+        finally:
+            backends.end(server.vm)
+        backends.succeeded(server.vm)
+        return None
+
+    def _choose(
+        self, run: ChatRun, failed: frozenset[str]
+    ) -> ServerState | None:
+        parts = self._parts
+        request = run.request
+        snapshot = RouteSnapshot(
+            tuple(parts.backends.servers(request.service.name)),
+            parts.failure_domain,
+            request.prefix,
+            failed,
+        )
+        if request.key:
+            return choose_keyed(snapshot, request.identity)
+        policy = parts.policy._replace(
+            in_flight_per_server=request.service.in_flight_per_server
+        )
+        return parts.choose(snapshot, policy, parts.source)
+
+    def _no_server(
+        self, run: ChatRun, error: EngineError | None
+    ) -> RequestError:
+        if run.tried and error is not None:
+            return _failure(run, error)
+        service = run.request.service.name
+        if error is None and self._parts.backends.usable(service):
+            return RequestError('overloaded', f'all of {service} are full')
+        return RequestError('no_server', f'{service} has no server')
+
+    def _note_failure(
+        self, run: ChatRun, server: ServerState, error: EngineError
+    ) -> None:
+        if not error.may_have_run:
+            run.tried.remove(server)
+        if error.code == 'engine_draining':
+            self._parts.backends.draining(server.vm)
+        elif error.kind.counts:
+            silent = error.code == 'engine_silent'
+            self._parts.backends.failed(server.vm, silent)
+
+    def _check_retry(self, run: ChatRun, error: EngineError) -> None:
+        if not error.kind.retryable:
+            raise RequestError('invalid_request', error.message, run.outcome)
+        # A refusal by a leaving server costs nothing and happens once per
+        # server, so it takes nothing from the budget.
+        free = error.code == 'engine_draining'
+        if not free and not self._parts.retry_budget.take():
+            raise _failure(run, error)
+        self.retried += 1
+        run.answering = None
+        run.first_payer = ''
+
+
+def _failure(run: ChatRun, error: EngineError) -> RequestError:
+    # The message of the error names addresses, which callers don't see.
+    return RequestError(
+        'server_failed', f'no whole answer: {error.code}', run.outcome
+    )
