Add the chat and models endpoints

Checks, reserves, admits, relays and settles. A caller that goes away ends the request; with an idempotency key the engine goes on and the bill follows its record. The deadline is answered at once. "not_run" is said only without a key or for an attempt marked as the first. A key used with another body is refused by the router that knows the key; at any other router it is a request of its own, since the body is part of the identity.

--- /dev/null
+++ b/eelgrassfork/chat.py
@@ -0,0 +1,267 @@
+"""
+eelgrassfork.chat
+~~~~~~~~~~~~~~~~~
+
+Serves ``/v1/chat/completions`` and ``/v1/models``.
+"""
+
+import functools
+from collections import Counter, OrderedDict
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+import msgspec
+import trio
+
+from .bundle_types import Bundle, Caller
+from .chat_attempts import Attempts, ChatParts
+from .chat_relay import Relay
+from .chat_request import ChatRequest, model_name, parse_request
+from .chat_run import CallerSink, ChatRun
+from .chat_settlement import Ending, Settlement
+from .errors import RequestError
+from .http_server import Call, CallerGone
+from .limits import AdmissionRequest, LimitExceeded
+
+__all__ = ('Chat', 'ChatParts')
+
+_MS: Final = 1000
+_MAX_KEYS: Final = 16384
+_OK: Final = 200
+
+
+class Chat:
+    """
+    Serves model calls.
+
+    :param parts: what it needs from other parts.
+    """
+
+    def __init__(self, parts: ChatParts) -> None:
+        self._parts = parts
+        self._settlement = Settlement(
+            parts.accounts, parts.engines, parts.backends, parts.source
+        )
+        self._relay = Relay(parts.engines, self._settlement)
+        self._attempts = Attempts(parts, self._relay)
+        self._keys = _KeyMemory()
+        self._ended: Counter[str] = Counter()
+
+    @property
+    def open_bills(self) -> int:
+        """Requests whose bill waits for an engine; drain waits for them."""
+        return self._settlement.open_bills
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """
+        Run the background work.
+
+        :param nursery: where it runs.
+        """
+        await self._settlement.start(nursery)
+
+    async def close(self) -> None:
+        """Settle open bills with what is known."""
+        await self._settlement.close()
+
+    def dump(self) -> dict[str, object]:
+        """
+        Describe the state for operators.
+
+        :returns: requests by how they ended, retries, resumes, open bills.
+        """
+        return {
+            'ended': dict(self._ended),
+            'retried': self._attempts.retried,
+            'resumed': self._relay.resumed,
+            'retry_tokens': self._parts.retry_budget.tokens,
+            'open_bills': self.open_bills,
+        }
+
+    async def complete(self, call: Call, caller: Caller) -> None:
+        """
+        Answer ``POST /v1/chat/completions``.
+
+        :param call: the request.
+        :param caller: who sent it.
+        :raises RequestError: if nothing was answered yet.
+        """
+        try:
+            request = parse_request(call, caller, self._bundle())
+            self._keys.check(request)
+            await self._serve(call, request)
+        except RequestError as error:
+            raise _with_known_outcome(error, call) from None
+
+    async def list_models(self, call: Call, caller: Caller) -> None:
+        """
+        Answer ``GET /v1/models``.
+
+        :param call: the request.
+        :param caller: who sent it.
+        :raises RequestError: ``not_ready`` without a bundle.
+        """
+        services = self._bundle().services_by_name
+        listed = [
+            _model(name, caller.fleet)
+            for name in sorted(caller.organisation.services)
+            if name in services and services[name].kind == 'model'
+        ]
+        body = {'object': 'list', 'data': listed}
+        await call.respond(_OK, msgspec.json.encode(body))
+
+    def _bundle(self) -> Bundle:
+        bundle = self._parts.bundle()
+        if bundle is None:
+            raise RequestError('not_ready', 'there is no bundle yet')
+        return bundle
+
+    async def _serve(self, call: Call, request: ChatRequest) -> None:
+        run = ChatRun(request)
+        self._parts.retry_budget.request_started()
+        failure: RequestError | None = None
+        ending: Ending = 'interrupted'
+        try:
+            failure = await self._run_in_time(call, run)
+        except RequestError as error:
+            failure = error
+            ending = _ending(call, run)
+        except CallerGone:
+            self._ended['caller_gone'] += 1
+            return
+        finally:
+            # Also when the server closes and cancels this task.
+            self._settlement.ended(run, ending)
+        self._ended[failure.code if failure else 'whole'] += 1
+        if failure is not None:
+            await _fail(call, run, failure)
+
+    async def _run_in_time(
+        self, call: Call, run: ChatRun
+    ) -> RequestError | None:
+        with trio.move_on_at(run.request.deadline):
+            await _until_gone(call, functools.partial(self._run, call, run))
+            return None
+        return RequestError(
+            'deadline_exceeded', 'the deadline has passed', run.outcome
+        )
+
+    async def _run(self, call: Call, run: ChatRun) -> None:
+        request = run.request
+        run.reservation = await self._parts.accounts.reserve(
+            request.caller.budget, request.bound
+        )
+        try:
+            async with self._parts.admission.slot(self._admission(request)):
+                self._keys.remember(request)
+                await self._attempts.run(call, run)
+        except LimitExceeded as error:
+            raise RequestError(
+                error.code, error.message, retry_after_s=error.retry_after_s
+            ) from None
+
+    def _admission(self, request: ChatRequest) -> AdmissionRequest:
+        service = request.service
+        organisation = request.caller.organisation
+        backends = self._parts.backends
+        return AdmissionRequest(
+            service=service.name,
+            organisation=organisation.name,
+            slots=lambda: (
+                service.in_flight_per_server * backends.usable(service.name)
+            ),
+            organisation_slots=organisation.max_in_flight,
+            priority=request.priority,
+            queue_s=service.queue_ms / _MS,
+            deadline=request.deadline,
+        )
+
+
+class _KeyMemory:
+    """
+    Body hashes by idempotency key, as far as this router saw them.
+
+    Another router doesn't know them; there, the other body gets an identity
+    of its own and is billed as a request of its own.
+    """
+
+    def __init__(self) -> None:
+        self._hashes: OrderedDict[tuple[str, str], str] = OrderedDict()
+
+    def check(self, request: ChatRequest) -> None:
+        known = self._hashes.get(_key_name(request), request.body_hash)
+        if known != request.body_hash:
+            raise RequestError(
+                'idempotency_key_reused', 'the key was used with another body'
+            )
+
+    def remember(self, request: ChatRequest) -> None:
+        if not request.key:
+            return
+        self._hashes[_key_name(request)] = request.body_hash
+        self._hashes.move_to_end(_key_name(request))
+        if len(self._hashes) > _MAX_KEYS:
+            self._hashes.popitem(last=False)
+
+
+def _key_name(request: ChatRequest) -> tuple[str, str]:
+    return request.caller.organisation.name, request.key
+
+
+async def _until_gone(call: Call, work: Callable[[], Awaitable[None]]) -> None:
+    failure: Exception | None = None
+    finished = False
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_when_gone, call, nursery.cancel_scope)
+        try:
+            await work()
+        except Exception as error:
+            # Raised outside of the nursery, which would wrap it.
+            failure = error
+        finished = not nursery.cancel_scope.cancel_called
+        nursery.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+    if not finished:
+        raise CallerGone
+
+
+async def _cancel_when_gone(call: Call, scope: trio.CancelScope) -> None:
+    await call.gone.wait()
+    scope.cancel()
+
+
+async def _fail(call: Call, run: ChatRun, failure: RequestError) -> None:
+    if not call.started:
+        raise failure
+    if run.whole or not run.request.stream:
+        # Its end was on the way, so that no error event can follow.
+        await call.abort()
+        return
+    await CallerSink(call).cut(failure)
+
+
+def _ending(call: Call, run: ChatRun) -> Ending:
+    if run.meter.overrun:
+        return 'overrun'
+    return 'broken' if call.started else 'gave_up'
+
+
+def _with_known_outcome(error: RequestError, call: Call) -> RequestError:
+    headers = call.headers_by_name
+    first = headers.get('x-stainless-retry-count') == '0'
+    if error.outcome != 'not_run' or first or 'idempotency-key' not in headers:
+        return error
+    # An earlier attempt with the key may have run elsewhere.
+    return RequestError(
+        error.code, error.message, 'unknown', error.retry_after_s, 'not_run'
+    )
+
+
+def _model(name: str, fleet: str) -> dict[str, Any]:
+    return {
+        'id': model_name(name, fleet),
+        'object': 'model',
+        'created': 0,
+        'owned_by': name.partition('/')[0],
+    }
--- a/eelgrassfork/chat_request.py
+++ b/eelgrassfork/chat_request.py
@@ -24,6 +24,7 @@
 _MAX_KEY_CHARACTERS: Final = 255
 _DIGEST_BYTES: Final = 16
 _MS: Final = 1000
+_PRIORITIES: Final = 4
 # Fields beside the messages whose text engines put into the prompt.
 _PROMPT_FIELDS: Final = (
     'tools',
@@ -61,6 +62,8 @@
     :param body_hash: hash of the body as the caller sent it.
     :param max_tokens: cap on completion tokens.
     :param bound: most tokens that the request can cost.
+    :param priority: 0 starts first and is shed last; the service's counts
+        before the organisation's.
     :param deadline: time on the clock of trio, infinite if there is none.
     :param body: what is sent to the engine.
     """
@@ -75,6 +78,7 @@
     max_tokens: int
     bound: int
     prefix: str
+    priority: int
     deadline: float
     body: bytes
 
@@ -107,6 +111,7 @@
         max_tokens=max_tokens,
         bound=_prompt_bound(chat, fields, service) + max_tokens,
         prefix=prefix_hash(service.name, _leading_texts(chat.messages)),
+        priority=service.priority * _PRIORITIES + caller.organisation.priority,
         deadline=_deadline(call.headers_by_name),
         body=_engine_body(chat, fields, service, max_tokens),
     )
--- a/eelgrassfork/engine_client.py
+++ b/eelgrassfork/engine_client.py
@@ -5,7 +5,7 @@
 Client of the engines: chat, streams, records, cancellation and orders.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from typing import Final, TypeVar
 from urllib.parse import quote, urlencode
 
@@ -73,11 +73,11 @@
         except HttpClientError as error:
             raise _engine_error(error) from None
 
-    async def events(self) -> AsyncIterator[list[bytes]]:
+    async def events(self) -> AsyncGenerator[list[bytes], None]:
         """
         Read a stream.
 
-        :returns: iterator of the events that came together, unchanged; it
+        :returns: generator of the events that came together, unchanged; it
             ends only after the terminating chunk.
         :raises EngineError: if the stream is cut, silent or not valid.
         """
