Add the operators' port

Cause: operators and the balancer need health, readiness, a dump of the state and a way to begin a drain. A part that can't be described doesn't hide the others.

--- /dev/null
+++ b/eelgrassfork/operator_port.py
@@ -0,0 +1,109 @@
+"""
+eelgrassfork.operator_port
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Listener for operators: health, readiness, state dump and drain.
+"""
+
+import hashlib
+import hmac
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, Final, NamedTuple
+
+import logbook
+import msgspec
+
+from .access import bearer_key
+from .errors import RequestError
+from .http_server import Call
+
+__all__ = ('OperatorParts', 'operator_handler')
+
+_log = logbook.Logger('operator')
+
+_OK: Final = 200
+_ACCEPTED: Final = 202
+_UNAVAILABLE: Final = 503
+
+_Answer = tuple[int, object]
+_Dump = Callable[[], Mapping[str, Any]]
+
+
+class OperatorParts(NamedTuple):
+    """
+    What the operators' listener needs.
+
+    :param key_hash: SHA-256 of the operators' key in hexadecimal.
+    :param unready: why this router should get no new requests, or an empty
+        string; also set from the beginning of a drain.
+    :param dumps_by_part: queries for the state of each part.
+    :param drain: begins a drain; repeating has no effect.
+    """
+
+    key_hash: str
+    unready: Callable[[], str]
+    dumps_by_part: Mapping[str, _Dump]
+    drain: Callable[[], None]
+
+
+def operator_handler(parts: OperatorParts) -> Callable[[Call], Awaitable[None]]:
+    """
+    Make the handler of the operators' listener.
+
+    All but health and readiness need the operators' key.
+
+    :param parts: what it needs from other parts.
+    :returns: answers a request; raises
+        :class:`~eelgrassfork.errors.RequestError`.
+    """
+
+    def health() -> _Answer:
+        return _OK, {}
+
+    def readiness() -> _Answer:
+        reason = parts.unready()
+        status = _UNAVAILABLE if reason else _OK
+        return status, {'ready': not reason, 'reason': reason}
+
+    def state() -> _Answer:
+        return _OK, {
+            part: _dump(part, query)
+            for part, query in parts.dumps_by_part.items()
+        }
+
+    def drain() -> _Answer:
+        _log.notice('operator: a drain is asked for')
+        parts.drain()
+        return _ACCEPTED, {'state': 'draining'}
+
+    public = {('GET', '/healthz'): health, ('GET', '/readyz'): readiness}
+    private = {('GET', '/state'): state, ('POST', '/drain'): drain}
+
+    async def serve(call: Call) -> None:
+        route = (call.method, call.path)
+        answer = public.get(route)
+        if answer is None:
+            _check_key(parts.key_hash, call)
+            answer = private.get(route)
+        if answer is None:
+            raise RequestError('invalid_request', 'there is no such call')
+        status, body = answer()
+        await call.respond(status, msgspec.json.encode(body))
+
+    return serve
+
+
+def _check_key(key_hash: str, call: Call) -> None:
+    key = bearer_key(call.headers_by_name)
+    given = hashlib.sha256(key.encode('utf-8', 'surrogateescape')).hexdigest()
+    if not key or not hmac.compare_digest(given, key_hash.lower()):
+        raise RequestError('unknown_key', "the operators' key is wrong")
+
+
+def _dump(part: str, query: _Dump) -> msgspec.Raw:
+    # One part that can't be described must not hide the others.
+    try:
+        return msgspec.Raw(msgspec.json.encode(query(), enc_hook=str))
+    except Exception as error:
+        _log.exception('operator: the state of {} is missing', part)
+        return msgspec.Raw(msgspec.json.encode({'error': repr(error)}))
