Add the caller listener's front

Cause: callers need one place that authenticates, dispatches and answers errors with the outcome that is known. Change: Front checks readiness and drain, finds the caller, and passes the call to chat, models, plain calls or key issuing. It answers errors, cuts answers that have begun, writes one log line and the metrics of each request, and answers the balancer on /healthz. A draining router issues no keys. Ending a cut answer as if it were whole, telling not_run for a repeated key, issuing keys during a drain or logging a traceback with a key each makes 1 test fail.

--- /dev/null
+++ b/eelgrassfork/front.py
@@ -0,0 +1,206 @@
+"""
+eelgrassfork.front
+~~~~~~~~~~~~~~~~~~
+
+Caller listener: authentication, dispatch, error answers, one line a request.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Final, NamedTuple
+
+import logbook
+import msgspec
+import trio
+
+from .access import authenticate
+from .bundle_types import Bundle, Caller
+from .claim_records import refusal
+from .errors import RequestError
+from .http_server import Call, CallerGone
+from .logs import request_context
+from .metrics import Metrics
+
+__all__ = ('CallerHandler', 'Front', 'FrontParts')
+
+_log = logbook.Logger('front')
+
+CallerHandler = Callable[[Call, Caller], Awaitable[None]]
+
+_OK: Final = 200
+_UNAVAILABLE: Final = 503
+_CALLER_GONE: Final = 499
+_MS: Final = 1000
+_MAX_PATH_CHARACTERS: Final = 200
+_SERVICES_PREFIX: Final = '/services/'
+
+
+class FrontParts(NamedTuple):
+    """
+    What the caller listener needs.
+
+    :param bundle: query for the configuration in force.
+    :param unready: why this router is not ready for new requests, or an
+        empty string.
+    :param is_draining: whether a drain has begun.
+    :param refuses_new: whether new requests are refused, because the
+        balancer's grace is over.
+    :param issue_key: makes an idempotency key of an organisation.
+    """
+
+    bundle: Callable[[], Bundle | None]
+    unready: Callable[[], str]
+    is_draining: Callable[[], bool]
+    refuses_new: Callable[[], bool]
+    chat: CallerHandler
+    models: CallerHandler
+    plain: CallerHandler
+    issue_key: Callable[[str], str]
+    metrics: Metrics
+
+
+class _Route(NamedTuple):
+    name: str
+    method: str
+    serve: CallerHandler
+
+
+class _Progress:
+    """What is known of a request for its log line and metrics."""
+
+    def __init__(self) -> None:
+        self.started_at = trio.current_time()
+        self.route = 'none'
+        self.caller: Caller | None = None
+        self.error: RequestError | None = None
+        self.gone = False
+
+    def status(self, call: Call) -> int:
+        if self.gone:
+            return _CALLER_GONE
+        return call.status or 0
+
+
+class Front:
+    """
+    Serves callers.
+
+    :param parts: what it needs from other parts.
+    """
+
+    def __init__(self, parts: FrontParts) -> None:
+        self._parts = parts
+        self._routes_by_path = {
+            '/v1/chat/completions': _Route('chat', 'POST', parts.chat),
+            '/v1/models': _Route('models', 'GET', parts.models),
+            '/v1/idempotency-keys': _Route('keys', 'POST', self._issue_key),
+        }
+        self._services = _Route('services', '', parts.plain)
+
+    async def serve(self, call: Call) -> None:
+        """
+        Answer a request.
+
+        :param call: the request.
+        :raises CallerGone: if the caller left before the end.
+        """
+        if call.path == '/healthz':
+            await self._answer_health(call)
+            return
+        progress = _Progress()
+        with request_context(call.request_id):
+            try:
+                await self._answer(call, progress)
+            except CallerGone:
+                progress.gone = True
+                raise
+            finally:
+                self._report(call, progress)
+
+    async def _answer_health(self, call: Call) -> None:
+        reason = self._parts.unready()
+        if self._parts.is_draining():
+            reason = reason or 'draining'
+        body = msgspec.json.encode({'ready': not reason, 'reason': reason})
+        await call.respond(_UNAVAILABLE if reason else _OK, body)
+
+    async def _answer(self, call: Call, progress: _Progress) -> None:
+        try:
+            await self._dispatch(call, progress)
+        except RequestError as error:
+            progress.error = error
+        except CallerGone:
+            raise
+        except Exception:
+            _log.exception('front: {} failed', call.request_id)
+            progress.error = RequestError(
+                'internal_error', 'the router failed', 'unknown'
+            )
+        if progress.error is None:
+            return
+        if call.started:
+            # The caller must see that the answer is not whole.
+            await call.abort()
+        else:
+            await call.fail(progress.error)
+
+    async def _dispatch(self, call: Call, progress: _Progress) -> None:
+        headers = call.headers_by_name
+        route = self._find_route(call)
+        progress.route = route.name if route else 'none'
+        bundle = self._check_open(call)
+        progress.caller = authenticate(bundle, headers)
+        if route is None:
+            raise RequestError('unknown_service', 'there is no such path')
+        if route.method not in {'', call.method}:
+            raise RequestError(
+                'invalid_request', f'the path takes {route.method} only'
+            )
+        await route.serve(call, progress.caller)
+
+    def _check_open(self, call: Call) -> Bundle:
+        headers = call.headers_by_name
+        reason = self._parts.unready()
+        bundle = self._parts.bundle()
+        if reason or bundle is None:
+            message = reason or 'there is no bundle yet'
+            raise refusal('not_ready', message, headers)
+        if self._parts.refuses_new():
+            raise refusal('draining', 'this router is stopping', headers)
+        return bundle
+
+    def _find_route(self, call: Call) -> _Route | None:
+        if call.path.startswith(_SERVICES_PREFIX):
+            return self._services
+        return self._routes_by_path.get(call.path)
+
+    async def _issue_key(self, call: Call, caller: Caller) -> None:
+        if self._parts.is_draining():
+            # A key is of no use once its issuer is gone.
+            raise refusal(
+                'draining', 'this router is stopping', call.headers_by_name
+            )
+        key = self._parts.issue_key(caller.organisation.name)
+        await call.respond(_OK, msgspec.json.encode({'key': key}))
+
+    def _report(self, call: Call, progress: _Progress) -> None:
+        caller = progress.caller
+        error = progress.error
+        fleet = caller.fleet if caller else ''
+        status = progress.status(call)
+        spent_ms = (trio.current_time() - progress.started_at) * _MS
+        metrics = self._parts.metrics
+        metrics.count('requests', fleet, progress.route, str(status))
+        metrics.timing(
+            'request_ms', fleet, progress.route, milliseconds=spent_ms
+        )
+        if error is not None:
+            metrics.count('refusals', fleet, error.code, error.outcome)
+        _log.info(
+            'front: {} {} -> {} in {:.0f} ms for {}{}',
+            call.method,
+            call.target.partition('?')[0][:_MAX_PATH_CHARACTERS],
+            status,
+            spent_ms,
+            caller.budget if caller else 'nobody',
+            f', {error.code}, outcome {error.outcome}' if error else '',
+        )
--- a/eelgrassfork/plain_calls.py
+++ b/eelgrassfork/plain_calls.py
@@ -5,8 +5,11 @@
 Calls of plain services at ``/services/<service>/<path>``.
 """
 
+from collections.abc import Awaitable, Callable
+
 from .bundle_types import Bundle, Caller
 from .claim_records import refusal
+from .errors import RequestError
 from .http_server import Call
 from .limits import LimitExceeded
 from .look_ups import look_up
@@ -14,7 +17,7 @@
 from .plain_parts import PlainParts, admission_request
 from .plain_request import parse_plain_request
 
-__all__ = ('PlainParts', 'serve_plain_call')
+__all__ = ('PlainParts', 'plain_handler', 'serve_plain_call')
 
 
 async def serve_plain_call(
@@ -41,3 +44,23 @@
             call.headers_by_name,
             error.retry_after_s,
         ) from None
+
+
+def plain_handler(
+    parts: PlainParts, bundle: Callable[[], Bundle | None]
+) -> Callable[[Call, Caller], Awaitable[None]]:
+    """
+    Make the handler of the caller listener.
+
+    :param parts: dependencies.
+    :param bundle: query for the configuration in force.
+    :returns: takes the request and who sent it.
+    """
+
+    async def serve(call: Call, caller: Caller) -> None:
+        in_force = bundle()
+        if in_force is None:
+            raise RequestError('not_ready', 'there is no bundle yet')
+        await serve_plain_call(parts, call, caller, in_force)
+
+    return serve
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,176 @@
+"""
+tests.test_front
+~~~~~~~~~~~~~~~~
+
+Guards against callers that get in without a key, or hear untrue outcomes.
+"""
+
+import functools
+import hashlib
+import io
+
+import msgspec
+import testtools
+import trio
+import trio.testing
+
+from eelgrassfork import logs
+from eelgrassfork.bundle_types import Bundle, Caller, Organisation
+from eelgrassfork.errors import RequestError
+from eelgrassfork.front import Front, FrontParts
+from eelgrassfork.http_client import (
+    ClientRequest,
+    ConnectionLost,
+    HttpClient,
+)
+from eelgrassfork.http_server import HttpServer
+from eelgrassfork.metrics import NoMetrics
+from tests.memory_network import MemoryNetwork
+
+KEY = 'sk-atelier'
+CALLER = Caller(
+    'pazlen',
+    Organisation('pazlen/atelier', {}, frozenset()),
+    'pazlen/atelier/main',
+)
+BUNDLE = Bundle(
+    7, {}, {}, {}, {}, {hashlib.sha256(KEY.encode()).hexdigest(): CALLER}
+)
+FIRST = (('idempotency-key', 'k'), ('x-stainless-retry-count', '0'))
+AGAIN = (('idempotency-key', 'k'), ('x-stainless-retry-count', '1'))
+
+
+class Setting:
+    """A caller listener with fake parts."""
+
+    def __init__(self, log) -> None:
+        self.log = log
+        self.bundle = BUNDLE
+        self.unready = ''
+        self.draining = False
+        self.refuses = False
+        network = MemoryNetwork()
+        parts = FrontParts(
+            bundle=lambda: self.bundle,
+            unready=lambda: self.unready,
+            is_draining=lambda: self.draining,
+            refuses_new=lambda: self.refuses,
+            chat=functools.partial(self.answer, b'chat'),
+            models=functools.partial(self.answer, b'models'),
+            plain=functools.partial(self.answer, b'plain'),
+            issue_key=lambda organisation: f'efk1.{organisation}',
+            metrics=NoMetrics(),
+        )
+        self.server = HttpServer(
+            Front(parts).serve, transport=network.transport('router')
+        )
+        self.client = HttpClient(transport=network.transport('caller'))
+
+    async def answer(self, body, call, caller):
+        if 'x-bug' in call.headers_by_name:
+            raise ValueError(f'bug near Bearer {KEY}')
+        if 'x-cut' in call.headers_by_name:
+            await call.start(200, ())
+            raise RequestError('server_failed', 'cut', 'ran')
+        await call.respond(200, body)
+
+    async def call(self, method, path, headers=(), key=KEY):
+        sent = (('authorization', f'Bearer {key}'.strip()), *headers)
+        response, body = await self.client.fetch(
+            ClientRequest(self.server.address, method, path, sent)
+        )
+        error = {}
+        if response.status >= 400:
+            error = msgspec.json.decode(body).get('error', {})
+        return response.status, error.get('code', body), error
+
+
+def run_setting(test):
+    @functools.wraps(test)
+    def wrapper(self):
+        log = io.StringIO()
+        handler = logs.set_up(logs.LogOptions(), log)
+        self.addCleanup(handler.pop_application)
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                setting = Setting(log)
+                await setting.server.start(nursery, '10.0.0.1', 0)
+                await test(self, setting)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    return wrapper
+
+
+class FrontTests(testtools.TestCase):
+    @run_setting
+    async def test_paths_reach_their_part(self, setting):
+        cases = (
+            ('POST', '/v1/chat/completions', 200, b'chat'),
+            ('GET', '/v1/models', 200, b'models'),
+            ('DELETE', '/services/a/b', 200, b'plain'),
+            (
+                'POST',
+                '/v1/idempotency-keys',
+                200,
+                b'{"key":"efk1.pazlen/atelier"}',
+            ),
+            ('GET', '/v1/chat/completions', 400, 'invalid_request'),
+            ('GET', '/v1/nothing', 404, 'unknown_service'),
+        )
+        for method, path, *expected in cases:
+            told = await setting.call(method, path)
+            self.assertEqual(expected, list(told[:2]))
+
+    @run_setting
+    async def test_only_known_keys_get_in(self, setting):
+        for key in ('', 'sk-atelier2', hashlib.sha256(b'x').hexdigest()):
+            told = await setting.call('POST', '/services/a/b', key=key)
+            self.assertEqual((401, 'unknown_key'), told[:2])
+            self.assertIn('version 7', told[2]['message'])
+
+    @run_setting
+    async def test_refusals_tell_the_outcome_that_is_known(self, setting):
+        setting.draining = setting.refuses = True
+        cases = ((), 'not_run'), (FIRST, 'not_run'), (AGAIN, 'unknown')
+        for headers, outcome in cases:
+            told = await setting.call('POST', '/services/a/b', headers)
+            self.assertEqual((503, 'draining'), told[:2])
+            self.assertEqual(outcome, told[2]['outcome'])
+            self.assertEqual('not_run', told[2]['attempt'])
+        setting.unready = 'no bundle'
+        told = await setting.call('POST', '/services/a/b')
+        self.assertEqual('not_ready', told[1])
+
+    @run_setting
+    async def test_drain_serves_on_but_issues_no_keys(self, setting):
+        self.assertEqual(
+            200, (await setting.call('GET', '/healthz', key=''))[0]
+        )
+        setting.draining = True
+        self.assertEqual(
+            503, (await setting.call('GET', '/healthz', key=''))[0]
+        )
+        self.assertEqual(200, (await setting.call('GET', '/v1/models'))[0])
+        told = await setting.call('POST', '/v1/idempotency-keys')
+        self.assertEqual('draining', told[1])
+
+    @run_setting
+    async def test_one_line_a_request_without_keys(self, setting):
+        await setting.call('GET', f'/v1/models?key={KEY}')
+        (line,) = setting.log.getvalue().splitlines()
+        self.assertIn('GET /v1/models -> 200', line)
+        self.assertIn('for pazlen/atelier/main request=req-', line)
+        told = await setting.call('GET', '/v1/models', (('x-bug', '1'),))
+        self.assertEqual((500, 'internal_error'), told[:2])
+        self.assertEqual('unknown', told[2]['outcome'])
+        self.assertNotIn(KEY, setting.log.getvalue())
+
+    @run_setting
+    async def test_cut_answer_never_looks_whole(self, setting):
+        headers = (('x-cut', '1'),)
+        with testtools.ExpectedException(ConnectionLost):
+            await setting.call('GET', '/v1/models', headers)
+        self.assertIn('server_failed, outcome ran', setting.log.getvalue())
