--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,49 @@
+"""
+tests.test_drain
+~~~~~~~~~~~~~~~~
+
+Guards against requests that a graceful stop cuts off.
+"""
+
+import testtools
+import trio
+import trio.testing
+
+from eelgrassfork.drain import Drain, DrainSettings
+
+
+class DrainTests(testtools.TestCase):
+    def run_on_mock_clock(self, test):
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        return trio.run(test, clock=clock)
+
+    def test_requests_are_served_during_the_grace_time(self):
+        async def main():
+            drain = Drain(DrainSettings(grace_s=2))
+            seen = [drain.refuses]
+            drain.begin('test')
+            for _ in range(3):
+                seen.append(drain.refuses)
+                await trio.sleep(1)
+            return seen
+
+        seen = self.run_on_mock_clock(main)
+        self.assertEqual([False, False, False, True], seen)
+
+    def test_waits_for_open_work_and_reports_what_is_left(self):
+        cases = (('ends in time', 5, {}), ('too long', 50, {'requests': 1}))
+        for name, work_s, expected in cases:
+
+            async def main(work_s=work_s):
+                drain = Drain(DrainSettings(grace_s=1, limit_s=10))
+                drain.begin('test')
+                ends_at = trio.current_time() + work_s
+
+                def open_work():
+                    is_open = trio.current_time() < ends_at
+                    return {'requests': int(is_open)}
+
+                return await drain.wait_empty(open_work)
+
+            with self.subTest(name):
+                self.assertEqual(expected, self.run_on_mock_clock(main))
