Report levels, and list only metrics that are reported

Cause: the table named metrics that nothing sends, and gauges of parts would stay at their last level if only requests reported them. Change: report_levels sends gauges at an interval for the router; the table lists those, and log levels are written as in the settings.

--- a/eelgrassfork/logs.py
+++ b/eelgrassfork/logs.py
@@ -41,14 +41,14 @@
     How a process logs.
 
     :param form: ``text`` for people, ``json`` for one object a line.
-    :param level: lowest level that is written, such as ``INFO``.
+    :param level: lowest level that is written, such as ``info``.
     :param holder: identity of the process, in every JSON line.
     :param secrets: exact strings that are hidden wherever they appear,
         such as the operator's key.
     """
 
     form: LogForm = 'text'
-    level: str = 'INFO'
+    level: str = 'info'
     holder: str = ''
     secrets: tuple[str, ...] = ()
 
@@ -62,7 +62,7 @@
     :returns: the handler in force; ``pop_application`` takes it out.
     """
     handler = logbook.StreamHandler(
-        stream, level=logbook.lookup_level(options.level), bubble=False
+        stream, level=logbook.lookup_level(options.level.upper())
     )
     encode = _FORMATTERS_BY_FORM[options.form]
 
--- a/eelgrassfork/metrics.py
+++ b/eelgrassfork/metrics.py
@@ -6,9 +6,11 @@
 """
 
 import re
+from collections.abc import Callable, Mapping
 from typing import Final, Literal, NamedTuple, Protocol
 
 import statsd
+import trio
 
 from .errors import EelgrassError
 
@@ -19,6 +21,7 @@
     'NoMetrics',
     'StatsdMetrics',
     'connect',
+    'report_levels',
 )
 
 _PREFIX: Final = 'eelgrassfork'
@@ -72,10 +75,25 @@
         (),
         'Outcomes of claims that the platform does not hold yet.',
     ),
-    'issued_keys': MetricSpec(
-        'counter',
-        ('event',),
-        'Keys issued, used, refused or forgotten by this holder.',
+    'keys_in_use': MetricSpec(
+        'gauge',
+        (),
+        'Issued keys of this router whose request has no outcome yet.',
+    ),
+    'key_reports_pending': MetricSpec(
+        'gauge',
+        (),
+        'Outcomes that the issuer of a key has not noted yet.',
+    ),
+    'requests_in_flight': MetricSpec(
+        'gauge',
+        (),
+        'Requests of callers in progress at this router.',
+    ),
+    'bundle_version': MetricSpec(
+        'gauge',
+        (),
+        'Version of the bundle in force at this router, or 0.',
     ),
 }
 
@@ -158,6 +176,26 @@
         self._client.timing(full_name, milliseconds)
 
 
+async def report_levels(
+    metrics: Metrics,
+    fleet: str,
+    levels_by_name: Mapping[str, Callable[[], float]],
+    interval_s: float,
+) -> None:
+    """
+    Report gauges for as long as the task runs.
+
+    :param metrics: where they go.
+    :param fleet: fleet of this router.
+    :param levels_by_name: queries by name of the gauge.
+    :param interval_s: time between two reports, in seconds.
+    """
+    while True:
+        for name, query in levels_by_name.items():
+            metrics.gauge(name, fleet, level=query())
+        await trio.sleep(interval_s)
+
+
 def connect(address: str) -> Metrics:
     """
     Make the metrics of a process.
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -8,6 +8,8 @@
 import socket
 
 import testtools
+import trio
+import trio.testing
 
 from eelgrassfork import metrics
 from eelgrassfork.errors import EelgrassError
@@ -45,3 +47,19 @@
                 self.assertRaises(
                     EelgrassError, client.count, name, 'pazlen', *labels
                 )
+
+    def test_gauges_are_reported_until_stopped(self):
+        levels = []
+
+        class Gauges(metrics.NoMetrics):
+            def gauge(self, name, fleet, *labels, level):
+                super().gauge(name, fleet, *labels, level=level)
+                levels.append(level)
+
+        async def main():
+            queries = {'claims_pending': lambda: len(levels)}
+            with trio.move_on_after(10):
+                await metrics.report_levels(Gauges(), 'pazlen', queries, 4)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual([0, 1, 2], levels)
