--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 $(VENV)/.ready: requirements.lock
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
 	$(PY) -m pip install -q --disable-pip-version-check -r requirements.lock
+	$(PY) -m pip install -q --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $@
 
 demo: $(VENV)/.ready
--- a/demo/__init__.py
+++ b/demo/__init__.py
@@ -0,0 +1,8 @@
+"""
+demo
+~~~~
+
+Both fleets in small, as separate processes on loopback.
+"""
+
+__all__ = ()
--- a/eelgrassfork/peer_messages.py
+++ b/eelgrassfork/peer_messages.py
@@ -17,6 +17,7 @@
     'Payload',
     'PeerCall',
     'PeerResult',
+    'RouterState',
     'decode_answer',
     'decode_exchange',
     'encode',
@@ -25,6 +26,7 @@
 EXCHANGE_PATH: Final = '/peer/v1/exchange'
 
 Payload = dict[str, Any]
+RouterState = Literal['starting', 'ready', 'draining']
 
 
 class Heartbeat(NamedTuple):
@@ -40,7 +42,7 @@
     fleet: str
     failure_domain: str
     peer_address: str
-    state: Literal['starting', 'ready', 'draining']
+    state: RouterState
     bundle_version: int = 0
     vm_list_revision: int = 0
 
--- a/eelgrassfork/permits.py
+++ b/eelgrassfork/permits.py
@@ -12,6 +12,7 @@
 
 from .claim_records import Claim, ClaimAnswer, ClaimState
 from .claims import Claims, NewClaim
+from .credit import Reservation
 from .errors import CODES, EelgrassError, RequestError
 from .names import PayerTag
 
@@ -25,14 +26,6 @@
 )
 
 
-class Reservation(Protocol):
-    """Credit set aside for one request."""
-
-    @property
-    def payer(self) -> PayerTag:
-        """Name of the reservation."""
-
-
 class Credit(Protocol):
     """The part of the accounts that calls need."""
 
--- /dev/null
+++ b/eelgrassfork/router.py
@@ -0,0 +1,322 @@
+"""
+eelgrassfork.router
+~~~~~~~~~~~~~~~~~~~
+
+One router: all its parts, from start to a graceful stop.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+import logbook
+import trio
+
+from .backends import Backends
+from .bundle_fetch import BundleSources
+from .bundle_types import Bundle
+from .claims import Claims, ClaimsIdentity
+from .drain import Drain
+from .engine_client import EngineClient
+from .http_client import ClientTimeouts, HttpClient
+from .http_server import HttpServer
+from .membership import Membership
+from .metrics import Metrics, NoMetrics, report_levels
+from .names import new_holder
+from .operator_port import OperatorParts, operator_handler
+from .peer_messages import Heartbeat, RouterState
+from .peering import Peering, PeerSettings
+from .platform_client import PlatformClient
+from .record_sources import claim_source, engine_source
+from .retries import EjectionPolicy
+from .rollout import Rollout
+from .router_credit import CreditInputs, RouterCredit
+from .router_requests import RequestInputs, RouterRequests
+from .router_settings import (
+    drain_settings,
+    member_settings,
+    rollout_settings,
+    server_limits,
+)
+from .settings import RouterSettings, public_settings
+from .transport import TCP, Transport
+from .vm_list import VmList
+
+__all__ = ('Router', 'RouterEnvironment')
+
+_log = logbook.Logger('router')
+
+_MS: Final = 1000
+_GAUGE_INTERVAL_S: Final = 10
+_CLOSE_LIMIT_S: Final = 10
+_MAX_IDLE_CONNECTIONS: Final = 32
+
+
+class RouterEnvironment(NamedTuple):
+    """
+    What a test may replace.
+
+    :param transport: how connections are opened and accepted.
+    :param platform: client of the platform; by default over HTTP.
+    :param source: random source of jitter and ties.
+    """
+
+    transport: Transport = TCP
+    platform: PlatformClient | None = None
+    metrics: Metrics = NoMetrics()
+    source: random.Random = random.Random()  # noqa: S311
+
+
+class Router:  # noqa: WPS230 - one attribute for each part
+    """
+    All parts of one router.
+
+    :param settings: checked settings.
+    :param environment: what a test may replace.
+    :ivar holder: this incarnation of the process.
+    :ivar drain: whether new work is taken.
+    """
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        environment: RouterEnvironment | None = None,
+    ) -> None:
+        environment = environment or RouterEnvironment()
+        self._settings = settings
+        self._environment = environment
+        self.holder = new_holder(settings.vm)
+        self.drain = Drain(drain_settings(settings))
+        self._platform_http = HttpClient(transport=environment.transport)
+        self._http = HttpClient(
+            ClientTimeouts(),
+            _MAX_IDLE_CONNECTIONS,
+            environment.transport,
+        )
+        self.platform = environment.platform or PlatformClient(
+            self._platform_http,
+            settings.platform,
+            settings.platform_timeout_ms / _MS,
+            settings.failure_domain,
+        )
+        self.peering = Peering(
+            PeerSettings(settings.peer_key),
+            self._heartbeat,
+            self._heard,
+            lambda vm: self.membership.address_of(vm),
+            environment.transport,
+        )
+        self.membership = Membership(
+            self._heartbeat_at_start(), self.platform, member_settings(settings)
+        )
+        self.rollout = Rollout(
+            rollout_settings(settings),
+            BundleSources(self.platform, self.peering, self.membership),
+            self.membership.is_poller,
+        )
+        self.backends = Backends(EjectionPolicy(), environment.source)
+        self._engines = EngineClient(self._http)
+        self._claims = Claims(
+            self.platform,
+            ClaimsIdentity(
+                self.holder,
+                lambda: self.membership.listed_at,
+                self.membership.is_dead,
+            ),
+        )
+        self.credit = RouterCredit(self._credit_inputs())
+        self.requests = RouterRequests(self._request_inputs())
+        self.callers = HttpServer(
+            self.requests.front.serve,
+            server_limits(settings),
+            environment.transport,
+        )
+        self.operators = HttpServer(
+            operator_handler(self._operator_parts()),
+            transport=environment.transport,
+        )
+        self.membership.vm_lists.on_newer(self._take_vm_list)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """
+        Bind the listeners and run all parts in the background.
+
+        The peers' listener is bound first: only one process of a VM can hold
+        it, which proves to others that an earlier holder has ended.
+
+        :param nursery: where this runs.
+        """
+        settings = self._settings
+        await self.peering.start(nursery, *settings.peers)
+        await self.operators.start(nursery, *settings.operators)
+        await self.rollout.start(nursery)
+        await self.membership.start(nursery, self.peering)
+        await self.credit.start(nursery)
+        await self.requests.start(nursery)
+        await self.callers.start(nursery, *settings.callers)
+        nursery.start_soon(
+            report_levels,
+            self._environment.metrics,
+            settings.fleet,
+            self._levels(),
+            _GAUGE_INTERVAL_S,
+        )
+        _log.info('router: {} serves on {}', self.holder, self.callers.address)
+
+    async def run_drain(self) -> dict[str, int]:
+        """
+        Wait for a drain to begin, and go through it.
+
+        :returns: what was left open at its limit; empty if it was complete.
+        """
+        await self.drain.wait_begun()
+        left = await self.drain.wait_empty(self.open_work)
+        await self.close()
+        return left
+
+    async def close(self) -> None:
+        """Return credit, record outcomes and stop all parts."""
+        self.callers.stop_accepting()
+        limit = trio.move_on_after(_CLOSE_LIMIT_S)
+        with limit:
+            await self.requests.close()
+            await self.credit.close()
+        if limit.cancelled_caught:
+            _log.warning('router: credit was not returned in time')
+        await self.callers.close()
+        await self.operators.close()
+        await self.peering.close()
+        await self._http.close()
+        await self._platform_http.close()
+
+    def unready(self) -> str:
+        """
+        Tell why new requests can't be served.
+
+        :returns: a reason, or an empty string.
+        """
+        if self.rollout.is_ready():
+            return ''
+        if self.rollout.current is None:
+            return 'no bundle is in force yet'
+        return 'the bundle is being caught up'
+
+    def open_work(self) -> dict[str, int]:
+        """
+        Count what a drain waits for.
+
+        :returns: number of open items by kind.
+        """
+        return {'requests': self.callers.busy, **self.requests.open_work()}
+
+    def _bundle(self) -> Bundle | None:
+        return self.rollout.current
+
+    def _heartbeat_at_start(self) -> Heartbeat:
+        settings = self._settings
+        return Heartbeat(
+            vm=settings.vm,
+            holder=self.holder,
+            fleet=settings.fleet,
+            failure_domain=settings.failure_domain,
+            peer_address=f'{settings.peers.host}:{settings.peers.port}',
+            state='starting',
+        )
+
+    def _heartbeat(self) -> Heartbeat:
+        return self._heartbeat_at_start()._replace(
+            peer_address=self.peering.address,
+            state=self._state(),
+            bundle_version=self.rollout.version,
+            vm_list_revision=self.membership.vm_lists.newest.revision,
+        )
+
+    def _state(self) -> RouterState:
+        if self.drain.is_begun:
+            return 'draining'
+        return 'starting' if self.unready() else 'ready'
+
+    def _heard(self, heartbeat: Heartbeat, started_at: float) -> None:
+        self.membership.heard(heartbeat, started_at)
+        self.rollout.heard(heartbeat.bundle_version, heartbeat.vm)
+
+    def _take_vm_list(self, vm_list: VmList) -> None:
+        self.backends.update(vm_list.vms)
+        for record in vm_list.vms:
+            if record.vm == self._settings.vm and record.state == 'leaving':
+                self.drain.begin('the VM is leaving')
+
+    def _engine_addresses(self) -> list[str]:
+        bundle = self._bundle()
+        services = bundle.services_by_name if bundle else {}
+        models = {
+            name for name, each in services.items() if each.kind == 'model'
+        }
+        return [
+            record.address
+            for record in self.membership.backend_vms()
+            if record.service in models
+        ]
+
+    def _credit_inputs(self) -> CreditInputs:
+        settings = self._settings
+        return CreditInputs(
+            holder=self.holder,
+            vm=settings.vm,
+            failure_domain=settings.failure_domain,
+            platform=self.platform,
+            peering=self.peering,
+            membership=self.membership,
+            bundle=self._bundle,
+            sources=(
+                engine_source(self._engines, self._engine_addresses),
+                claim_source(self._claims),
+            ),
+            on_fenced=lambda: self.drain.begin('its accounts were closed'),
+            report_interval_s=settings.report_interval_ms / _MS,
+        )
+
+    def _request_inputs(self) -> RequestInputs:
+        return RequestInputs(
+            failure_domain=self._settings.failure_domain,
+            bundle=self._bundle,
+            unready=self.unready,
+            drain=self.drain,
+            accounts=self.credit.accounts,
+            claims=self._claims,
+            backends=self.backends,
+            engines=self._engines,
+            http=self._http,
+            peering=self.peering,
+            metrics=self._environment.metrics,
+            source=self._environment.source,
+        )
+
+    def _operator_parts(self) -> OperatorParts:
+        def unready() -> str:
+            return 'draining' if self.drain.is_begun else self.unready()
+
+        return OperatorParts(
+            key_hash=self._settings.operator_key_hash,
+            unready=unready,
+            dumps_by_part={
+                'settings': lambda: public_settings(self._settings),
+                'holder': lambda: {'holder': self.holder},
+                'drain': self.drain.dump,
+                'open_work': self.open_work,
+                'rollout': self.rollout.dump,
+                'membership': self.membership.dump,
+                'peering': self.peering.dump,
+                'credit': self.credit.dump,
+                'backends': self.backends.dump,
+                **self.requests.dumps(),
+            },
+            drain=lambda: self.drain.begin('an operator asked for it'),
+        )
+
+    def _levels(self) -> dict[str, Callable[[], Any]]:
+        return {
+            'requests_in_flight': lambda: self.callers.busy,
+            'bundle_version': lambda: self.rollout.version,
+            **self.requests.levels(),
+        }
--- /dev/null
+++ b/eelgrassfork/routerd.py
@@ -0,0 +1,74 @@
+"""
+eelgrassfork.routerd
+~~~~~~~~~~~~~~~~~~~~
+
+The daemon of an entry VM: one router until SIGTERM or a drain.
+"""
+
+import signal
+import sys
+from typing import Final
+
+import trio
+
+from .errors import EelgrassError
+from .logs import LogOptions, set_up
+from .metrics import connect
+from .router import Router, RouterEnvironment
+from .settings import RouterSettings, load_settings
+
+__all__ = ('main',)
+
+_EXIT_OK: Final = 0
+_EXIT_USAGE: Final = 2
+# The drain reached its limit with work still open.
+_EXIT_WORK_LEFT: Final = 6
+_USAGE: Final = 'usage: eelgrassfork-router SETTINGS\n'
+
+
+def main() -> int:
+    """
+    Run a router with the settings file named on the command line.
+
+    :returns: 0 after a complete drain, 2 for wrong settings, 6 if work was
+        left open at the limit of the drain.
+    """
+    if len(sys.argv) != 2 or sys.argv[1].startswith('-'):
+        sys.stderr.write(_USAGE)
+        return _EXIT_USAGE
+    try:
+        settings = load_settings(sys.argv[1])
+    except EelgrassError as error:
+        sys.stderr.write(f'{error.message}\n')
+        return _EXIT_USAGE
+    left = trio.run(_serve, settings)
+    return _EXIT_WORK_LEFT if left else _EXIT_OK
+
+
+async def _serve(settings: RouterSettings) -> dict[str, int]:
+    statsd = settings.statsd
+    address = f'{statsd.host}:{statsd.port}' if statsd else ''
+    router = Router(settings, RouterEnvironment(metrics=connect(address)))
+    options = LogOptions(
+        settings.log_format,
+        settings.log_level,
+        router.holder,
+        (settings.peer_key,),
+    )
+    set_up(options, sys.stderr)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_drain_on_signal, router)
+        await router.start(nursery)
+        left = await router.run_drain()
+        nursery.cancel_scope.cancel()
+    return left
+
+
+async def _drain_on_signal(router: Router) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            router.drain.begin('a signal asked for it')
+
+
+if __name__ == '__main__':
+    sys.exit(main())
