Bill a request with a key once, wherever its attempts ran

Three changes close this. A server that could not be asked, or failed after the request left, is doubtful: the bill stays open until it tells whether an earlier attempt's generation finished there, which then pays alone. With a key, a generation is cancelled only if it names the own payer. Questions to engines move to eelgrassfork/chat_records.py.

The engine API lists records by payer only, so a lookup reads all records of a server.

--- a/eelgrassfork/chat.py
+++ b/eelgrassfork/chat.py
@@ -16,7 +16,12 @@
 from .bundle_types import Bundle, Caller
 from .chat_attempts import Attempts, ChatParts
 from .chat_relay import Relay
-from .chat_request import ChatRequest, model_name, parse_request
+from .chat_request import (
+    ChatRequest,
+    is_first_attempt,
+    model_name,
+    parse_request,
+)
 from .chat_run import CallerSink, ChatRun
 from .chat_settlement import Ending, Settlement
 from .errors import RequestError
@@ -249,8 +254,10 @@
 
 def _with_known_outcome(error: RequestError, call: Call) -> RequestError:
     headers = call.headers_by_name
-    first = headers.get('x-stainless-retry-count') == '0'
-    if error.outcome != 'not_run' or first or 'idempotency-key' not in headers:
+    only_attempt = is_first_attempt(headers) or not headers.get(
+        'idempotency-key'
+    )
+    if only_attempt or error.outcome != 'not_run':
         return error
     # An earlier attempt with the key may have run elsewhere.
     return RequestError(
--- a/eelgrassfork/chat_attempts.py
+++ b/eelgrassfork/chat_attempts.py
@@ -13,6 +13,7 @@
 
 from .backends import Backends
 from .bundle_types import Bundle
+from .chat_lookup import look_up
 from .chat_relay import Relay
 from .chat_run import Accounts, ChatRun
 from .engine_client import EngineClient
@@ -80,8 +81,9 @@
         """
         failed: frozenset[str] = frozenset()
         error: EngineError | None = None
+        server = await self._holder(run)
         while True:
-            server = self._choose(run, failed)
+            server = server or self._choose(run, failed)
             if server is None:
                 raise self._no_server(run, error)
             error = await self._try(call, run, server)
@@ -91,6 +93,19 @@
             if call.started:
                 raise _failure(run, error)
             self._check_retry(run, error)
+            server = None
+
+    async def _holder(self, run: ChatRun) -> ServerState | None:
+        request = run.request
+        if request.first_attempt or not request.key:
+            return None
+        found = await look_up(
+            self._parts.engines,
+            self._parts.backends.servers(request.service.name),
+            request.identity,
+        )
+        run.doubtful.extend(found.silent)
+        return found.holder
 
     async def _try(
         self, call: Call, run: ChatRun, server: ServerState
--- /dev/null
+++ b/eelgrassfork/chat_records.py
@@ -0,0 +1,152 @@
+"""
+eelgrassfork.chat_records
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What engines know of chat requests whose answer was not whole.
+"""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import logbook
+import trio
+
+from .backends import Backends
+from .chat_run import ChatRun
+from .engine_client import EngineClient
+from .engine_types import EngineError, EngineRecord
+from .retries import EjectionPolicy, backoff_s
+from .routing import ServerState
+
+__all__ = ('ChatRecords',)
+
+_log = logbook.Logger('chat')
+
+_RESOLVE_S: Final = 600.0
+_FIRST_POLL_S: Final = 0.25
+_LONGEST_POLL_S: Final = 5.0
+_POLLS: Final = EjectionPolicy(first_s=_FIRST_POLL_S, longest_s=_LONGEST_POLL_S)
+_POLLS_WITHOUT_RECORD: Final = 2
+_FINAL_STATES: Final = frozenset(('finished', 'cancelled'))
+
+_Ask = Callable[[ChatRun, ServerState], Awaitable[EngineRecord | None]]
+
+
+class ChatRecords:
+    """
+    Asks engines about requests.
+
+    :param engines: client of the engines.
+    :param backends: which servers are still listed.
+    :param source: random source of jitter.
+    """
+
+    def __init__(
+        self,
+        engines: EngineClient,
+        backends: Backends,
+        source: random.Random,
+    ) -> None:
+        self._engines = engines
+        self._backends = backends
+        self._source = source
+
+    async def final(
+        self, run: ChatRun, server: ServerState, ask: _Ask
+    ) -> EngineRecord | None:
+        """
+        Wait until a request has ended at a server.
+
+        :param run: the request.
+        :param server: whom to ask.
+        :param ask: how to ask, a method of this class.
+        :returns: its record; ``None`` if the server doesn't know it, is
+            delisted or can't be asked for ten minutes.
+        """
+        attempt = 0
+        with trio.move_on_after(_RESOLVE_S):
+            while self._backends.is_listed(server.vm):
+                ended, record = await _ask_safely(ask, run, server)
+                # A request that is still on its way has no record yet.
+                if ended and (record or attempt >= _POLLS_WITHOUT_RECORD):
+                    return record
+                await trio.sleep(backoff_s(attempt, _POLLS, self._source))
+                attempt += 1
+        _log.info('chat: no record of {} at {}', run.payer, server.vm)
+        return None
+
+    async def find_other(
+        self, run: ChatRun, server: ServerState
+    ) -> EngineRecord | None:
+        """
+        Find a generation that an earlier attempt with the key pays.
+
+        :param run: the request.
+        :param server: whom to ask.
+        :returns: its record, or ``None``.
+        :raises EngineError: if the server can't be asked.
+        """
+        record = await self._engines.find(server.address, run.request.identity)
+        return record if record and record.payer != run.payer else None
+
+    async def find_own(
+        self, run: ChatRun, server: ServerState
+    ) -> EngineRecord | None:
+        """
+        Find the generation that this reservation pays.
+
+        :param run: the request.
+        :param server: whom to ask.
+        :returns: its record, or ``None``.
+        :raises EngineError: if the server can't be asked.
+        """
+        records = await self._engines.records(server.address, run.payer)
+        identity = run.request.identity
+        found = [entry for entry in records if entry.request_id == identity]
+        return found[0] if found else None
+
+    async def cancel_own(
+        self, run: ChatRun, server: ServerState
+    ) -> EngineRecord | None:
+        """
+        Cancel the generation that this reservation pays.
+
+        :param run: the request.
+        :param server: whom to ask.
+        :returns: its record, or ``None`` if there is none.
+        :raises EngineError: if the server can't be asked.
+        """
+        # With a key, the generation may be another router's to pay and to
+        # relay.
+        if run.request.key and not await self.find_own(run, server):
+            return None
+        identity = run.request.identity
+        return await self._engines.cancel(server.address, identity)
+
+    async def try_cancel(
+        self, run: ChatRun, server: ServerState
+    ) -> EngineRecord | None:
+        """
+        Cancel the generation that this reservation pays, if possible.
+
+        :param run: the request.
+        :param server: whom to ask.
+        :returns: its record, or ``None`` if there is none or the server
+            can't be asked.
+        """
+        try:
+            return await self.cancel_own(run, server)
+        except EngineError as error:
+            _log.info('chat: no cancel at {}: {}', server.vm, error.message)
+        return None
+
+
+async def _ask_safely(
+    ask: _Ask, run: ChatRun, server: ServerState
+) -> tuple[bool, EngineRecord | None]:
+    try:
+        record = await ask(run, server)
+    except EngineError:
+        return False, None
+    return record is None or record.state in _FINAL_STATES, record
--- a/eelgrassfork/chat_request.py
+++ b/eelgrassfork/chat_request.py
@@ -18,7 +18,12 @@
 from .names import BadName, qualify
 from .routing import prefix_hash
 
-__all__ = ('ChatRequest', 'model_name', 'parse_request')
+__all__ = (
+    'ChatRequest',
+    'is_first_attempt',
+    'model_name',
+    'parse_request',
+)
 
 _MESSAGE_TOKENS: Final = 8
 _MAX_KEY_CHARACTERS: Final = 255
@@ -59,6 +64,8 @@
 
     :param identity: identity at the engines.
     :param key: idempotency key, empty if there is none.
+    :param first_attempt: whether the caller says that it did not send this
+        request before.
     :param body_hash: hash of the body as the caller sent it.
     :param max_tokens: cap on completion tokens.
     :param bound: most tokens that the request can cost.
@@ -72,6 +79,7 @@
     service: Service
     identity: str
     key: str
+    first_attempt: bool
     body_hash: str
     stream: bool
     include_usage: bool
@@ -105,6 +113,7 @@
         service=service,
         identity=_identity(caller, key, body_hash) or call.request_id,
         key=key,
+        first_attempt=is_first_attempt(call.headers_by_name),
         body_hash=body_hash,
         stream=bool(chat.stream),
         include_usage=_wants_usage(chat),
@@ -117,6 +126,16 @@
     )
 
 
+def is_first_attempt(headers_by_name: dict[str, str]) -> bool:
+    """
+    Tell whether a request is marked as not sent before.
+
+    :param headers_by_name: headers by lower-case name.
+    :returns: true for the mark of common client libraries.
+    """
+    return headers_by_name.get('x-stainless-retry-count') == '0'
+
+
 def model_name(service: str, fleet: str) -> str:
     """
     Name a service as its callers name it in ``model``.
--- a/eelgrassfork/chat_run.py
+++ b/eelgrassfork/chat_run.py
@@ -113,6 +113,8 @@
     :ivar settled: whether it was billed or its bill is being worked out.
     :ivar whole: whether a whole answer was billed.
     :ivar tried: servers that may have run it, in order.
+    :ivar doubtful: servers that may run it for an earlier attempt, which
+        then pays.
     :ivar answering: the server whose answer has begun.
     :ivar first_payer: text form of the payer tag that this answer names.
     """
@@ -123,6 +125,7 @@
         self.settled = False
         self.whole = False
         self.tried: list[ServerState] = []
+        self.doubtful: list[ServerState] = []
         self.answering: ServerState | None = None
         self.first_payer = ''
         self.meter = StreamMeter(request.max_tokens, request.include_usage)
@@ -137,14 +140,20 @@
         """Whether the answer is this reservation's to pay."""
         return self.first_payer in {'', self.payer}
 
+    @property
+    def billed_server(self) -> ServerState:
+        """The server whose work is billed, of those tried."""
+        return self.answering or self.tried[-1]
+
+    @property
+    def other_servers(self) -> list[ServerState]:
+        """The other servers that may have run it."""
+        billed = self.billed_server
+        return [server for server in self.tried if server is not billed]
+
     @property
     def outcome(self) -> Outcome:
         """What is known about this attempt before its answer is whole."""
         if self.meter.next_event:
             return 'ran'
         return 'unknown' if self.tried else 'not_run'
-
-    @property
-    def tried_vms(self) -> frozenset[str]:
-        """Servers that must not be chosen again."""
-        return frozenset(server.vm for server in self.tried)
--- a/eelgrassfork/chat_settlement.py
+++ b/eelgrassfork/chat_settlement.py
@@ -7,34 +7,23 @@
 
 import random
 from collections.abc import Awaitable, Callable
-from typing import Final, Literal
+from typing import Literal
 
-import logbook
 import trio
 
 from .backends import Backends
 from .chat_meter import Usage, billable_tokens
+from .chat_records import ChatRecords
 from .chat_run import Accounts, ChatRun
 from .engine_client import EngineClient
-from .engine_types import EngineError, EngineRecord
-from .retries import EjectionPolicy, backoff_s
-from .routing import ServerState
+from .engine_types import EngineRecord
 
 __all__ = ('Ending', 'Settlement')
 
-_log = logbook.Logger('chat')
-
-_RESOLVE_S: Final = 600.0
-_FIRST_POLL_S: Final = 0.25
-_LONGEST_POLL_S: Final = 5.0
-_POLLS: Final = EjectionPolicy(first_s=_FIRST_POLL_S, longest_s=_LONGEST_POLL_S)
-_POLLS_WITHOUT_RECORD: Final = 2
-_FINAL_STATES: Final = frozenset(('finished', 'cancelled'))
-
 Ending = Literal['interrupted', 'broken', 'overrun', 'gave_up']
 
 
-_SettleTask = Callable[[ChatRun, Ending], Awaitable[None]]
+_Task = Callable[..., Awaitable[object]]
 
 
 class Settlement:
@@ -45,7 +34,9 @@
     others the engine is asked in the background. A request with an
     idempotency key can still be fetched from its engine by a retry, so its
     reservation stays open until the engine tells how it ended, or until
-    the engine is delisted and its record with it.
+    the engine is delisted and its record with it. A generation that an
+    earlier attempt with the key left at another engine is paid by that
+    attempt alone.
 
     :param accounts: credit of this holder.
     :param engines: client of the engines.
@@ -61,9 +52,7 @@
         source: random.Random,
     ) -> None:
         self._accounts = accounts
-        self._engines = engines
-        self._backends = backends
-        self._source = source
+        self._records = ChatRecords(engines, backends, source)
         self._scope = trio.CancelScope()
         self._stopped = trio.Event()
         self._nursery: trio.Nursery | None = None
@@ -91,10 +80,14 @@
         """
         run.whole = True
         spent = _tokens(run, usage) if run.pays else 0
-        self._settle(run, spent)
-        for server in run.tried:
-            if server is not run.answering:
-                self._spawn(self._cancel, run, server)
+        if run.request.key:
+            run.doubtful.extend(run.other_servers)
+        if spent and run.doubtful:
+            self._settle_later(run, self._settle_doubtful, spent)
+        else:
+            self._settle(run, spent)
+        for server in run.other_servers:
+            self._spawn(self._records.try_cancel, run, server)
 
     def ended(self, run: ChatRun, ending: Ending) -> None:
         """
@@ -108,13 +101,19 @@
         if not run.tried or not run.pays:
             self._settle(run, 0)
         elif run.request.key:
-            self._settle_later(run, self._settle_keyed, ending)
+            self._ended_keyed(run, ending in {'interrupted', 'broken'})
         elif ending == 'gave_up':
             self._settle(run, 0)
             for server in run.tried:
-                self._spawn(self._cancel, run, server)
+                self._spawn(self._records.try_cancel, run, server)
         else:
-            self._settle_later(run, self._settle_unkeyed, ending)
+            self._settle_later(run, self._settle_unkeyed)
+
+    def _ended_keyed(self, run: ChatRun, lets_finish: bool) -> None:
+        run.doubtful.extend(run.other_servers)
+        for server in run.other_servers if lets_finish else run.tried:
+            self._spawn(self._records.try_cancel, run, server)
+        self._settle_later(run, self._settle_keyed, lets_finish)
 
     async def _run(self, task_status: trio.TaskStatus[None]) -> None:
         try:
@@ -128,96 +127,70 @@
             self._stopped.set()
 
     def _settle_later(
-        self, run: ChatRun, task: _SettleTask, ending: Ending
+        self, run: ChatRun, task: _Task, *arguments: object
     ) -> None:
         if self._nursery is None:
             self._settle(run, _relayed_tokens(run))
             return
         run.settled = True
         self.open_bills += 1
-        self._nursery.start_soon(task, run, ending)
+        self._nursery.start_soon(task, run, *arguments)
 
-    def _spawn(
-        self, task: Callable[..., Awaitable[object]], *arguments: object
-    ) -> None:
+    def _spawn(self, task: _Task, *arguments: object) -> None:
         if self._nursery is not None:
             self._nursery.start_soon(task, *arguments)
 
-    async def _settle_unkeyed(self, run: ChatRun, ending: Ending) -> None:
+    async def _settle_unkeyed(self, run: ChatRun) -> None:
         spent = _relayed_tokens(run)
-        billed = run.answering or run.tried[-1]
         try:
-            for server in run.tried:
-                record = await self._cancel(run, server)
-                if server is billed and record is not None:
-                    spent = _record_tokens(run, record)
+            record = await self._records.try_cancel(run, run.billed_server)
+            if record is not None:
+                spent = _record_tokens(run, record)
+            for server in run.other_servers:
+                await self._records.try_cancel(run, server)
         finally:
             self._bill(run, spent)
 
-    async def _settle_keyed(self, run: ChatRun, ending: Ending) -> None:
+    async def _settle_keyed(self, run: ChatRun, lets_finish: bool) -> None:
         spent = 0
-        billed = run.answering or run.tried[-1]
-        lets_finish = ending in {'interrupted', 'broken'}
         try:
-            for server in reversed(run.tried):
-                waits = lets_finish and server is billed
-                record = await self._final_record(run, server, waits)
-                if record and (waits or record.state == 'finished'):
-                    spent = max(spent, _record_tokens(run, record))
+            if not await self._is_paid_elsewhere(run):
+                spent = await self._keyed_tokens(run, lets_finish)
         finally:
             self._bill(run, spent)
 
-    async def _final_record(
-        self, run: ChatRun, server: ServerState, waits: bool
-    ) -> EngineRecord | None:
-        attempt = 0
-        with trio.move_on_after(_RESOLVE_S):
-            while self._backends.is_listed(server.vm):
-                ended, record = await self._ask(run, server, waits)
-                # A request that is still on its way has no record yet.
-                if ended and (record or attempt >= _POLLS_WITHOUT_RECORD):
-                    return record
-                await trio.sleep(backoff_s(attempt, _POLLS, self._source))
-                attempt += 1
-        _log.info('chat: no record of {} at {}', run.payer, server.vm)
-        return None
-
-    async def _ask(
-        self, run: ChatRun, server: ServerState, waits: bool
-    ) -> tuple[bool, EngineRecord | None]:
-        ask = self._find_record if waits else self._cancel_record
-        try:
-            record = await ask(run, server)
-        except EngineError:
-            return False, None
-        return record is None or record.state in _FINAL_STATES, record
-
-    async def _find_record(
-        self, run: ChatRun, server: ServerState
-    ) -> EngineRecord | None:
-        records = await self._engines.records(server.address, run.payer)
-        identity = run.request.identity
-        found = [entry for entry in records if entry.request_id == identity]
-        return found[0] if found else None
-
-    async def _cancel_record(
-        self, run: ChatRun, server: ServerState
-    ) -> EngineRecord | None:
-        # With a key, the generation may be another router's to pay and to
-        # relay.
-        if run.request.key and not await self._find_record(run, server):
-            return None
-        identity = run.request.identity
-        return await self._engines.cancel(server.address, identity)
-
-    async def _cancel(
-        self, run: ChatRun, server: ServerState
-    ) -> EngineRecord | None:
+    async def _keyed_tokens(self, run: ChatRun, lets_finish: bool) -> int:
+        ask = (
+            self._records.find_own if lets_finish else self._records.cancel_own
+        )
+        billed = run.billed_server
+        record = await self._records.final(run, billed, ask)
+        tokens = 0
+        if record and (lets_finish or record.state == 'finished'):
+            tokens = _record_tokens(run, record)
+        for server in run.other_servers:
+            record = await self._records.final(
+                run, server, self._records.cancel_own
+            )
+            if record and record.state == 'finished':
+                tokens = max(tokens, _record_tokens(run, record))
+        return tokens
+
+    async def _settle_doubtful(self, run: ChatRun, spent: int) -> None:
         try:
-            return await self._cancel_record(run, server)
-        except EngineError as error:
-            _log.info('chat: no cancel at {}: {}', server.vm, error.message)
-        return None
+            if await self._is_paid_elsewhere(run):
+                spent = 0
+        finally:
+            self._bill(run, spent)
+
+    async def _is_paid_elsewhere(self, run: ChatRun) -> bool:
+        for server in run.doubtful:
+            record = await self._records.final(
+                run, server, self._records.find_other
+            )
+            if record and record.state == 'finished':
+                return True
+        return False
 
     def _settle(self, run: ChatRun, spent: int) -> None:
         if run.reservation is not None and not run.settled:
--- a/eelgrassfork/engine_client.py
+++ b/eelgrassfork/engine_client.py
@@ -181,6 +181,21 @@
         status, body = await self._ask(address, 'GET', f'/v1/requests?{query}')
         return _decoded(status, body, _Records).requests
 
+    async def find(self, address: str, request_id: str) -> EngineRecord | None:
+        """
+        Find the record of a request, whoever pays it.
+
+        :param address: of the engine.
+        :param request_id: identity of the request.
+        :returns: the record, or ``None`` if the engine doesn't know it.
+        :raises EngineError: if the engine can't be asked.
+        """
+        # The API lists by payer only, and the payer may be any holder.
+        for record in await self.records(address, ''):
+            if record.request_id == request_id:
+                return record
+        return None
+
     async def order(
         self, address: str, order: str, name: str, lease: Lease
     ) -> None:
--- a/tests/chat_setting.py
+++ b/tests/chat_setting.py
@@ -188,6 +188,13 @@
     def generations(self):
         return [record for eng in self.engines for record in eng.records()]
 
+    def working_hosts(self):
+        return [
+            f'engine-{number}'
+            for number, engine in enumerate(self.engines)
+            if engine.records()
+        ]
+
     async def ask(
         self, words=6, stream=True, router=None, headers=(), **fields
     ) -> Answer:
--- a/tests/test_chat_settlement.py
+++ b/tests/test_chat_settlement.py
@@ -5,6 +5,8 @@
 Guards against requests that are billed twice, wrongly or never.
 """
 
+import random
+
 import testtools
 import trio
 
@@ -69,9 +71,8 @@
     async def test_bill_waits_for_an_unreachable_engine(self, setting):
         # Guards against an answer that a retry fetches but nobody pays.
         def cut_working_engine():
-            for number, engine in enumerate(setting.engines):
-                if engine.records():
-                    setting.network.cut('router', f'engine-{number}')
+            for host in setting.working_hosts():
+                setting.network.cut('router', host)
 
         listed = setting.records()
         for bill, still_listed in ((3 + 45, listed), (0, [])):
@@ -85,3 +86,104 @@
                 setting.router.backends.update(still_listed)
                 setting.network.heal()
                 self.assertEqual(bill, (await setting.settled())[-1])
+
+    @with_setting
+    async def test_failover_past_an_unreachable_engine_is_paid_once(
+        self, setting
+    ):
+        ask = {'words': 45, 'headers': [KEY]}
+        with trio.move_on_after(0.3):
+            await setting.ask(**ask)
+        (host,) = setting.working_hosts()
+        setting.network.cut('other', host)
+        answer = await setting.ask(router=setting.other_router, **ask)
+        self.assertEqual(45, len(answer.words))
+        self.assertEqual([3 + 45], await setting.settled())
+        self.assertEqual(1, setting.other_router.chat.open_bills)
+        setting.network.heal()
+        self.assertEqual([0], await setting.settled(setting.other_router))
+
+
+FAULTS = (
+    {'fail': True},
+    {'silent': True},
+    {'late_ms': 1500},
+    {'wrong_identity': True},
+    {'cut_after_events': 3},
+    {'silent_after_events': 2},
+    {'slow_factor': 30},
+)
+NO_FAULTS = {
+    'fail': False,
+    'silent': False,
+    'late_ms': 0,
+    'wrong_identity': False,
+    'cut_after_events': None,
+    'silent_after_events': None,
+    'slow_factor': 1,
+}
+
+
+class RandomFaultsTests(testtools.TestCase):
+    """Guards against orders of faults that no other test thinks of."""
+
+    async def disturb(self, setting, source):
+        for _ in range(6):
+            await trio.sleep(source.random() * 0.6)
+            number = source.randrange(len(setting.engines))
+            router = source.choice(('router', 'other'))
+            source.choice(
+                (
+                    lambda: setting.engines[number].set_faults(
+                        **source.choice(FAULTS)
+                    ),
+                    lambda: setting.engines[number].set_faults(**NO_FAULTS),
+                    lambda: setting.network.cut(router, f'engine-{number}'),
+                    lambda: setting.network.silence(router, f'engine-{number}'),
+                    setting.network.heal,
+                )
+            )()
+
+    async def ask_four_times(self, setting, source, headers):
+        whole = 0
+        for _ in range(4):
+            router = source.choice((setting.router, setting.other_router))
+            with trio.move_on_after(source.choice((0.05, 0.4, 60))):
+                answer = await setting.ask(30, router=router, headers=headers)
+                if answer.status == 200 and not answer.cut:
+                    whole += 1
+                    self.assertEqual(30, len(answer.words))
+                elif answer.cut:
+                    self.assertTrue(answer.error)
+            await trio.sleep(source.random())
+        return whole
+
+    def check_seed(self, seed, headers):
+        source = random.Random(seed)
+
+        @with_setting
+        async def check(self, setting):
+            setting.nursery.start_soon(self.disturb, setting, source)
+            whole = await self.ask_four_times(setting, source, headers)
+            for engine in setting.engines:
+                engine.set_faults(**NO_FAULTS)
+            setting.network.heal()
+            bills = [
+                *await setting.settled(),
+                *await setting.settled(setting.other_router),
+            ]
+            paid = sum(bill > 0 for bill in bills)
+            self.assertGreaterEqual(paid, whole if not headers else whole > 0)
+            self.assertLessEqual(paid, 1 if headers else 4)
+
+        check(self)
+
+    def test_a_key_is_paid_once_however_often_it_is_tried(self):
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                self.check_seed(seed, [KEY])
+
+    def test_each_request_without_a_key_is_settled_once(self):
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                self.check_seed(seed, [])
