Share priorities, outcomes and errors of chat with the other parts

Chat had its own formula of priorities and its own rule for "not run", beside those of plain calls and claims; both now use the same ones. A caller that left and a cut stream are raised to the front, which would otherwise log and count them as answered with 200.

--- a/eelgrassfork/chat.py
+++ b/eelgrassfork/chat.py
@@ -16,14 +16,10 @@
 from .bundle_types import Bundle, Caller
 from .chat_attempts import Attempts, ChatParts
 from .chat_relay import Relay
-from .chat_request import (
-    ChatRequest,
-    is_first_attempt,
-    model_name,
-    parse_request,
-)
+from .chat_request import ChatRequest, model_name, parse_request
 from .chat_run import CallerSink, ChatRun
 from .chat_settlement import Ending, Settlement
+from .claim_records import refusal
 from .errors import RequestError
 from .http_server import Call, CallerGone
 from .limits import AdmissionRequest, LimitExceeded
@@ -89,7 +85,9 @@
 
         :param call: the request.
         :param caller: who sent it.
-        :raises RequestError: if nothing was answered yet.
+        :raises RequestError: if there is no whole answer; a stream that had
+            begun is cut visibly before.
+        :raises CallerGone: if the caller left before the end.
         """
         try:
             request = parse_request(call, caller, self._bundle())
@@ -133,13 +131,15 @@
             ending = _ending(call, run)
         except CallerGone:
             self._ended['caller_gone'] += 1
-            return
+            raise
         finally:
             # Also when the server closes and cancels this task.
             self._settlement.ended(run, ending)
         self._ended[failure.code if failure else 'whole'] += 1
         if failure is not None:
-            await _fail(call, run, failure)
+            if call.started:
+                await _cut(call, run, failure)
+            raise failure
 
     async def _run_in_time(
         self, call: Call, run: ChatRun
@@ -236,9 +236,7 @@
     scope.cancel()
 
 
-async def _fail(call: Call, run: ChatRun, failure: RequestError) -> None:
-    if not call.started:
-        raise failure
+async def _cut(call: Call, run: ChatRun, failure: RequestError) -> None:
     if run.whole or not run.request.stream:
         # Its end was on the way, so that no error event can follow.
         await call.abort()
@@ -253,16 +251,10 @@
 
 
 def _with_known_outcome(error: RequestError, call: Call) -> RequestError:
-    headers = call.headers_by_name
-    only_attempt = is_first_attempt(headers) or not headers.get(
-        'idempotency-key'
-    )
-    if only_attempt or error.outcome != 'not_run':
+    if error.outcome != 'not_run':
         return error
-    # An earlier attempt with the key may have run elsewhere.
-    return RequestError(
-        error.code, error.message, 'unknown', error.retry_after_s, 'not_run'
-    )
+    headers = call.headers_by_name
+    return refusal(error.code, error.message, headers, error.retry_after_s)
 
 
 def _model(name: str, fleet: str) -> dict[str, Any]:
--- a/eelgrassfork/chat_attempts.py
+++ b/eelgrassfork/chat_attempts.py
@@ -97,7 +97,7 @@
 
     async def _holder(self, run: ChatRun) -> ServerState | None:
         request = run.request
-        if request.first_attempt or not request.key:
+        if request.first_attempt:
             return None
         found = await look_up(
             self._parts.engines,
--- a/eelgrassfork/chat_request.py
+++ b/eelgrassfork/chat_request.py
@@ -13,23 +13,18 @@
 import trio
 
 from .bundle_types import Bundle, Caller, Service
+from .claim_records import refusal_outcome
 from .errors import RequestError
 from .http_server import Call
 from .names import BadName, qualify
 from .routing import prefix_hash
 
-__all__ = (
-    'ChatRequest',
-    'is_first_attempt',
-    'model_name',
-    'parse_request',
-)
+__all__ = ('ChatRequest', 'model_name', 'parse_request')
 
 _MESSAGE_TOKENS: Final = 8
 _MAX_KEY_CHARACTERS: Final = 255
 _DIGEST_BYTES: Final = 16
 _MS: Final = 1000
-_PRIORITIES: Final = 4
 # Fields beside the messages whose text engines put into the prompt.
 _PROMPT_FIELDS: Final = (
     'tools',
@@ -64,13 +59,13 @@
 
     :param identity: identity at the engines.
     :param key: idempotency key, empty if there is none.
-    :param first_attempt: whether the caller says that it did not send this
-        request before.
+    :param first_attempt: whether no earlier attempt can exist: there is no
+        key, or the caller marks this one as the first.
     :param body_hash: hash of the body as the caller sent it.
     :param max_tokens: cap on completion tokens.
     :param bound: most tokens that the request can cost.
-    :param priority: 0 starts first and is shed last; the service's counts
-        before the organisation's.
+    :param priority: 0 starts first and is shed last; the worse of the
+        service's and the organisation's.
     :param deadline: time on the clock of trio, infinite if there is none.
     :param body: what is sent to the engine.
     """
@@ -113,29 +108,19 @@
         service=service,
         identity=_identity(caller, key, body_hash) or call.request_id,
         key=key,
-        first_attempt=is_first_attempt(call.headers_by_name),
+        first_attempt=refusal_outcome(call.headers_by_name) == 'not_run',
         body_hash=body_hash,
         stream=bool(chat.stream),
         include_usage=_wants_usage(chat),
         max_tokens=max_tokens,
         bound=_prompt_bound(chat, fields, service) + max_tokens,
         prefix=prefix_hash(service.name, _leading_texts(chat.messages)),
-        priority=service.priority * _PRIORITIES + caller.organisation.priority,
+        priority=max(service.priority, caller.organisation.priority),
         deadline=_deadline(call.headers_by_name),
         body=_engine_body(chat, fields, service, max_tokens),
     )
 
 
-def is_first_attempt(headers_by_name: dict[str, str]) -> bool:
-    """
-    Tell whether a request is marked as not sent before.
-
-    :param headers_by_name: headers by lower-case name.
-    :returns: true for the mark of common client libraries.
-    """
-    return headers_by_name.get('x-stainless-retry-count') == '0'
-
-
 def model_name(service: str, fleet: str) -> str:
     """
     Name a service as its callers name it in ``model``.
