--- a/eelgrassfork/backends.py
+++ b/eelgrassfork/backends.py
@@ -69,15 +69,17 @@
         self.prefixes: OrderedDict[str, None] = OrderedDict()
         self.cached_prefixes: frozenset[str] = frozenset()
 
+    def is_leaving(self, now_s: float) -> bool:
+        return self.record.state == 'leaving' or now_s < self.draining_until
+
     def state(self, now_s: float) -> ServerState:
         record = self.record
-        leaving = record.state == 'leaving' or now_s < self.draining_until
         return ServerState(
             record.vm,
             record.address,
             record.service,
             record.failure_domain,
-            'leaving' if leaving else 'live',
+            'leaving' if self.is_leaving(now_s) else 'live',
             self.in_flight,
             self.running,
             self.waiting,
@@ -141,9 +143,13 @@
         :param service: qualified name.
         :returns: number of servers neither leaving nor ejected.
         """
+        now_s = trio.current_time()
         return sum(
-            server.state == 'live' and not server.ejected
-            for server in self.servers(service)
+            not server.health.ejected and not server.is_leaving(now_s)
+            for server in map(
+                self._servers_by_vm.__getitem__,
+                self._vms_by_service.get(service, ()),
+            )
         )
 
     def is_listed(self, vm: str) -> bool:
