--- a/eelgrassfork/limits.py
+++ b/eelgrassfork/limits.py
@@ -201,16 +201,20 @@
         priority push its estimated wait over its whole bound.
         """
         ahead: Counter[str] = Counter()
+        slots_by_service: dict[str, int] = {}
         waiting = []
         for waiter in self._waiters:
-            decision = self._decide(waiter, ahead)
+            service = waiter.request.service
+            if service not in slots_by_service:
+                slots_by_service[service] = waiter.request.slots()
+            decision = self._decide(waiter, ahead, slots_by_service[service])
             if decision.action == 'queue':
                 waiting.append(waiter)
                 ahead[waiter.request.organisation] += 1
                 # A request that only its organisation's limit holds back
                 # must not hold back other organisations.
                 if decision.code == 'overloaded':
-                    ahead[waiter.request.service] += 1
+                    ahead[service] += 1
             else:
                 self._settle(waiter, decision)
         self._waiters = waiting
@@ -250,16 +254,17 @@
 
     def _timed_out(self, waiter: _Waiter) -> Decision:
         self._waiters.remove(waiter)
-        decision = self._decide(waiter, Counter())
+        slots = waiter.request.slots()
+        decision = self._decide(waiter, Counter(), slots)
         code = decision.code or 'overloaded'
         retry_after_s = max(decision.wait_s, _SHORTEST_RETRY_S)
         return Decision('refuse', code, retry_after_s)
 
-    def _decide(self, waiter: _Waiter, ahead: Counter[str]) -> Decision:
+    def _decide(
+        self, waiter: _Waiter, ahead: Counter[str], slots: int
+    ) -> Decision:
         request = waiter.request
-        service = self._service(request).use(
-            request.slots(), ahead[request.service]
-        )
+        service = self._service(request).use(slots, ahead[request.service])
         organisation = self._organisation(request).use(
             request.organisation_slots, ahead[request.organisation]
         )
