Add a fault matrix over whole routers in its first state

A router's parts are tested against faults one by one, but nothing plays whole routers, a platform and backend servers together. The matrix starts two failure domains in one process on the mock clock, strikes a fault exactly when a router reaches a step, mends it, and compares the ledger with the records of the stand-ins.

--- /dev/null
+++ b/tests/fault_callers.py
@@ -0,0 +1,210 @@
+"""
+tests.fault_callers
+~~~~~~~~~~~~~~~~~~~
+
+Callers of routers, and all that they were told.
+"""
+
+import json
+from typing import NamedTuple
+
+import trio
+
+from eelgrassfork.http_client import (
+    ClientRequest,
+    ClientTimeouts,
+    HttpClient,
+    HttpClientError,
+)
+from eelgrassfork.sse import EventSplitter, event_data
+from tests.fault_probes import MARK
+from tests.fault_world import World
+
+__all__ = ('KINDS', 'Callers', 'Request', 'Told')
+
+KINDS = ('chat', 'stream', 'keyed', 'look_up', 'order')
+WORDS = 12
+MAX_TOKENS = 16
+# Longer than any router may take for an answer.
+PATIENCE_S = 40
+KEYED = ('keyed', 'order')
+
+
+class Request(NamedTuple):
+    """
+    One request, which may be attempted several times.
+
+    :param kind: one of :data:`KINDS`.
+    :param name: a word that no other request has.
+    :param organisation: unqualified name of who pays.
+    """
+
+    kind: str
+    name: str
+    organisation: str = 'others'
+    key: str = ''
+
+    @property
+    def is_chat(self) -> bool:
+        """Whether an engine answers it."""
+        return self.kind in {'chat', 'stream', 'keyed'}
+
+    @property
+    def body(self) -> bytes:
+        """What is sent."""
+        if self.kind == 'look_up':
+            return b''
+        if self.kind == 'order':
+            return self.name.encode()
+        content = f'does {self.name} fit'
+        chat = {
+            'model': 'matcher',
+            'messages': [{'role': 'user', 'content': content}],
+            'stream': self.kind != 'chat',
+            'max_tokens': MAX_TOKENS,
+            'metadata': {'words': str(WORDS)},
+        }
+        return json.dumps(chat).encode()
+
+    @property
+    def target(self) -> str:
+        """Path and query at the router."""
+        if self.is_chat:
+            return '/v1/chat/completions'
+        return f'/services/shopdesk/{self.kind}?name={self.name}'
+
+
+class Told(NamedTuple):
+    """
+    What a caller was told about one attempt.
+
+    :param status: 0 if there was no answer.
+    :param whole: whether the answer was whole and no error.
+    :param text: the answer's text, or its whole body if it is no chat.
+    :param effects_then: executions or generations of the request by then.
+    """
+
+    request: Request
+    vm: str
+    attempt: int
+    started_at: float
+    ended_at: float
+    status: int
+    request_id: str = ''
+    code: str = ''
+    outcome: str = ''
+    retry_after_s: float | None = None
+    whole: bool = False
+    text: str = ''
+    replayed: bool = False
+    effects_then: int = 0
+
+
+class Callers:
+    """
+    Sends requests and keeps what was told.
+
+    :param world: where the routers are.
+    :param effects: query for the executions or generations of a request.
+    :ivar told: all attempts that ended, in order.
+    """
+
+    def __init__(self, world: World, effects) -> None:
+        self._world = world
+        self._effects = effects
+        self._numbers: dict[Request, int] = {}
+        self._open_scopes: list[trio.CancelScope] = []
+        self.told: list[Told] = []
+
+    async def send(self, vm: str, request: Request) -> Told:
+        """
+        Attempt a request once, on a connection of its own.
+
+        :param vm: the router.
+        :param request: what to send.
+        :returns: what the caller was told; status 0 if nothing.
+        """
+        attempt = self._numbers.get(request, -1) + 1
+        self._numbers[request] = attempt
+        told = Told(request, vm, attempt, trio.current_time(), 0, 0)
+        with trio.CancelScope() as scope:
+            if request.organisation == 'subject':
+                self._open_scopes.append(scope)
+            told = await self._exchange(told)
+        told = told._replace(
+            ended_at=trio.current_time(), effects_then=self._effects(request)
+        )
+        self.told.append(told)
+        return told
+
+    def go_away(self) -> None:
+        """Let the subject's callers close their connections."""
+        for scope in self._open_scopes:
+            scope.cancel()
+
+    async def _exchange(self, told: Told) -> Told:
+        http = HttpClient(
+            ClientTimeouts(PATIENCE_S, PATIENCE_S, PATIENCE_S),
+            transport=self._world.network.transport('caller'),
+        )
+        sent = ClientRequest(
+            self._world.callers_address(told.vm),
+            'GET' if told.request.kind == 'look_up' else 'POST',
+            told.request.target,
+            tuple(_headers(told)),
+            told.request.body,
+        )
+        try:
+            response, body = await http.fetch(sent)
+        except HttpClientError:
+            return told
+        finally:
+            await http.close()
+        headers = response.headers_by_name
+        told = told._replace(
+            status=response.status,
+            request_id=headers.get('x-request-id', ''),
+            replayed='idempotent-replayed' in headers,
+        )
+        if 'text/event-stream' in headers.get('content-type', ''):
+            return _read_stream(told, body)
+        return _read_whole(told, headers, body)
+
+
+def _headers(told: Told):
+    request = told.request
+    yield 'authorization', f'Bearer {request.organisation}'
+    yield 'x-stainless-retry-count', str(told.attempt)
+    if request.organisation == 'subject':
+        yield MARK, request.name
+    if request.key:
+        yield 'idempotency-key', request.key
+
+
+def _read_stream(told: Told, body: bytes) -> Told:
+    # A cut stream breaks the exchange, so that it doesn't get here.
+    texts = [event_data(event) for event in EventSplitter().feed(body)]
+    chunks = [json.loads(text) for text in texts if text != b'[DONE]']
+    words = [
+        choice['delta'].get('content', '')
+        for chunk in chunks
+        for choice in chunk.get('choices', ())
+    ]
+    done = bool(texts) and texts[-1] == b'[DONE]'
+    return told._replace(whole=done, text=''.join(words))
+
+
+def _read_whole(told: Told, headers, body: bytes) -> Told:
+    if told.status != 200:
+        error = json.loads(body)['error']
+        retry_after = headers.get('retry-after')
+        return told._replace(
+            code=error['code'],
+            outcome=error['outcome'],
+            request_id=error['request_id'],
+            retry_after_s=float(retry_after) if retry_after else None,
+        )
+    if not told.request.is_chat:
+        return told._replace(whole=True, text=body.decode())
+    (choice,) = json.loads(body)['choices']
+    return told._replace(whole=True, text=choice['message']['content'])
--- /dev/null
+++ b/tests/fault_drains.py
@@ -0,0 +1,76 @@
+"""
+tests.fault_drains
+~~~~~~~~~~~~~~~~~~
+
+Plays cells in which a router drains with streams and an order in flight.
+"""
+
+import trio
+
+from tests.fault_kinds import drain_router
+from tests.fault_scene import Scene
+
+__all__ = ('UNCUT', 'play_drain')
+
+IN_FLIGHT = ('stream', 'keyed', 'chat', 'order')
+# Faults that take neither the router nor a server from its streams.
+UNCUT = frozenset(
+    (
+        'none',
+        'frozen_short',
+        'cut_platform',
+        'platform_down',
+        'platform_slow',
+        'platform_late',
+        'lost_answer',
+        'lost_race',
+        'unlisted',
+        'server_leaving',
+        'server_slow',
+        'caller_retries',
+    ),
+)
+GRACE_S = 2
+DRAINED_S = 60
+
+
+async def play_drain(scene: Scene, cell) -> list[str]:
+    """
+    Drain a router while it serves.
+
+    :param scene: where it is played.
+    :param cell: the cell.
+    :returns: what was wrong.
+    """
+    scene.subject = scene.new_request('stream', 'subject')
+    scene.probes.arm('a1', 'mid_stream', lambda vm: drain_router(scene, vm))
+    in_flight = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(scene.send_until_final, 'a1')
+        in_flight = await scene.send_round(['a1'], IN_FLIGHT)
+        await trio.sleep(GRACE_S / 2)
+        await scene.send_round(['a1'], ('look_up', 'order'))
+        await trio.sleep(GRACE_S)
+        await scene.send_round(['a1'], ('look_up', 'order'))
+    await _wait_done(scene)
+    await scene.wait_mended()
+    subject = [
+        each for each in scene.callers.told if each.request == scene.subject
+    ]
+    if cell.blows[0].fault not in UNCUT:
+        return []
+    problems = [
+        f'{each.request.kind} {each.request.name} was cut by the drain'
+        for each in [*in_flight, subject[0]]
+        if not each.whole
+    ]
+    if scene.world.left_by_vm.get('a1') != {}:
+        left = scene.world.left_by_vm.get('a1')
+        problems.append(f'the drained router left {left}')
+    return problems
+
+
+async def _wait_done(scene: Scene) -> None:
+    with trio.move_on_after(DRAINED_S):
+        while not scene.probes.is_done:
+            await trio.sleep(1)
--- /dev/null
+++ b/tests/fault_money.py
@@ -0,0 +1,61 @@
+"""
+tests.fault_money
+~~~~~~~~~~~~~~~~~
+
+Plays cells in which two failure domains spend a small budget to its end
+while an operator tops it up.
+"""
+
+import trio
+
+from eelgrassfork.errors import EelgrassError
+from tests.fault_scene import Scene
+
+__all__ = ('SMALL_GRANT', 'play_top_up')
+
+# A chat costs 15 and reserves 46, so that the grants end within the cell.
+SMALL_GRANT = 150
+TOP_UP = 300
+TOP_UP_AFTER_S = 3
+SPEND_S = 25
+PAUSE_S = 0.3
+SPENDERS = ('a1', 'a2', 'b1')
+
+
+async def play_top_up(scene: Scene, cell) -> list[str]:
+    """
+    Spend at several routers, and top the budget up meanwhile.
+
+    :param scene: where it is played.
+    :param cell: the cell.
+    :returns: what was wrong.
+    """
+    scene.writer = 'operator'
+    ends_at = trio.current_time() + SPEND_S
+    async with trio.open_nursery() as nursery:
+        for vm in SPENDERS:
+            nursery.start_soon(_spend, scene, vm, ends_at)
+        await trio.sleep(TOP_UP_AFTER_S)
+        await _top_up(scene)
+    await scene.wait_mended()
+    granted = scene.records.budget('subject')['granted']
+    if granted == SMALL_GRANT + TOP_UP:
+        return []
+    return [f'top-ups of {SMALL_GRANT} and {TOP_UP} granted {granted}']
+
+
+async def _spend(scene: Scene, vm: str, ends_at: float) -> None:
+    while trio.current_time() < ends_at:
+        await trio.sleep(PAUSE_S)
+        if vm in scene.world.routers():
+            request = scene.new_request('chat', 'subject')
+            await scene.callers.send(vm, request)
+
+
+async def _top_up(scene: Scene) -> None:
+    # An operator repeats the command until it succeeds.
+    while True:
+        try:
+            return await scene.world.top_up('subject', TOP_UP)
+        except EelgrassError:
+            await trio.sleep(1)
--- /dev/null
+++ b/tests/fault_network.py
@@ -0,0 +1,66 @@
+"""
+tests.fault_network
+~~~~~~~~~~~~~~~~~~~
+
+The in-memory network, fast enough for whole routers.
+"""
+
+from collections.abc import Callable
+
+import trio
+
+from tests.memory_network import MemoryNetwork
+
+__all__ = ('FaultNetwork',)
+
+
+class FaultNetwork(MemoryNetwork):
+    """
+    Wakes only tasks whose condition holds.
+
+    Waking all of them at each chunk took two thirds of a cell's time.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._waiting: dict[trio.Event, Callable[[], object]] = {}
+
+    def changed(self) -> None:
+        """Wake those whose condition holds now."""
+        for event, condition in self._waiting.items():
+            if condition():
+                event.set()
+
+    async def wait_for(self, condition: Callable[[], object]) -> None:
+        """
+        Wait until a condition on the network holds.
+
+        :param condition: query without arguments.
+        """
+        while not condition():
+            event = trio.Event()
+            self._waiting[event] = condition
+            try:
+                await event.wait()
+            finally:
+                del self._waiting[event]
+
+    def is_connected(self, first: str, second: str) -> bool:
+        """
+        Tell whether bytes pass between two hosts.
+
+        :param first: one host.
+        :param second: the other.
+        :returns: false during a partition.
+        """
+        return not self._cut or super().is_connected(first, second)
+
+    def join(self, first: str, second: str) -> None:
+        """
+        End the separation of two hosts.
+
+        :param first: one host.
+        :param second: the other.
+        """
+        self._cut.discard(frozenset((first, second)))
+        self.changed()
--- /dev/null
+++ b/tests/fault_play.py
@@ -0,0 +1,174 @@
+"""
+tests.fault_play
+~~~~~~~~~~~~~~~~
+
+Plays a cell about one request: faults at its steps, mending, checks.
+"""
+
+from typing import NamedTuple
+
+import trio
+
+from tests.fault_bundles import play_bundle
+from tests.fault_checks import FALSE_REFUSALS, find_problems, money_problems
+from tests.fault_drains import play_drain
+from tests.fault_kinds import strike
+from tests.fault_leases import play_lease
+from tests.fault_money import SMALL_GRANT, play_top_up
+from tests.fault_scene import GRANTED, Scene
+from tests.fault_schedule import run_seeded
+
+__all__ = ('Blow', 'Outcome', 'Cell', 'play')
+
+SETTLE_S = 120
+CHECK_S = 3
+REACH_S = 40
+REPORT_S = 5
+
+
+# What operators and leases do; other kinds are requests.
+ACTS = {
+    'top_up': play_top_up,
+    'bundle': play_bundle,
+    'drain': play_drain,
+    'lease': play_lease,
+}
+# Writes that a lost answer or a lost race is about.
+WRITES = {'bundle': 'bundle/current', 'lease': 'leases/'}
+
+
+class Blow(NamedTuple):
+    """A fault at a step of the subject, at one router."""
+
+    step: str
+    fault: str
+    vm: str = 'a1'
+
+
+class Cell(NamedTuple):
+    """
+    One cell of the matrix.
+
+    :param kind: a kind of request, or what operators do meanwhile.
+    :param blows: the faults.
+    """
+
+    kind: str
+    blows: tuple[Blow, ...]
+
+    @property
+    def name(self) -> str:
+        """Name, unique in the matrix."""
+        blows = '+'.join(
+            f'{blow.step}:{blow.fault}'
+            + (f'@{blow.vm}' if blow.vm != 'a1' else '')
+            for blow in self.blows
+        )
+        return f'{self.kind}/{blows}'
+
+
+class Outcome(NamedTuple):
+    """
+    What came of a cell.
+
+    :param problems: empty if all promises held.
+    :param refused: requests that were refused although the budget would
+        have covered them.
+    :param settled_s: time from the last mending until the bills agreed.
+    """
+
+    problems: list[str]
+    refused: int
+    settled_s: float
+    told: list[str]
+
+
+def play(cell, seed: int) -> Outcome:
+    """
+    Play a cell.
+
+    :param cell: the cell, which tells by its ``act`` what happens.
+    :param seed: decides on jitter and the order of tasks.
+    :returns: what came of it.
+    """
+
+    async def main() -> Outcome:
+        outcome = None
+        async with trio.open_nursery() as nursery:
+            scene = Scene(nursery, seed)
+            small = cell.kind == 'top_up'
+            await scene.start(SMALL_GRANT if small else GRANTED)
+            problems = await _act(scene, cell)
+            settled_s = await _settle(scene)
+            problems += await _end_round(scene)
+            problems += find_problems(scene)
+            outcome = Outcome(
+                problems,
+                sum(each.code in FALSE_REFUSALS for each in scene.callers.told),
+                settled_s,
+                [_line(told) for told in scene.callers.told],
+            )
+            scene.world.end()
+        return outcome
+
+    return run_seeded(main, seed)
+
+
+async def _act(scene: Scene, cell: Cell) -> list[str]:
+    scene.write_prefix = _write_prefix(cell)
+    for blow in cell.blows:
+        scene.probes.arm(blow.vm, blow.step, strike(scene, blow.fault))
+    problems = await ACTS.get(cell.kind, _play_request)(scene, cell)
+    if not scene.probes.is_done:
+        problems.append('a step was not reached')
+    return problems
+
+
+def _write_prefix(cell: Cell) -> str:
+    claim_steps = {'claiming', 'sent', 'first_byte', 'last_byte'}
+    if cell.kind == 'order' and cell.blows[0].step in claim_steps:
+        return 'claims/'
+    return WRITES.get(cell.kind, 'ledger/')
+
+
+async def _play_request(scene: Scene, cell: Cell) -> list[str]:
+    scene.subject = scene.new_request(cell.kind, 'subject')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            scene.send_round, scene.world.routers(), ('stream', 'order')
+        )
+        await scene.send_until_final('a1')
+    with trio.move_on_after(REACH_S):
+        while not scene.probes.is_done:
+            await trio.sleep(0.5)
+    await scene.wait_mended()
+    return []
+
+
+async def _settle(scene: Scene) -> float:
+    started_at = trio.current_time()
+    with trio.move_on_after(SETTLE_S):
+        await trio.sleep(CHECK_S)
+        while money_problems(scene):
+            await trio.sleep(CHECK_S)
+    return trio.current_time() - started_at
+
+
+async def _end_round(scene: Scene) -> list[str]:
+    told = await scene.send_round(scene.world.routers())
+    await trio.sleep(REPORT_S)
+    return [
+        f'after all is mended, {each.request.kind} at {each.vm} '
+        f'got {each.status} {each.code}'
+        for each in told
+        if not each.whole
+    ]
+
+
+def _line(told) -> str:
+    request = told.request
+    end = 'whole' if told.whole else f'{told.status} {told.code}'
+    return (
+        f'{told.started_at:7.3f}-{told.ended_at:7.3f} {told.vm} '
+        f'{request.name} {request.kind} #{told.attempt}: {end} {told.outcome}'
+    )
--- /dev/null
+++ b/tests/fault_probes.py
@@ -0,0 +1,242 @@
+"""
+tests.fault_probes
+~~~~~~~~~~~~~~~~~~
+
+Tells when a router reaches a step, by wrapping methods of its parts.
+"""
+
+import contextvars
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import trio
+
+from eelgrassfork.ledger import decode_shard
+from eelgrassfork.router import Router
+from tests.fault_world import budget_of
+
+__all__ = ('MARK', 'MID_STREAM_CHUNKS', 'Probes', 'Reached')
+
+# Header of the request that a cell is about; routers pass it on unread.
+MARK = 'x-cell'
+MID_STREAM_CHUNKS = 4
+
+# Steps at which a ledger write is about to be sent.
+_BEGUN = {'drawn': 'drawing', 'returned': 'returning', 'reported': 'reporting'}
+
+_is_subject: contextvars.ContextVar[bool] = contextvars.ContextVar(
+    'is_subject', default=False
+)
+
+
+class Reached(NamedTuple):
+    """A step that a router has reached."""
+
+    vm: str
+    step: str
+
+
+class Probes:
+    """
+    Strikes once a router reaches a step.
+
+    Whatever strikes is a plain function, so that nothing happens between
+    the step and the fault.
+
+    :ivar reached: all steps in order, with their times in seconds.
+    :ivar server: backend server that the subject was sent to last.
+    """
+
+    def __init__(self) -> None:
+        self.reached: list[tuple[float, Reached]] = []
+        self.server = ''
+        self._strikes: list[tuple[Reached, Callable[[str], None]]] = []
+
+    def arm(self, vm: str, step: str, strike: Callable[[str], None]) -> None:
+        """
+        Strike when a step is reached for the first time from now on.
+
+        :param vm: router that must reach it, or empty for any.
+        :param step: name of the step.
+        :param strike: told the router's VM.
+        """
+        self._strikes.append((Reached(vm, step), strike))
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all that was armed has struck."""
+        return not self._strikes
+
+    def reach(self, vm: str, step: str) -> None:
+        """
+        Note a step, and strike if it is armed.
+
+        :param vm: router that reached it.
+        :param step: name of the step.
+        """
+        self.reached.append((trio.current_time(), Reached(vm, step)))
+        for armed, strike in list(self._strikes):
+            if armed.step == step and armed.vm in {'', vm}:
+                self._strikes.remove((armed, strike))
+                strike(vm)
+
+    def attach(self, vm: str, router: Router) -> None:
+        """
+        Wrap the parts of a router that has not started.
+
+        :param vm: its VM.
+        :param router: the router.
+        """
+
+        def subject(step: str) -> None:
+            if _is_subject.get():
+                self.reach(vm, step)
+
+        def note_server(server: str) -> None:
+            if _is_subject.get():
+                self.server = server
+                self.reach(vm, 'chosen')
+
+        router.callers._handler = _probe_call(router.callers._handler, subject)
+        accounts = router.credit.accounts
+        _after_async(accounts, 'reserve', lambda *_: subject('reserved'))
+        _after(accounts, 'settle', lambda *_: subject('settled'))
+        _before(router._claims, 'claim', lambda *_: subject('claiming'))
+        _after_async(router._claims, 'claim', lambda *_: subject('claimed'))
+        _after(router.backends, 'begin', note_server)
+        _probe_http(router._http, subject)
+        _probe_ledger(router, lambda step: self.reach(vm, step))
+        reclaimer = router.credit._reclaimer
+        _before(reclaimer, '_close', lambda *_: self.reach(vm, 'reclaiming'))
+        _after_async(
+            reclaimer, '_close', lambda *_: self.reach(vm, 'reclaimed')
+        )
+        _after(
+            router.rollout,
+            '_put_in_force',
+            lambda bundle: self.reach(vm, f'in_force_{bundle.version}'),
+        )
+        _after(router.drain, 'begin', lambda *_: self.reach(vm, 'drain_begun'))
+        _after_async(
+            router.drain, 'wait_empty', lambda *_: self.reach(vm, 'drain_ended')
+        )
+
+
+def _before(owner: Any, name: str, told: Callable[..., None]) -> None:
+    original = getattr(owner, name)
+
+    def wrapped(*arguments, **options):
+        told(*arguments)
+        return original(*arguments, **options)
+
+    setattr(owner, name, wrapped)
+
+
+def _after(owner: Any, name: str, told: Callable[..., None]) -> None:
+    original = getattr(owner, name)
+
+    def wrapped(*arguments, **options):
+        answer = original(*arguments, **options)
+        told(*arguments)
+        return answer
+
+    setattr(owner, name, wrapped)
+
+
+def _after_async(owner: Any, name: str, told: Callable[..., None]) -> None:
+    original = getattr(owner, name)
+
+    async def wrapped(*arguments, **options):
+        answer = await original(*arguments, **options)
+        told(*arguments)
+        return answer
+
+    setattr(owner, name, wrapped)
+
+
+def _probe_call(handler, subject):
+    async def serve(call):
+        if MARK in call.headers_by_name:
+            _is_subject.set(True)
+            _after_async(call, 'finish', lambda: subject('delivered'))
+            subject('accepted')
+        await handler(call)
+
+    return serve
+
+
+def _probe_http(http, subject):
+    exchange, head = http._exchange, http._head
+    is_work: contextvars.ContextVar[bool] = contextvars.ContextVar('is_work')
+
+    async def probed_exchange(connection, request, bounds):
+        is_work.set(_is_work(request))
+        response = await exchange(connection, request, bounds)
+        if _is_work(request):
+            response.chunks = _probe_chunks(response.chunks, subject)
+        return response
+
+    async def probed_head(*arguments):
+        if is_work.get():
+            subject('sent')
+        answer = await head(*arguments)
+        if is_work.get():
+            subject('first_byte')
+        return answer
+
+    http._exchange, http._head = probed_exchange, probed_head
+
+
+def _is_work(request) -> bool:
+    # Polls, records and cancels go to the servers too.
+    return not request.target.startswith('/v1/') or (
+        request.target == '/v1/chat/completions'
+    )
+
+
+def _probe_chunks(chunks, subject):
+    async def probed():
+        count = 0
+        async for chunk in chunks():
+            yield chunk
+            count += 1
+            if count == MID_STREAM_CHUNKS:
+                subject('mid_stream')
+        subject('last_byte')
+
+    return probed
+
+
+def _probe_ledger(router: Router, reach: Callable[[str], None]) -> None:
+    platform = router.platform
+    original = platform.put
+    budget = budget_of('subject')
+
+    async def put(key, body, expected_version):
+        if not key.startswith('ledger/'):
+            return await original(key, body, expected_version)
+        steps = list(_ledger_steps(router, decode_shard(body), budget))
+        for step in steps:
+            reach(_BEGUN[step])
+        version = await original(key, body, expected_version)
+        for step in steps:
+            reach(step)
+        return version
+
+    platform.put = put
+
+
+def _ledger_steps(router: Router, shard, budget: str):
+    record = shard['budgets'].get(budget)
+    if record is None:
+        return
+    account = router.credit.accounts._book.account(budget)
+    known = account.entry or {'drawn': 0, 'spent': 0}
+    entry = record['holders'].get(router.holder)
+    if entry is not None:
+        if entry['drawn'] > known['drawn']:
+            yield 'drawn'
+        if entry['drawn'] < known['drawn']:
+            yield 'returned'
+        if entry['spent'] > known['spent']:
+            yield 'reported'
--- /dev/null
+++ b/tests/fault_records.py
@@ -0,0 +1,194 @@
+"""
+tests.fault_records
+~~~~~~~~~~~~~~~~~~~
+
+What the stand-ins recorded of each request, and every version of the ledger.
+"""
+
+from typing import NamedTuple
+
+import trio
+
+from eelgrassfork.ledger import BudgetRecord, decode_shard
+from eelgrassfork.names import parse_payer
+from tests.fault_callers import Request
+from tests.fault_world import World, budget_of
+
+__all__ = ('Execution', 'Generated', 'Records')
+
+
+class Execution(NamedTuple):
+    """A plain server did the work of a call."""
+
+    at_s: float
+    vm: str
+    request_id: str
+    target: str
+    key: str
+
+
+class Generated(NamedTuple):
+    """An engine's record of a generation, in tokens."""
+
+    vm: str
+    request_id: str
+    budget: str
+    tokens: int
+    state: str
+
+
+class Records:
+    """
+    Records of a world's stand-ins.
+
+    :param world: the world, before its start.
+    :ivar executions: what plain servers executed, in order.
+    :ivar starts: time, VM and identity of each generation that began.
+    :ivar faults_seen: what was wrong with a version of the ledger.
+    """
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self.executions: list[Execution] = []
+        self.starts: list[tuple[float, str, str]] = []
+        self.faults_seen: list[str] = []
+        self._last_by_budget: dict[str, BudgetRecord] = {}
+        objects = world.platform.core.objects
+        original = objects.put
+
+        def put(key, body, expected_version):
+            version = original(key, body, expected_version)
+            if key.startswith('ledger/'):
+                self._check_ledger(body)
+            return version
+
+        objects.put = put
+
+    def watch_engine(self, vm: str, engine) -> None:
+        """
+        Note when generations begin.
+
+        :param vm: the engine's VM.
+        :param engine: the stand-in.
+        """
+        submit = engine._submit
+
+        def noted(call, chat):
+            self.starts.append((trio.current_time(), vm, call.request_id))
+            return submit(call, chat)
+
+        engine._submit = noted
+
+    def watch_desk(self, vm: str, desk) -> None:
+        """
+        Note each execution.
+
+        :param vm: the plain server's VM.
+        :param desk: the stand-in.
+        """
+        execute = desk._execute
+
+        def noted(call):
+            self.executions.append(
+                Execution(
+                    trio.current_time(),
+                    vm,
+                    call.request_id,
+                    call.target,
+                    call.headers_by_name.get('idempotency-key', ''),
+                )
+            )
+            execute(call)
+
+        desk._execute = noted
+
+    def generated(self, request: Request) -> list[Generated]:
+        """
+        Find all generations of a request, also those of killed engines.
+
+        :param request: a chat request.
+        :returns: one for each engine and identity.
+        """
+        return [
+            Generated(
+                host.vm,
+                generation.spec.request_id,
+                parse_payer(generation.spec.payer).budget,
+                generation.spec.chat.prompt_tokens + generation.produced,
+                generation.state,
+            )
+            for host in self._world.servers
+            if hasattr(host.part, 'generations_by_id')
+            for generation in host.part.generations_by_id.values()
+            if request.name in generation.spec.chat.words
+        ]
+
+    def executed(self, request: Request) -> list[Execution]:
+        """
+        Find all executions of a request.
+
+        :param request: a call of a plain service.
+        :returns: one for each time.
+        """
+        wanted = f'?name={request.name}'
+        return [
+            each for each in self.executions if each.target.endswith(wanted)
+        ]
+
+    def effects(self, request: Request) -> int:
+        """
+        Count what a request caused.
+
+        :param request: any request.
+        :returns: generations or executions.
+        """
+        found = self.generated if request.is_chat else self.executed
+        return len(found(request))
+
+    def budget(self, organisation: str) -> BudgetRecord:
+        """
+        Read a budget from the ledger.
+
+        :param organisation: unqualified name of who pays.
+        :returns: its record.
+        """
+        return self._last_by_budget[budget_of(organisation)]
+
+    def billed(self, organisation: str) -> int:
+        """
+        Read what was billed to a budget.
+
+        :param organisation: unqualified name of who pays.
+        :returns: tokens, of open and closed accounts.
+        """
+        record = self.budget(organisation)
+        spent = sum(entry['spent'] for entry in record['holders'].values())
+        return record['closed_spent'] + spent
+
+    def _check_ledger(self, body: bytes) -> None:
+        for budget, record in decode_shard(body)['budgets'].items():
+            last = self._last_by_budget.get(budget, record)
+            self.faults_seen += [
+                f'{budget}: {fault}' for fault in _ledger_faults(last, record)
+            ]
+            self._last_by_budget[budget] = record
+
+
+def _ledger_faults(last: BudgetRecord, record: BudgetRecord):
+    entries = record['holders'].values()
+    drawn = sum(entry['drawn'] for entry in entries)
+    if record['granted'] < record['closed_spent'] + drawn:
+        yield f'closed and drawn exceed the grant: {record}'
+    if record['granted'] != sum(record['top_ups'].values()):
+        yield f'the grant is not the sum of the top-ups: {record}'
+    if any(entry['spent'] > entry['drawn'] for entry in entries):
+        yield f'a holder spent more than it drew: {record}'
+    if _billed(record) < _billed(last):
+        yield f'the bill shrank from {last} to {record}'
+    if record['granted'] < last['granted']:
+        yield f'a top-up was lost: {record}'
+
+
+def _billed(record: BudgetRecord) -> int:
+    spent = sum(entry['spent'] for entry in record['holders'].values())
+    return record['closed_spent'] + spent
--- /dev/null
+++ b/tests/fault_schedule.py
@@ -0,0 +1,112 @@
+"""
+tests.fault_schedule
+~~~~~~~~~~~~~~~~~~~~
+
+Runs a cell the same way each time, and holds the tasks of stopped hosts.
+
+Two private parts of trio are used: its switch for deterministic scheduling,
+which its hypothesis plugin uses too, and its queue of runnable tasks.
+"""
+
+import contextvars
+import random
+import secrets
+from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import trio
+from trio._core import _run
+from trio.testing import MockClock
+
+__all__ = ('HOST', 'Holds', 'hold_tasks', 'run_seeded')
+
+# Incarnation of the host that a task belongs to; child tasks inherit it.
+HOST: contextvars.ContextVar[str] = contextvars.ContextVar('host', default='')
+
+
+class Holds(deque):
+    """
+    Queue of runnable tasks that leaves out those of held hosts.
+
+    A held host does nothing at all, as after SIGSTOP or SIGKILL: timers that
+    run out meanwhile are noticed when it goes on.
+
+    :ivar hosts: incarnations whose tasks don't run.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.hosts: set[str] = set()
+
+    def __iter__(self) -> Iterator[trio.lowlevel.Task]:
+        tasks = super().__iter__()
+        return (task for task in tasks if not self._is_held(task))
+
+    def __len__(self) -> int:
+        if not self.hosts:
+            return super().__len__()
+        return sum(1 for _ in self)
+
+    def clear(self) -> None:
+        held = [task for task in super().__iter__() if self._is_held(task)]
+        super().clear()
+        self.extend(held)
+
+    def _is_held(self, task: trio.lowlevel.Task) -> bool:
+        return task.context.get(HOST, '') in self.hosts
+
+
+def hold_tasks() -> Holds:
+    """
+    Replace the queue of the running event loop.
+
+    :returns: the new queue.
+    """
+    runner = _run.GLOBAL_RUN_CONTEXT.runner
+    holds = Holds()
+    holds.extend(runner.runq)
+    runner.runq = holds
+    return holds
+
+
+def run_seeded(main, seed: int):
+    """
+    Run an async function on a clock that jumps, the same for a seed.
+
+    The order of sets of strings depends on ``PYTHONHASHSEED``, which the
+    caller's process has to fix.
+
+    :param main: function without arguments.
+    :param seed: decides on identities, jitter and the order of tasks.
+    :returns: what it returns.
+    """
+    with _seeded(seed):
+        return trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+@contextmanager
+def _seeded(seed: int):
+    source = random.Random(seed)
+    unseeded = random.Random
+
+    class SeededRandom(unseeded):
+        def __init__(self, given=None) -> None:
+            super().__init__(source.random() if given is None else given)
+
+    def token_hex(count=16):
+        return source.randbytes(count).hex()
+
+    saved = (secrets.token_hex, secrets.token_urlsafe, random.getstate())
+    secrets.token_hex = secrets.token_urlsafe = token_hex
+    random.Random = SeededRandom
+    random.seed(seed)
+    _run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    _run._r.seed(seed)
+    try:
+        yield
+    finally:
+        secrets.token_hex, secrets.token_urlsafe, state = saved
+        random.Random = unseeded
+        random.setstate(state)
+        _run._ALLOW_DETERMINISTIC_SCHEDULING = False
--- /dev/null
+++ b/tests/fault_world.py
@@ -0,0 +1,462 @@
+"""
+tests.fault_world
+~~~~~~~~~~~~~~~~~
+
+A platform, backend servers and whole routers on one in-memory network.
+"""
+
+import hashlib
+import random
+from typing import Any, NamedTuple
+
+import trio
+from nacl.signing import SigningKey
+
+from eelgrassfork import bundle
+from eelgrassfork.budget_admin import TopUp, apply_top_up
+from eelgrassfork.http_client import ClientRequest, HttpClient, HttpClientError
+from eelgrassfork.names import shard_of
+from eelgrassfork.platform_client import PlatformClient
+from eelgrassfork.router import Router, RouterEnvironment
+from eelgrassfork.settings import Endpoint, RouterSettings
+from eelgrassfork.signing import KeyPair
+from eelgrassfork.vm_list import VmRecord
+from standins.engine import EngineSettings, EngineStandin
+from standins.plain_service import PlainServiceStandin
+from standins.platform import PlatformStandin
+from tests.fault_network import FaultNetwork
+from tests.fault_schedule import HOST, hold_tasks
+
+__all__ = ('DOMAINS', 'FLEET', 'Host', 'PRICE', 'World', 'budget_of')
+
+FLEET = 'pazlen'
+DOMAINS = {'a': 'pazlen/plovdiv-a', 'b': 'pazlen/plovdiv-b'}
+PRICE = 5
+CAP = 64
+FIRST_BYTE_MS = 2000
+SILENCE_MS = 1000
+SHARDS = 2
+KEY = KeyPair(SigningKey(b'7' * 32))
+MODEL, DESK = 'pazlen/matcher', 'pazlen/shopdesk'
+# Each organisation has one key, named as itself, and one budget.
+ORGANISATIONS = ('subject', 'others')
+READY_S = 30
+
+
+class Host(NamedTuple):
+    """
+    One incarnation of a VM.
+
+    :param incarnation: name by which its tasks are held.
+    :param domain: letter of its failure domain, empty for the platform.
+    :param part: the router or stand-in that runs on it.
+    """
+
+    vm: str
+    incarnation: str
+    ip: str
+    domain: str
+    part: Any
+
+
+def budget_of(organisation: str) -> str:
+    """
+    Name the budget of an organisation of the world.
+
+    :param organisation: unqualified name.
+    :returns: qualified name.
+    """
+    return f'{FLEET}/{organisation}/main'
+
+
+def ledger_key(organisation: str) -> str:
+    """
+    Tell which object holds the budget of an organisation.
+
+    :param organisation: unqualified name.
+    :returns: object key.
+    """
+    return f'ledger/{FLEET}/{shard_of(budget_of(organisation), SHARDS)}'
+
+
+def sealed_bundle(version: int) -> tuple[bytes, dict[str, bytes]]:
+    """
+    Sign a bundle whose list of models tells its version.
+
+    :param version: version of the bundle.
+    :returns: the envelope, and the parts by hash.
+    """
+    bodies_by_hash: dict[str, bytes] = {}
+
+    def add(kind, content):
+        part_hash, body = bundle.new_part(kind, content)
+        bodies_by_hash[part_hash] = body
+        return part_hash
+
+    bounds = {'first_byte_ms': FIRST_BYTE_MS, 'silence_ms': SILENCE_MS}
+    model = {'kind': 'model', 'model': 'matcher', 'max_tokens': CAP, **bounds}
+    desk = {'kind': 'plain', 'price_tokens': PRICE, **bounds}
+    marker = f'{FLEET}/version-{version}'
+    organisations = {
+        f'{FLEET}/{name}': {
+            'budgets_by_key_hash': {
+                hashlib.sha256(name.encode()).hexdigest(): 'main',
+            },
+            'services': [MODEL, DESK, marker],
+        }
+        for name in ORGANISATIONS
+    }
+    manifest = bundle.Manifest(
+        version,
+        (
+            add('fleets', {FLEET: {'ledger_shards': SHARDS}}),
+            add('services', {MODEL: model, DESK: desk, marker: model}),
+            add('organisations', organisations),
+        ),
+    )
+    return bundle.seal_manifest(manifest, KEY), bodies_by_hash
+
+
+class World:
+    """
+    Everything that a cell runs in.
+
+    :param nursery: where hosts run.
+    :param seed: decides on the routers' jitter.
+    :ivar hosts_by_vm: the newest incarnation on each VM.
+    :ivar servers: all backend servers that ever ran, for their records.
+    :ivar gone_vms: killed VMs whose process was not started again.
+    :ivar left_by_vm: what drained routers left open.
+    :ivar frozen_s_by_vm: for how long hosts were frozen, in seconds.
+    :ivar crashes: routers that ended with an error.
+    :ivar on_start: told each VM and the router or server about to start.
+    """
+
+    def __init__(self, nursery: trio.Nursery, seed: int) -> None:
+        self.nursery = nursery
+        self.network = FaultNetwork()
+        self.holds = hold_tasks()
+        self.hosts_by_vm: dict[str, Host] = {}
+        self.servers: list[Host] = []
+        self.gone_vms: set[str] = set()
+        self.left_by_vm: dict[str, dict[str, int]] = {}
+        self.crashes: list[str] = []
+        self.on_start = lambda vm, part: None
+        self.platform = PlatformStandin(
+            transport=self.network.transport('platform')
+        )
+        self._records_by_vm: dict[str, VmRecord] = {}
+        self.frozen_s_by_vm: dict[str, float] = {}
+        self._frozen_at_by_vm: dict[str, float] = {}
+        self._ip_by_vm: dict[str, str] = {}
+        self._source = random.Random(seed)
+        self._operator_http = HttpClient(
+            transport=self.network.transport('operator')
+        )
+        self._started = 0
+
+    async def start(self) -> None:
+        """Start all hosts and wait until the routers are ready."""
+        await self._start_standin('platform', '', self.platform)
+        self._put_first_bundle()
+        for domain in DOMAINS:
+            await self.start_engine(f'engine-{domain}1', domain)
+            await self.start_desk(f'desk-{domain}1', domain)
+        vms = [f'{domain}{number}' for domain in DOMAINS for number in (1, 2)]
+        for vm in vms:
+            self._record_router(vm)
+        self.publish_vms()
+        for vm in vms:
+            await self.start_router(vm)
+        await self.wait_ready(vms)
+
+    def client(self, host: str) -> PlatformClient:
+        """
+        Make a client of the platform.
+
+        :param host: where it runs.
+        :returns: the client.
+        """
+        http = HttpClient(transport=self.network.transport(host))
+        return PlatformClient(http, self.platform.address, 1, host)
+
+    def routers(self) -> list[str]:
+        """
+        List the routers that run.
+
+        :returns: their VMs.
+        """
+        return [
+            vm
+            for vm, host in self.hosts_by_vm.items()
+            if isinstance(host.part, Router) and vm not in self.gone_vms
+        ]
+
+    def vms_of(self, domain: str) -> list[str]:
+        """
+        List the VMs of a failure domain.
+
+        :param domain: its letter.
+        :returns: routers and backend servers, also those that were killed.
+        """
+        return [
+            vm for vm, host in self.hosts_by_vm.items() if host.domain == domain
+        ]
+
+    def callers_address(self, vm: str) -> str:
+        """
+        Tell where a router listens for callers.
+
+        :param vm: its VM.
+        :returns: address and port.
+        """
+        return f'{self.hosts_by_vm[vm].ip}:80'
+
+    async def top_up(self, organisation: str, amount: int) -> None:
+        """
+        Grant tokens to the budget of an organisation.
+
+        :param organisation: unqualified name.
+        :param amount: tokens.
+        """
+        change = TopUp(budget_of(organisation), f'op-{amount}', amount)
+        client = self.client('operator')
+        await apply_top_up(client, ledger_key(organisation), change)
+
+    async def start_engine(self, vm: str, domain: str) -> None:
+        """
+        Start an engine; it is listed with the next list of VMs.
+
+        :param vm: its VM.
+        :param domain: letter of its failure domain.
+        """
+        transport = self.network.transport(vm)
+        settings = EngineSettings('matcher', checks_fencing=True)
+        engine = EngineStandin(settings, transport)
+        await self._start_server(vm, domain, MODEL, engine)
+
+    async def start_desk(self, vm: str, domain: str) -> None:
+        """
+        Start a plain server; it is listed with the next list of VMs.
+
+        :param vm: its VM.
+        :param domain: letter of its failure domain.
+        """
+        desk = PlainServiceStandin(0.02, self.network.transport(vm))
+        await self._start_server(vm, domain, DESK, desk)
+
+    async def start_router(self, vm: str) -> None:
+        """
+        Start a router process on a VM.
+
+        :param vm: its VM; the first letter tells its failure domain.
+        """
+        self._record_router(vm)
+        self.gone_vms.discard(vm)
+        environment = RouterEnvironment(
+            transport=self.network.transport(vm),
+            source=random.Random(self._source.random()),
+        )
+        router = Router(self._settings(vm), environment)
+        self.on_start(vm, router)
+        host = self._new_host(vm, vm[0], router)
+        await self.nursery.start(self._run_router, host)
+
+    def publish_vms(self, **states_by_vm: str) -> None:
+        """
+        Let the platform list all VMs but those that are gone.
+
+        :param states_by_vm: states of VMs that are not live.
+        """
+        listed = [
+            record._replace(
+                state=states_by_vm.get(vm.replace('-', '_'), record.state)
+            )
+            for vm, record in self._records_by_vm.items()
+            if vm not in self.gone_vms
+        ]
+        for record in listed:
+            self._records_by_vm[record.vm] = record
+        self.platform.set_vms(*listed)
+
+    async def wait_ready(self, vms: list[str]) -> None:
+        """
+        Wait until routers are ready, within a bound.
+
+        :param vms: their VMs.
+        """
+        with trio.fail_after(READY_S):
+            for vm in vms:
+                while not await self._is_ready(vm):
+                    await trio.sleep(0.1)
+
+    def kill(self, vm: str) -> None:
+        """
+        End a host at once, as SIGKILL does; the platform still lists it.
+
+        :param vm: its VM.
+        """
+        self.holds.hosts.add(self.hosts_by_vm[vm].incarnation)
+        self.network.kill(vm)
+        self.gone_vms.add(vm)
+
+    def freeze(self, vm: str) -> None:
+        """
+        Stop a host, as SIGSTOP does.
+
+        :param vm: its VM.
+        """
+        self.holds.hosts.add(self.hosts_by_vm[vm].incarnation)
+        self.network.freeze(vm)
+        self._frozen_at_by_vm[vm] = trio.current_time()
+
+    def thaw(self, vm: str) -> None:
+        """
+        Let a stopped host go on.
+
+        :param vm: its VM.
+        """
+        frozen_s = trio.current_time() - self._frozen_at_by_vm.pop(vm)
+        self.frozen_s_by_vm[vm] = self.frozen_s_by_vm.get(vm, 0) + frozen_s
+        if vm not in self.gone_vms:
+            self.holds.hosts.discard(self.hosts_by_vm[vm].incarnation)
+        self.network.thaw(vm)
+
+    def hosts_beyond(self, domain: str) -> list[str]:
+        """
+        List the VMs of the other failure domains.
+
+        :param domain: letter of the one that is left out.
+        :returns: routers and backend servers.
+        """
+        return [
+            vm
+            for vm, host in self.hosts_by_vm.items()
+            if host.domain not in {'', domain}
+        ]
+
+    def cut(self, domain: str, others: list[str]) -> None:
+        """
+        Separate a failure domain from other hosts.
+
+        :param domain: its letter.
+        :param others: names of the other hosts.
+        """
+        for vm in self.vms_of(domain):
+            for other in others:
+                self.network.cut(vm, other)
+
+    def join(self, domain: str, others: list[str]) -> None:
+        """
+        End a separation.
+
+        :param domain: letter of the failure domain.
+        :param others: names of the other hosts.
+        """
+        for vm in self.vms_of(domain):
+            for other in others:
+                self.network.join(vm, other)
+
+    def end(self) -> None:
+        """Let all tasks of the cell end."""
+        self.network.heal()
+        self.holds.hosts.clear()
+        for vm in self.hosts_by_vm:
+            self.network.thaw(vm)
+        self.nursery.cancel_scope.cancel()
+
+    def _put_first_bundle(self) -> None:
+        envelope, bodies_by_hash = sealed_bundle(1)
+        objects = self.platform.core.objects
+        for part_hash, body in bodies_by_hash.items():
+            objects.put(bundle.part_key(part_hash), body, None)
+        objects.put(bundle.CURRENT_KEY, envelope, None)
+
+    def _new_host(self, vm: str, domain: str, part: Any) -> Host:
+        self._started += 1
+        incarnation = f'{vm}#{self._started}'
+        host = Host(vm, incarnation, self._ip(vm), domain, part)
+        self.hosts_by_vm[vm] = host
+        return host
+
+    def _ip(self, vm: str) -> str:
+        number = len(self._ip_by_vm) + 1
+        return self._ip_by_vm.setdefault(vm, f'10.0.0.{number}')
+
+    async def _start_server(self, vm, domain, service, standin) -> None:
+        self.on_start(vm, standin)
+        host = await self._start_standin(vm, domain, standin)
+        self.servers.append(host)
+        self._records_by_vm[vm] = VmRecord(
+            vm, 'backend', 'live', FLEET, service, DOMAINS[domain],
+            'bg-south', standin.address,
+        )  # fmt: skip
+
+    async def _start_standin(self, vm, domain, standin) -> Host:
+        host = self._new_host(vm, domain, standin)
+
+        async def run(task_status):
+            HOST.set(host.incarnation)
+            async with trio.open_nursery() as nursery:
+                await standin.start(nursery, host.ip, 80)
+                task_status.started()
+
+        await self.nursery.start(lambda task_status: run(task_status))
+        return host
+
+    def _record_router(self, vm: str) -> None:
+        if vm in self._records_by_vm:
+            return
+        ip = self._ip(vm)
+        self._records_by_vm[vm] = VmRecord(
+            vm, 'router', 'live', FLEET, '', DOMAINS[vm[0]], 'bg-south',
+            f'{ip}:80', f'{ip}:81', f'{ip}:82',
+        )  # fmt: skip
+
+    def _settings(self, vm: str) -> RouterSettings:
+        ip = self._ip(vm)
+        peers = [
+            record.peer_address
+            for record in self._records_by_vm.values()
+            if record.role == 'router' and record.vm != vm
+        ]
+        return RouterSettings(
+            vm=vm,
+            fleet=FLEET,
+            failure_domain=DOMAINS[vm[0]],
+            region='bg-south',
+            callers=Endpoint(ip, 80),
+            peers=Endpoint(ip, 81),
+            operators=Endpoint(ip, 82),
+            platform=self.platform.address,
+            peer_key='peer-key-of-the-matrix',
+            operator_key_hash=hashlib.sha256(b'operator').hexdigest(),
+            trusted_keys={KEY.key_id: KEY.public_key},
+            seed_peers=tuple(peers),
+            heartbeat_ms=2_000,
+            vm_list_ms=2_000,
+            drain_limit_ms=30_000,
+        )
+
+    async def _run_router(self, host: Host, task_status) -> None:
+        HOST.set(host.incarnation)
+        try:
+            async with trio.open_nursery() as nursery:
+                await host.part.start(nursery)
+                task_status.started()
+                self.left_by_vm[host.vm] = await host.part.run_drain()
+                nursery.cancel_scope.cancel()
+        except Exception as error:
+            self.crashes.append(f'{host.vm}: {error!r}')
+        self.network.kill(host.vm)
+        self.gone_vms.add(host.vm)
+
+    async def _is_ready(self, vm: str) -> bool:
+        request = ClientRequest(
+            f'{self.hosts_by_vm[vm].ip}:82', 'GET', '/readyz'
+        )
+        try:
+            response, _ = await self._operator_http.fetch(request)
+        except HttpClientError:
+            return False
+        return response.status == 200
