Review the queue when the list of VMs changes

Cause: a request that waits for a server should start as soon as one appears, not at the next release of a slot. Change: the router reviews the admission queue on each newer VM list.

--- a/eelgrassfork/router.py
+++ b/eelgrassfork/router.py
@@ -242,6 +242,7 @@
 
     def _take_vm_list(self, vm_list: VmList) -> None:
         self.backends.update(vm_list.vms)
+        self.requests.review_queue()
         for record in vm_list.vms:
             if record.vm == self._settings.vm and record.state == 'leaving':
                 self.drain.begin('the VM is leaving')
--- a/eelgrassfork/router_requests.py
+++ b/eelgrassfork/router_requests.py
@@ -95,6 +95,10 @@
         await self._keys.close()
         await self._claims.close()
 
+    def review_queue(self) -> None:
+        """Start or refuse waiting requests after servers came or left."""
+        self._admission.review()
+
     def open_work(self) -> dict[str, int]:
         """
         Count what a drain waits for.
