Make idempotent plain calls free

Cause: a trial of the fault matrix found priced look-ups that nobody billed after their router was killed between answer and ledger report (5 tokens each, for instance look_up/delivered:killed). Plain services keep no records for us, so such a call can't be billed exactly once. Ruled out: a ledger write before each answer (a write a look-up), and charging a dead router's open look-ups in full (bills calls that never ran).

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -92,7 +92,7 @@
     answer = await hotel.send(
         'GET', '/services/robe-orders/thread-stock?colour=indigo'
     )
-    table.add('stock look-up', hotel, answer, 200, price=20)
+    table.add('stock look-up', hotel, answer, 200, note='free')
 
     order = b'{"robes": 40, "monogram": "HH"}'
     path = '/services/robe-orders/confirmations'
--- a/demo/bill.py
+++ b/demo/bill.py
@@ -89,6 +89,6 @@
             continue
         _, _, body = await fleet.fetch(address, 'GET', '/admin/executions')
         for request_id, count in json.loads(body)['by_request_id'].items():
-            budget, price = price_by_request.get(request_id, ('unknown', 1))
+            budget, price = price_by_request.get(request_id, ('free', 0))
             executed[budget] += count * price
     return executed
--- a/eelgrassfork/bundle_types.py
+++ b/eelgrassfork/bundle_types.py
@@ -57,7 +57,8 @@
     :param name: qualified name.
     :param kind: ``model`` for engines, ``plain`` for other services.
     :param model: model name at the engines.
-    :param price_tokens: price of one plain call.
+    :param price_tokens: price of one plain call that may not be repeated;
+        others are free.
     :param idempotent_methods: methods that may be repeated.
     :param idempotent_paths: path prefixes that may be repeated with any
         method.
--- a/eelgrassfork/look_ups.py
+++ b/eelgrassfork/look_ups.py
@@ -9,11 +9,10 @@
 
 import trio
 
-from .claim_records import ClaimState, refusal
+from .claim_records import refusal
 from .errors import RequestError
 from .http_client import ConnectionSilent, HttpClientError, Response
 from .http_server import Call, CallerGone
-from .permits import reserve_price, settle_price
 from .plain_parts import (
     PlainParts,
     Sending,
@@ -33,22 +32,15 @@
     Answer an idempotent call.
 
     Before its answer begins, it may be sent to another server within the
-    retry budget. It is billed once an answer has begun.
+    retry budget. It is free: no record of it would outlive this router, so
+    that it could not be billed exactly once.
 
     :param parts: dependencies.
     :param call: the request as it arrived.
     :param request: the checked call.
     :raises RequestError: if there is no whole answer.
     """
-    price = request.service.price_tokens
-    reservation = await reserve_price(
-        parts.credit, request.caller.budget, price
-    )
-    try:
-        await _LookUp(parts, call, request).run()
-    finally:
-        state: ClaimState = 'ran' if call.started else 'released'
-        settle_price(parts.credit, reservation, state, price)
+    await _LookUp(parts, call, request).run()
 
 
 class _LookUp:
