--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -78,6 +78,7 @@
             'eelgrass-llm',
         ),
         ('threadlantern/kandy-b', 'threadlantern/hill-hotels', 'shopdesk'),
+        ('threadlantern/kandy-b', 'threadlantern/atelier', 'eelgrass-llm'),
     ):
         caller = Caller(fleet, domain, organisation)
         for stream in (False, True):
