--- a/eelgrassfork/claim_records.py
+++ b/eelgrassfork/claim_records.py
@@ -26,7 +26,6 @@
     'encode_claim',
     'keep_answer',
     'object_key',
-    'payer_holder',
     'refusal',
     'refusal_outcome',
     'supersedes',
@@ -81,9 +80,8 @@
         as the holder knew it, or 0.
     :param nonce: random identity of the claim.
     :param request_id: identity of the request at the backend server.
-    :param budget: what pays, ``<fleet>/<organisation>/<budget>``.
     :param price: tokens.
-    :param payer: payer tag of the reservation; empty until it is known.
+    :param payer: payer tag of the reservation; empty if the price is 0.
     :param attempt: raised when the issuer of a key allows another attempt
         after one that sent nothing.
     :param answer: set in the state ``ran``.
@@ -94,7 +92,6 @@
     listed_at: int
     nonce: str
     request_id: str
-    budget: str
     price: int
     state: ClaimState = 'claimed'
     payer: str = ''
@@ -187,19 +184,6 @@
     return ClaimAnswer(status, headers, None if too_large else body)
 
 
-def payer_holder(record: ClaimRecord) -> str:
-    """
-    Tell on whose account the price of a claim is reserved.
-
-    A claim names its payer from the start where another holder lends the
-    credit; without a payer, its own holder pays.
-
-    :param record: the claim.
-    :returns: the paying holder.
-    """
-    return record.payer.partition('/')[0] or record.holder
-
-
 def supersedes(wanted: ClaimRecord, found: ClaimRecord) -> bool:
     """
     Tell whether a record says more than the one at the platform.
@@ -260,7 +244,10 @@
 
 
 def refusal(
-    code: str, message: str, headers_by_name: Mapping[str, str]
+    code: str,
+    message: str,
+    headers_by_name: Mapping[str, str],
+    retry_after_s: float | None = None,
 ) -> RequestError:
     """
     Make the answer to a request that this router did not run.
@@ -268,10 +255,12 @@
     :param code: a key of :data:`~eelgrassfork.errors.CODES`.
     :param message: one plain sentence for the caller.
     :param headers_by_name: the request's headers by lower-case name.
+    :param retry_after_s: seconds until a retry makes sense; the code's
+        default where it is ``None``.
     :returns: the error, with the outcome of :func:`refusal_outcome`.
     """
     outcome = refusal_outcome(headers_by_name)
-    return RequestError(code, message, outcome, attempt='not_run')
+    return RequestError(code, message, outcome, retry_after_s, 'not_run')
 
 
 def _rank(record: ClaimRecord) -> tuple[int, int]:
