--- a/bench/slope_claims.py
+++ b/bench/slope_claims.py
@@ -64,14 +64,13 @@
             200, (('content-type', 'application/json'),), source.randbytes(size)
         )
     return ClaimRecord(
-        f'{source.getrandbits(256):064x}',
-        f'bg-south-entry-{number % 2800:05}.0a1b2c3d',
-        31_000,
-        f'{source.getrandbits(96):024x}'[:16],
-        f'req-{source.getrandbits(72):018x}'[:16],
-        'pazlen/organisation-0001/budget-1',
-        400,
-        'ran' if size else 'claimed',
+        body_hash=f'{source.getrandbits(256):064x}',
+        holder=f'bg-south-entry-{number % 2800:05}.0a1b2c3d',
+        listed_at=31_000,
+        nonce=f'{source.getrandbits(96):024x}'[:16],
+        request_id=f'req-{source.getrandbits(72):018x}'[:16],
+        price=400,
+        state='ran' if size else 'claimed',
         payer='bg-south-entry-00001.0a1b2c3d/pazlen/o-1/budget-1/1234',
         answer=answer,
     )
@@ -106,5 +105,5 @@
         size += len(body)
     claims = Claims(FakePlatform(core), _identity())
     started = time.process_time()
-    await claims.paid_by('bg-south-entry-00001.0a1b2c3d', 'pazlen')
+    await claims.paid_by('bg-south-entry-00001.0a1b2c3d/')
     return size, 1000 * (time.process_time() - started)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -25,7 +25,9 @@
     'relay',
     'routing',
     'reports',
+    'reclaim',
 )
+
 SEED = 20260
 
 
