--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -26,6 +26,8 @@
     'routing',
     'reports',
     'reclaim',
+    'router',
+    'credit',
 )
 
 SEED = 20260
