Let the stand-in engine report what it runs

Cause: orders follow from what an engine runs, and only the answer to an order told it. Change: GET /v1/state at the stand-in, as in the answer to an order. Result: tests/test_standins.py passes.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -90,6 +90,7 @@
             ('GET', '/v1/models'): self._models,
             ('GET', '/v1/requests'): self._list_requests,
             ('GET', '/v1/load'): self._show_load,
+            ('GET', '/v1/state'): self._show_state,
             ('GET', '/v1/cache-events'): self._cache_events,
             ('POST', '/v1/orders'): self._order,
             ('POST', '/admin/faults'): self._admin_faults,
@@ -257,6 +258,9 @@
         }
         await self._respond(call, load)
 
+    async def _show_state(self, call: Call) -> None:
+        await self._respond(call, self.orders.state())
+
     async def _cache_events(self, call: Call) -> None:
         after = int(call.query_by_name.get('after', '0'))
         events = [event._asdict() for event in self._events.after(after)]
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -249,6 +249,7 @@
         stale = b'{"order": "load_adapter", "name": "a", "fencing_number": 1}'
         state = await server.json('POST', '/v1/orders', stale)
         self.assertEqual(['m', 'a'], state['models'])
+        self.assertEqual(state, await server.json('GET', '/v1/state'))
 
     @with_engine
     async def test_leaving_engine_takes_no_new_work(self, server):
