Name in a service what its engines run

Cause: a router that gives orders to engines needs the state to reach. Change: version, adapters and role of a service, with defaults that leave an engine as it is; they are only for services of kind model. Result: tests/test_bundle_source.py, test_bundle.py and test_rollout.py pass, 27 tests; nine wrong values are refused with file, line and field.

--- a/eelgrassfork/bundle_rules.py
+++ b/eelgrassfork/bundle_rules.py
@@ -21,6 +21,7 @@
 _METHOD: Final = re.compile('[A-Z]{1,16}')
 _HOUR_MS: Final = 3_600_000
 _LOWEST_PRIORITY: Final = 2
+_ENGINE_FIELDS: Final = ('model', 'version', 'adapters', 'role')
 
 _RANGES_BY_FIELD: Final = {
     'ledger_shards': (1, 4096),
@@ -57,10 +58,7 @@
     :param service: the service.
     :param add_problem: takes field and message of what is wrong.
     """
-    if service.kind == 'model' and not service.model:
-        add_problem(('model',), 'is missing for a service of kind model')
-    if service.kind == 'plain' and service.model:
-        add_problem(('model',), 'is only for services of kind model')
+    _check_engines(service, add_problem)
     for method in service.idempotent_methods:
         if not _METHOD.fullmatch(method):
             message = f'{method!r} is not a method in upper case'
@@ -100,6 +98,16 @@
             add_problem(path, f'{budget!r} is not the name of a budget')
 
 
+def _check_engines(service: Service, add_problem: AddProblem) -> None:
+    if service.kind == 'model' and not service.model:
+        add_problem(('model',), 'is missing for a service of kind model')
+    for field in _ENGINE_FIELDS:
+        if service.kind == 'plain' and getattr(service, field):
+            add_problem((field,), 'is only for services of kind model')
+    if service.model in service.adapters or '' in service.adapters:
+        add_problem(('adapters',), 'an adapter needs a name of its own')
+
+
 def _is_budget(budget: str) -> bool:
     try:
         qualify(budget, 'fleet')
--- a/eelgrassfork/bundle_types.py
+++ b/eelgrassfork/bundle_types.py
@@ -69,6 +69,10 @@
     :param max_tokens: largest and default completion.
     :param image_tokens: upper bound of prompt tokens of one image.
     :param checks_fencing: whether its servers refuse old fencing numbers.
+    :param version: version of the model that its engines run; empty leaves
+        it to them.
+    :param adapters: adapters that its engines have loaded besides the model.
+    :param role: role of its engines; empty leaves it to them.
     """
 
     name: str
@@ -85,6 +89,9 @@
     max_tokens: int = 4_096
     image_tokens: int = 1_536
     checks_fencing: bool = False
+    version: str = ''
+    adapters: tuple[str, ...] = ()
+    role: Literal['', 'both', 'prefill', 'decode'] = ''
 
 
 class Place(NamedTuple):
--- a/tests/test_bundle_source.py
+++ b/tests/test_bundle_source.py
@@ -52,6 +52,24 @@
     return bundle.assemble(bundle.Manifest(1, compiled.hashes), parts)
 
 
+def engine_cases():
+    model = '"kind": "model", "model": "base"'
+    plain = '"kind": "plain"'
+    for kind, field, wrong in (
+        (model, 'adapter', '["a"]'),
+        (model, 'version', '3'),
+        (model, 'adapters', '"a"'),
+        (model, 'adapters', '["a", "base"]'),
+        (model, 'adapters', '[""]'),
+        (model, 'role', '"prefil"'),
+        (plain, 'version', '"v3"'),
+        (plain, 'adapters', '["a"]'),
+        (plain, 'role', '"both"'),
+    ):
+        text = f'{{"m": {{{kind},\n"{field}": {wrong}}}}}'
+        yield 'services', text, 2, f'm.{field}'
+
+
 class MergerTests(testtools.TestCase):
     def test_clashing_names_of_two_fleets_stay_apart(self):
         merged = whole_bundle(PAZLEN, THREADLANTERN)
@@ -75,6 +93,20 @@
         self.assertIn('also stands at', error.message)
 
 
+class ServiceTests(testtools.TestCase):
+    def test_what_engines_run_survives_compilation(self):
+        text = (
+            '{"matcher": {"kind": "model", "model": "m", "version": "v2",'
+            ' "adapters": ["b", "a"], "role": "prefill"}}'
+        )
+        merged = whole_bundle(write_sources(services=text))
+        service = merged.services_by_name['pazlen/matcher']
+        self.assertEqual(
+            ('v2', ('b', 'a'), 'prefill'),
+            (service.version, service.adapters, service.role),
+        )
+
+
 class PartsTests(testtools.TestCase):
     def test_one_change_touches_few_parts(self):
         def parts(priority):
@@ -102,6 +134,7 @@
             ('services', '{"m": {"kind": "plain",\n"x": 1}}', 2, 'm.x'),
             ('services', '{"m": {\n"kind": "model"}}', 1, 'm.model'),
             ('services', '{"m": {"kind": "plain",\n"priority": 3}}', 2, ''),
+            *engine_cases(),
             ('places', '{\n\n"plovdiv": {}}', 3, 'plovdiv.region'),
             ('places', '{"other/x": {"region": "bg"}}', 1, 'other/x'),
             ('places', None, None, ''),
