Read an engine's state and tell a fenced order apart

Cause: who gives orders compares what an engine runs with what it should run, and must stop when an engine knows a higher fencing number; such a refusal looked like any other one. Change: EngineClient.state, and the code order_fenced for a stale number or a lapsed lease. The test expected engine_rejected there; it now expects the narrower code, and engine_rejected for an order that is not known.

--- a/eelgrassfork/engine_client.py
+++ b/eelgrassfork/engine_client.py
@@ -12,7 +12,13 @@
 import msgspec
 import trio
 
-from .engine_types import EngineCall, EngineError, EngineRecord, refusal_code
+from .engine_types import (
+    EngineCall,
+    EngineError,
+    EngineRecord,
+    EngineState,
+    refusal_code,
+)
 from .http_client import (
     ClientRequest,
     ClientTimeouts,
@@ -203,18 +209,18 @@
         Give an engine an order under a lease.
 
         An engine that ignores fencing numbers also takes an order whose
-        lease lapses on the way; callers renew the lease just before.
+        lease lapses on the way; who holds the lease then corrects it.
 
         :param address: of the engine.
         :param order: what to do.
         :param name: model, version, adapter or role that it is about.
         :param lease: the lease held.
         :raises EngineError: if the order was refused or may not have taken
-            effect.
+            effect; ``order_fenced`` if the engine knows a higher number.
         """
         if trio.current_time() >= lease.valid_until:
             message = f'the lease {lease.name} lapsed before the order'
-            raise EngineError('engine_rejected', message)
+            raise EngineError('order_fenced', message)
         fields = {
             'order': order,
             'name': name,
@@ -228,10 +234,18 @@
             _ORDER_CALL,
         )
         if status != _OK:
-            refusal = _refusal(status, body)
-            if refusal.code == 'engine_cancelled':
-                raise EngineError('engine_rejected', refusal.message)
-            raise refusal
+            raise _order_refusal(status, body)
+
+    async def state(self, address: str) -> EngineState:
+        """
+        Ask an engine what it runs.
+
+        :param address: of the engine.
+        :returns: models, version and role.
+        :raises EngineError: if the engine can't be asked.
+        """
+        status, body = await self._ask(address, 'GET', '/v1/state')
+        return _decoded(status, body, EngineState)
 
     async def _try(
         self, call: EngineCall, wait_s: float, resume_from: int, fresh: bool
@@ -296,12 +310,27 @@
 
 
 def _refusal(status: int, body: bytes) -> EngineError:
+    detail = _error_detail(status, body)
+    return EngineError(refusal_code(status, detail.code), detail.message)
+
+
+def _order_refusal(status: int, body: bytes) -> EngineError:
+    detail = _error_detail(status, body)
+    code = refusal_code(status, detail.code)
+    if detail.code == 'stale_fencing_number':
+        code = 'order_fenced'
+    elif code == 'engine_cancelled':
+        code = 'engine_rejected'
+    return EngineError(code, detail.message)
+
+
+def _error_detail(status: int, body: bytes) -> _ErrorDetail:
     try:
         detail = msgspec.json.decode(body, type=_ErrorBody).error
     except msgspec.DecodeError:
         detail = _ErrorDetail()
     message = detail.message or f'the engine answered {status}'
-    return EngineError(refusal_code(status, detail.code), message)
+    return _ErrorDetail(detail.code, message)
 
 
 def _engine_error(error: HttpClientError, sent: bool = False) -> EngineError:
--- a/eelgrassfork/engine_types.py
+++ b/eelgrassfork/engine_types.py
@@ -16,6 +16,7 @@
     'EngineCall',
     'EngineError',
     'EngineRecord',
+    'EngineState',
     'FailureKind',
     'refusal_code',
 )
@@ -64,6 +65,20 @@
         return self.prompt_tokens + self.completion_tokens
 
 
+class EngineState(msgspec.Struct, frozen=True):
+    """
+    What an engine runs.
+
+    :param models: models and adapters that it serves.
+    :param leaving: whether it takes no new work.
+    """
+
+    models: tuple[str, ...]
+    version: str = ''
+    role: str = ''
+    leaving: bool = False
+
+
 class FailureKind(NamedTuple):
     """
     What a failed attempt means.
@@ -92,6 +107,9 @@
     'engine_rejected': FailureKind(
         may_have_run=False, counts=False, retryable=False
     ),
+    'order_fenced': FailureKind(
+        may_have_run=False, counts=False, retryable=False
+    ),
 }
 
 _CODES_BY_STATUS: Final = {
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -188,7 +188,14 @@
             for number, rest_s in ((2, 5), (3, 0), (1, 5), (3, 5))
         ]
         self.assertEqual(
-            ['done', 'engine_rejected', 'engine_rejected', 'done'], codes
+            ['done', 'order_fenced', 'order_fenced', 'done'], codes
         )
         names = [order['name'] for order in setting.engine.orders.carried_out]
         self.assertEqual(['a2', 'a3'], names)
+        state = await setting.client.state(setting.engine.address)
+        self.assertEqual(('m', 'a2', 'a3'), state.models)
+        lease = Lease('orders', 9, 1, trio.current_time() + 5)
+        with testtools.ExpectedException(EngineError, 'engine_rejected'):
+            await setting.client.order(
+                setting.engine.address, 'dance', '', lease
+            )
