Keep the bundle version of a lease's holders in the lease

Cause: a router that takes over a lease with an older bundle than the last holder's would turn engines back to it. Change: the lease carries the newest bundle version; acquiring with an older one is refused with lease_ahead.

--- a/eelgrassfork/leases.py
+++ b/eelgrassfork/leases.py
@@ -32,7 +32,8 @@
     A lease is not held.
 
     :param code: ``lease_held`` by another holder, ``lease_lost`` to
-        another, or ``lease_unreachable`` if the platform can't tell.
+        another, ``lease_ahead`` if the last holder had a newer bundle, or
+        ``lease_unreachable`` if the platform can't tell.
     """
 
 
@@ -43,12 +44,14 @@
     :param fencing_number: higher than that of every earlier acquisition.
     :param version: version of the object at the platform.
     :param valid_until: time on the clock of trio when it lapses.
+    :param bundle_version: newest bundle by which its holders have acted.
     """
 
     name: str
     fencing_number: int
     version: int
     valid_until: float
+    bundle_version: int = 0
 
 
 class _LeaseBody(msgspec.Struct):
@@ -56,6 +59,7 @@
     fencing_number: int
     renewals: int = 0
     released: bool = False
+    bundle_version: int = 0
 
 
 class _Sighting(NamedTuple):
@@ -83,38 +87,47 @@
         self._duration_s = duration_s
         self._sightings_by_name: dict[str, _Sighting] = {}
 
-    async def acquire(self, name: str) -> Lease:
+    async def acquire(self, name: str, bundle_version: int = 0) -> Lease:
         """
         Take a lease that is free, lapsed, released or already this
         holder's; the fencing number grows each time.
 
         :param name: name of the lease.
+        :param bundle_version: bundle by which the holder will act.
         :returns: the lease.
-        :raises LeaseError: ``lease_held`` or ``lease_unreachable``.
+        :raises LeaseError: ``lease_held``, ``lease_ahead`` or
+            ``lease_unreachable``.
         """
         stored = await self._read(name)
-        number = 1
-        if stored is not None:
-            current = _decode(stored)
-            if not self._may_take(name, stored, current):
-                raise LeaseError(
-                    'lease_held', f'{name} is held by {current.holder}'
-                )
-            number = current.fencing_number + 1
-        version = None if stored is None else stored.version
-        body = _LeaseBody(self._holder, number)
-        return await self._write(name, body, version, 'lease_held')
-
-    async def renew(self, lease: Lease) -> Lease:
+        if stored is None:
+            first = _LeaseBody(self._holder, 1, bundle_version=bundle_version)
+            return await self._write(name, first, None, 'lease_held')
+        current = _decode(stored)
+        if not self._may_take(name, stored, current):
+            message = f'{name} is held by {current.holder}'
+            raise LeaseError('lease_held', message)
+        if current.bundle_version > bundle_version:
+            message = f'{name} follows bundle {current.bundle_version}'
+            raise LeaseError('lease_ahead', message)
+        body = _LeaseBody(
+            self._holder,
+            current.fencing_number + 1,
+            bundle_version=bundle_version,
+        )
+        return await self._write(name, body, stored.version, 'lease_held')
+
+    async def renew(self, lease: Lease, bundle_version: int = 0) -> Lease:
         """
         Extend a lease; its fencing number stays.
 
         :param lease: the lease as last acquired or renewed.
+        :param bundle_version: bundle by which the holder will act from now
+            on; an older one changes nothing.
         :returns: the extended lease.
         :raises LeaseError: ``lease_lost`` or ``lease_unreachable``.
         """
-        # The version makes the body differ from that of earlier renewals.
-        body = _LeaseBody(self._holder, lease.fencing_number, lease.version)
+        body = self._next_body(lease)
+        body.bundle_version = max(lease.bundle_version, bundle_version)
         return await self._write(lease.name, body, lease.version, 'lease_lost')
 
     async def release(self, lease: Lease) -> None:
@@ -125,11 +138,19 @@
         :param lease: the lease as last acquired or renewed.
         :raises LeaseError: ``lease_lost`` or ``lease_unreachable``.
         """
-        body = _LeaseBody(
-            self._holder, lease.fencing_number, lease.version, released=True
-        )
+        body = self._next_body(lease)
+        body.released = True
         await self._write(lease.name, body, lease.version, 'lease_lost')
 
+    def _next_body(self, lease: Lease) -> _LeaseBody:
+        # The version makes the body differ from that of earlier renewals.
+        return _LeaseBody(
+            self._holder,
+            lease.fencing_number,
+            lease.version,
+            bundle_version=lease.bundle_version,
+        )
+
     def _may_take(
         self, name: str, stored: StoredObject, current: _LeaseBody
     ) -> bool:
@@ -163,7 +184,9 @@
             written = found
         except PlatformError as error:
             raise _unreachable(name, error) from None
-        return Lease(name, body.fencing_number, written, valid_until)
+        return Lease(
+            name, body.fencing_number, written, valid_until, body.bundle_version
+        )
 
     async def _find_written(self, name: str, body: _LeaseBody) -> int | None:
         stored = await self._read(name)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -75,6 +75,18 @@
             numbers.append(lease.fencing_number)
         self.assertEqual([1, 2, 3], numbers)
 
+    @in_trio
+    async def test_older_bundle_does_not_follow_a_newer_one(
+        self, platform, first, second
+    ):
+        lease = await first.acquire('orders', 3)
+        lease = await first.renew(lease, 5)
+        await first.release(await first.renew(lease, 4))
+        for version, code in ((4, 'lease_ahead'), (5, 'done')):
+            self.assertEqual(
+                code, await code_of(second.acquire('orders', version))
+            )
+
     @in_trio
     async def test_race_has_one_winner(self, platform, first, second):
         codes = []
