Send orders and reads of states on connections of their own

Cause: one router asks all engines of a service every few minutes at the target; kept connections would be thousands, idle beyond the engines' limit. Change: both use a new connection that closes after its answer.

--- a/eelgrassfork/engine_client.py
+++ b/eelgrassfork/engine_client.py
@@ -41,6 +41,7 @@
 _SHORT_CALL: Final = ClientTimeouts(_CONNECT_S, 2, 2)
 _ORDER_CALL: Final = ClientTimeouts(_CONNECT_S, 60, 10)
 _JSON: Final = ('content-type', 'application/json')
+_CLOSE: Final = ('connection', 'close')
 
 
 class _Records(msgspec.Struct):
@@ -226,11 +227,10 @@
             'name': name,
             'fencing_number': lease.fencing_number,
         }
-        status, body = await self._ask(
-            address,
-            'POST',
-            '/v1/orders',
-            msgspec.json.encode(fields),
+        status, body = await self._ask_once(
+            ClientRequest(
+                address, 'POST', '/v1/orders', body=msgspec.json.encode(fields)
+            ),
             _ORDER_CALL,
         )
         if status != _OK:
@@ -244,7 +244,9 @@
         :returns: models, version and role.
         :raises EngineError: if the engine can't be asked.
         """
-        status, body = await self._ask(address, 'GET', '/v1/state')
+        status, body = await self._ask_once(
+            ClientRequest(address, 'GET', '/v1/state'), _SHORT_CALL
+        )
         return _decoded(status, body, EngineState)
 
     async def _try(
@@ -278,14 +280,23 @@
             raise
 
     async def _ask(
-        self,
-        address: str,
-        method: str,
-        target: str,
-        body: bytes = b'',
-        bounds: ClientTimeouts = _SHORT_CALL,
+        self, address: str, method: str, target: str
+    ) -> tuple[int, bytes]:
+        request = ClientRequest(address, method, target, (_JSON,))
+        return await self._fetch(request, _SHORT_CALL)
+
+    async def _ask_once(
+        self, request: ClientRequest, bounds: ClientTimeouts
+    ) -> tuple[int, bytes]:
+        # One router asks each engine of a service now and then; connections
+        # kept for that would be idle for minutes, thousands of them.
+        return await self._fetch(
+            request._replace(headers=(_JSON, _CLOSE), fresh=True), bounds
+        )
+
+    async def _fetch(
+        self, request: ClientRequest, bounds: ClientTimeouts
     ) -> tuple[int, bytes]:
-        request = ClientRequest(address, method, target, (_JSON,), body)
         try:
             response, answer = await self._http.fetch(request, bounds)
         except HttpClientError as error:
