Release a lease whose renewal was given up

Cause: a holder cancelled during a renewal did not know the version that the renewal may have written, so its release was refused and the next holder had to wait until the lease lapsed; two of nine tests of the engine orders failed by it at times. Change: release reads the lease and compares holder and number.

--- a/eelgrassfork/leases.py
+++ b/eelgrassfork/leases.py
@@ -138,9 +138,20 @@
         :param lease: the lease as last acquired or renewed.
         :raises LeaseError: ``lease_lost`` or ``lease_unreachable``.
         """
+        # A renewal whose answer was given up may have raised the version.
+        stored = await self._read(lease.name)
         body = self._next_body(lease)
         body.released = True
-        await self._write(lease.name, body, lease.version, 'lease_lost')
+        if stored is None or not self._is_own(stored, lease):
+            raise LeaseError('lease_lost', f'{lease.name} changed hands')
+        await self._write(lease.name, body, stored.version, 'lease_lost')
+
+    def _is_own(self, stored: StoredObject, lease: Lease) -> bool:
+        current = _decode(stored)
+        return (current.holder, current.fencing_number) == (
+            self._holder,
+            lease.fencing_number,
+        )
 
     def _next_body(self, lease: Lease) -> _LeaseBody:
         # The version makes the body differ from that of earlier renewals.
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -75,6 +75,16 @@
             numbers.append(lease.fencing_number)
         self.assertEqual([1, 2, 3], numbers)
 
+    @in_trio
+    async def test_release_after_a_renewal_that_was_given_up(
+        self, platform, first, second
+    ):
+        lease = await first.acquire('orders')
+        await first.renew(lease)
+        await first.release(lease)
+        await second.acquire('orders')
+        self.assertEqual('lease_lost', await code_of(first.release(lease)))
+
     @in_trio
     async def test_older_bundle_does_not_follow_a_newer_one(
         self, platform, first, second
