Give engine orders from the router

Cause: engine orders are a duty of the router and were not wired. Change: the router runs them, stops them at a drain, and shows them in its state as engine_orders; lease_ms, engine_check_ms, engine_reads_per_s and weight_reads_per_s set their pace.

--- a/eelgrassfork/router.py
+++ b/eelgrassfork/router.py
@@ -18,12 +18,15 @@
 from .claims import Claims, ClaimsIdentity
 from .drain import Drain
 from .engine_client import EngineClient
+from .engine_orders import EngineOrders
 from .http_client import ClientTimeouts, HttpClient
 from .http_server import HttpServer
+from .leases import Leases
 from .membership import Membership
 from .metrics import Metrics, NoMetrics, report_levels
 from .names import new_holder
 from .operator_port import OperatorParts, operator_handler
+from .order_duty import DutyParts
 from .peer_messages import Heartbeat, RouterState
 from .peering import Peering, PeerSettings
 from .platform_client import PlatformClient
@@ -35,6 +38,7 @@
 from .router_settings import (
     drain_settings,
     member_settings,
+    order_settings,
     rollout_settings,
     server_limits,
 )
@@ -126,6 +130,7 @@
         )
         self.credit = RouterCredit(self._credit_inputs())
         self.requests = RouterRequests(self._request_inputs())
+        self.orders = EngineOrders(settings.vm, self._duty_parts())
         self.callers = HttpServer(
             self.requests.front.serve,
             server_limits(settings),
@@ -153,6 +158,7 @@
         await self.membership.start(nursery, self.peering)
         await self.credit.start(nursery)
         await self.requests.start(nursery)
+        await self.orders.start(nursery)
         await self.callers.start(nursery, *settings.callers)
         nursery.start_soon(
             report_levels,
@@ -179,6 +185,7 @@
         self.callers.stop_accepting()
         limit = trio.move_on_after(_CLOSE_LIMIT_S)
         with limit:
+            await self.orders.close()
             await self.requests.close()
             await self.credit.close()
         if limit.cancelled_caught:
@@ -243,6 +250,7 @@
     def _take_vm_list(self, vm_list: VmList) -> None:
         self.backends.update(vm_list.vms)
         self.requests.review_queue()
+        self.orders.take_vm_list(vm_list)
         for record in vm_list.vms:
             if record.vm == self._settings.vm and record.state == 'leaving':
                 self.drain.begin('the VM is leaving')
@@ -293,6 +301,21 @@
             source=self._environment.source,
         )
 
+    def _duty_parts(self) -> DutyParts:
+        def bundle() -> Bundle | None:
+            # A router that is stopping or catching up gives no orders.
+            idle = self.drain.is_begun or self.unready()
+            return None if idle else self._bundle()
+
+        settings = order_settings(self._settings)
+        return DutyParts(
+            Leases(self.platform, self.holder, settings.lease_s),
+            self._engines,
+            bundle,
+            settings,
+            metrics=self._environment.metrics,
+        )
+
     def _operator_parts(self) -> OperatorParts:
         def unready() -> str:
             return 'draining' if self.drain.is_begun else self.unready()
@@ -310,6 +333,7 @@
                 'peering': self.peering.dump,
                 'credit': self.credit.dump,
                 'backends': self.backends.dump,
+                'engine_orders': self.orders.dump,
                 **self.requests.dumps(),
             },
             drain=lambda: self.drain.begin('an operator asked for it'),
--- a/eelgrassfork/router_settings.py
+++ b/eelgrassfork/router_settings.py
@@ -10,12 +10,14 @@
 from .drain import DrainSettings
 from .http_server import ServerLimits
 from .membership import MembershipSettings
+from .order_duty import OrderSettings
 from .rollout import RolloutSettings
 from .settings import RouterSettings
 
 __all__ = (
     'drain_settings',
     'member_settings',
+    'order_settings',
     'rollout_settings',
     'server_limits',
 )
@@ -49,6 +51,21 @@
     )
 
 
+def order_settings(settings: RouterSettings) -> OrderSettings:
+    """
+    Read the pace of orders to engines.
+
+    :param settings: the router's settings.
+    :returns: times in seconds, and rates.
+    """
+    return OrderSettings(
+        lease_s=settings.lease_ms / _MS,
+        check_s=settings.engine_check_ms / _MS,
+        reads_per_s=settings.engine_reads_per_s,
+        loads_per_s=settings.weight_reads_per_s,
+    )
+
+
 def rollout_settings(settings: RouterSettings) -> RolloutSettings:
     """
     Read the settings of the rollout.
--- a/eelgrassfork/settings.py
+++ b/eelgrassfork/settings.py
@@ -34,9 +34,12 @@
 _MIN_BYTES: Final = 1_024
 _MAX_BYTES: Final = 1_073_741_824
 _MIN_PEER_KEY: Final = 16
+_LEAST_RATE: Final = 0.001
+_MOST_RATE: Final = 10_000
 
 _Port = Annotated[int, Meta(ge=0, le=_MAX_PORT)]
 _Ms = Annotated[int, Meta(ge=1, le=_DAY_MS)]
+_Rate = Annotated[float, Meta(ge=_LEAST_RATE, le=_MOST_RATE)]
 _Bytes = Annotated[int, Meta(ge=_MIN_BYTES, le=_MAX_BYTES)]
 _PeerKey = Annotated[str, Meta(min_length=_MIN_PEER_KEY)]
 _Check = Callable[[Any], str]
@@ -78,6 +81,15 @@
     :param offer_wait_ms: longest wait for peers to take an offered bundle.
     :param frozen_after_ms: lateness of the event loop after which the
         bundle is caught up before requests are served.
+    :param lease_ms: how long a lease on the orders of a service lasts
+        without renewal.
+    :param engine_check_ms: shortest interval of reads of an engine's state
+        by the router that gives its orders.
+    :param engine_reads_per_s: such reads a second, for each service; with
+        more engines than it reads in ``engine_check_ms``, that interval
+        grows.
+    :param weight_reads_per_s: orders a second that make engines read the
+        weight store, of all services together.
     :param drain_grace_ms: time in which new requests are still served
         after a drain began.
     :param drain_limit_ms: longest drain.
@@ -108,6 +120,10 @@
     watch_wait_ms: _Ms = 5_000
     offer_wait_ms: _Ms = 2_000
     frozen_after_ms: _Ms = 5_000
+    lease_ms: _Ms = 10_000
+    engine_check_ms: _Ms = 5_000
+    engine_reads_per_s: _Rate = 4
+    weight_reads_per_s: _Rate = 2
     drain_grace_ms: _Ms = 2_000
     drain_limit_ms: _Ms = 600_000
     max_header_bytes: _Bytes = 16_384
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,143 @@
+"""
+tests.test_router
+~~~~~~~~~~~~~~~~~
+
+Guards against parts of a router that are wired wrongly.
+"""
+
+import functools
+import hashlib
+import random
+
+import msgspec
+import testtools
+import trio
+from trio.testing import MockClock
+
+from eelgrassfork.bundle import CURRENT_KEY, part_key
+from eelgrassfork.http_client import ClientRequest, HttpClient
+from eelgrassfork.router import Router, RouterEnvironment
+from eelgrassfork.settings import Endpoint, RouterSettings
+from eelgrassfork.vm_list import VmRecord
+from standins.engine import EngineSettings, EngineStandin
+from standins.fake_platform import FakePlatform
+
+from . import bundles
+from .memory_network import MemoryNetwork
+
+__all__ = ('Scene', 'with_scene')
+
+OPERATOR_KEY = 'operator'
+SERVICE = 'pazlen/matcher'
+
+
+class Scene:
+    """Two routers, an engine that lacks its model, and a platform."""
+
+    def __init__(self, nursery) -> None:
+        self.nursery = nursery
+        self.network = MemoryNetwork()
+        self.platform = FakePlatform()
+        self.http = HttpClient(transport=self.network.transport('caller'))
+        self.engine = EngineStandin(
+            EngineSettings('old'), self.network.transport('engine')
+        )
+        self.routers = [self.router(number) for number in (1, 2)]
+
+    def router(self, number: int) -> Router:
+        vm = f'vm-{number}'
+        listeners = [Endpoint('127.0.0.1', 1000 * number + n) for n in range(3)]
+        settings = RouterSettings(
+            vm,
+            'pazlen',
+            'pazlen/haskovo',
+            'r',
+            *listeners,
+            platform='127.0.0.1:1',
+            peer_key='p' * 16,
+            operator_key_hash=hashlib.sha256(OPERATOR_KEY.encode()).hexdigest(),
+            trusted_keys=bundles.TRUSTED,
+        )
+        return Router(
+            settings,
+            RouterEnvironment(
+                self.network.transport(vm),
+                self.platform.for_client(vm),
+                source=random.Random(number),
+            ),
+        )
+
+    async def start(self) -> None:
+        envelope, bodies = bundles.signed_bundle(1)
+        for part_hash, body in bodies.items():
+            await self.platform.put(part_key(part_hash), body, None)
+        await self.platform.put(CURRENT_KEY, envelope, None)
+        await self.engine.start(self.nursery, '127.0.0.1', 0)
+        self.list_vms()
+        for router in self.routers:
+            await router.start(self.nursery)
+
+    def list_vms(self) -> None:
+        domain = 'pazlen/haskovo'
+        self.platform.set_vms(
+            *(
+                VmRecord(
+                    f'vm-{number}', 'router', 'live', 'pazlen', '', domain, 'r',
+                    *(f'127.0.0.1:{1000 * number + n}' for n in range(3)),
+                )
+                for number in (1, 2)
+            ),
+            VmRecord(
+                'engine', 'backend', 'live', 'pazlen', SERVICE, domain, 'r',
+                self.engine.address,
+            ),
+        )  # fmt: skip
+
+    async def dump(self, router: Router) -> dict:
+        request = ClientRequest(
+            router.operators.address,
+            'GET',
+            '/state',
+            (('authorization', f'Bearer {OPERATOR_KEY}'),),
+        )
+        _, body = await self.http.fetch(request)
+        return msgspec.json.decode(body)
+
+
+def with_scene(test):
+    @functools.wraps(test)
+    def wrapper(self):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                scene = Scene(nursery)
+                await scene.start()
+                await test(self, scene)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    return wrapper
+
+
+class EngineOrderTests(testtools.TestCase):
+    async def holder(self, scene):
+        found = []
+        for router in scene.routers:
+            dump = await scene.dump(router)
+            duty = dump['engine_orders']['duties_by_service'].get(SERVICE)
+            if duty and duty['lease']['held']:
+                found.append((router, duty))
+        self.assertEqual(1, len(found))
+        return found[0]
+
+    @with_scene
+    async def test_one_router_orders_the_model_and_hands_over(self, scene):
+        await trio.sleep(30)
+        self.assertEqual(['old', 'm'], scene.engine.orders.models)
+        router, duty = await self.holder(scene)
+        self.assertEqual({'load_model done': 1}, duty['given'])
+        router.drain.begin('a test')
+        await trio.sleep(5)
+        successor, duty = await self.holder(scene)
+        self.assertIsNot(router, successor)
+        self.assertEqual(2, duty['lease']['fencing_number'])
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -70,6 +70,8 @@
             ('platform', '127.0.0.1:' + '9' * 5000),
             ('seed_peers', ['127.0.0.1']),
             ('heartbeat_ms', 0),
+            ('weight_reads_per_s', 0),
+            ('engine_reads_per_s', '4'),
             ('log_format', 'xml'),
             ('peer_key', 'short'),
             ('operator_key_hash', 'A' * 64),
