Give orders before the next reads of states

Cause: an engine whose state is being read gets no order; with reads as often as the loop of the orders runs, all engines were read whenever orders were to be given. Change: orders are given first in each turn of the loop. Result: tests/test_engine_orders.py passes, 10 tests; the new one fails without the change.

--- a/eelgrassfork/order_duty.py
+++ b/eelgrassfork/order_duty.py
@@ -195,11 +195,13 @@
             engine.read_at = _NEVER
         async with trio.open_nursery() as nursery:
             while True:
-                self._start_reads(nursery)
                 lease, bundle = self._keeper.lease, self._parts.bundle()
                 # The lease must say so before engines follow a newer bundle.
                 if lease and bundle and lease.bundle_version >= bundle.version:
                     self._start_orders(nursery, lease, bundle)
+                # After the orders, which leave out engines that are read: a
+                # short interval of reads must not leave all of them out.
+                self._start_reads(nursery)
                 await trio.sleep(_TICK_S)
 
     def _start_reads(self, nursery: trio.Nursery) -> None:
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -27,7 +27,6 @@
 __all__ = ('SERVICE', 'World', 'with_world')
 
 SERVICE = 'p/matcher'
-SETTINGS = OrderSettings()
 
 
 class Router:
@@ -39,6 +38,7 @@
     """
 
     def __init__(self, world, vm: str) -> None:
+        settings = world.settings
         self.vm = vm
         self.bundle = world.bundle
         self.delays_orders = False
@@ -51,11 +51,11 @@
             vm,
             DutyParts(
                 Leases(
-                    world.platform.for_client(vm), f'{vm}.0', SETTINGS.lease_s
+                    world.platform.for_client(vm), f'{vm}.0', settings.lease_s
                 ),
                 self.engines,
                 lambda: self.bundle,
-                SETTINGS,
+                settings,
             ),
         )
 
@@ -79,8 +79,9 @@
 class World:
     """Routers in the order in which the service falls to them, and engines."""
 
-    def __init__(self, nursery, checks_fencing: bool, engines: int) -> None:
+    def __init__(self, nursery, checks_fencing, engines, settings) -> None:
         self.nursery = nursery
+        self.settings = settings
         self.network = MemoryNetwork()
         self.platform = FakePlatform()
         self.checks_fencing = checks_fencing
@@ -167,13 +168,18 @@
         return [router.vm for router in self.routers if router.holds]
 
 
-def with_world(checks_fencing=False, engines=2):
+def with_world(checks_fencing=False, engines=2, **settings):
     def decorate(test):
         @functools.wraps(test)
         def wrapper(self):
             async def main():
                 async with trio.open_nursery() as nursery:
-                    world = World(nursery, checks_fencing, engines)
+                    world = World(
+                        nursery,
+                        checks_fencing,
+                        engines,
+                        OrderSettings(**settings),
+                    )
                     await world.start()
                     await test(self, world)
                     nursery.cancel_scope.cancel()
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -12,9 +12,11 @@
 
 from eelgrassfork.engine_types import EngineError
 from eelgrassfork.leases import Lease
+from eelgrassfork.order_duty import OrderSettings
 from standins.engine_orders import OrderRefused
-from tests.order_world import SETTINGS, World, with_world
+from tests.order_world import World, with_world
 
+SETTINGS = OrderSettings()
 LOAD_S = 2
 # How long the effect of a late order may last: until the next read of the
 # state, one second more, and its correction behind the late load.
@@ -39,6 +41,13 @@
         await trio.sleep(CORRECTED_S)
         self.assertEqual({'v2'}, world.versions())
 
+    @with_world(check_s=0.1)
+    async def test_frequent_reads_leave_time_for_orders(self, world):
+        world.set_bundle(2, version='v2', adapters=('a',))
+        await trio.sleep(20)
+        self.assertEqual(2, len(world.given(0)))
+        self.assertEqual(2, len(world.given(1)))
+
     @with_world(engines=8)
     async def test_loads_keep_to_the_rate_and_to_a_quarter(self, world):
         world.set_bundle(2, other_services=('p/a', 'p/b', 'p/c'), version='v2')
