Look at all engines only when one of them may need an order

Cause: a router that holds the lease of 1,800 engines compared all of them with the bundle twice a second. Change: once nothing is to be ordered, the engines are compared again when a state, the service, the list of engines or the lease changes.

--- a/eelgrassfork/order_duty.py
+++ b/eelgrassfork/order_duty.py
@@ -130,6 +130,8 @@
         self._loads = Pacer()
         self._given: Counter[str] = Counter()
         self._is_first = trio.Event()
+        # The service for which a look at all engines found nothing to do.
+        self._settled: Service | None = None
 
     async def run(self) -> None:
         """
@@ -159,6 +161,7 @@
                 engine = _Engine(record)
             engines_by_vm[record.vm] = engine
         self._engines_by_vm = engines_by_vm
+        self._settled = None
 
     def dump(self) -> dict[str, Any]:
         """
@@ -193,6 +196,7 @@
         for engine in self._engines_by_vm.values():
             engine.state = None
             engine.read_at = _NEVER
+        self._settled = None
         async with trio.open_nursery() as nursery:
             while True:
                 lease, bundle = self._keeper.lease, self._parts.bundle()
@@ -220,25 +224,30 @@
 
     async def _read(self, engine: _Engine) -> None:
         engine.read_at = trio.current_time()
+        state = None
         try:
-            engine.state = await self._parts.engines.state(
-                engine.record.address
-            )
+            state = await self._parts.engines.state(engine.record.address)
         except EngineError as error:
-            engine.state = None
             engine.problem = error.message
         else:
             engine.problem = engine.problem if engine.failures else ''
         finally:
             engine.is_read = False
+        if state != engine.state or engine.failures:
+            self._settled = None
+        engine.state = state
 
     def _start_orders(
         self, nursery: trio.Nursery, lease: Lease, bundle: Bundle
     ) -> None:
         service = bundle.services_by_name.get(self._name)
-        if service is None:
+        if service is None or service == self._settled:
             return
+        # An engine that is being read now is left out, and looked at again.
+        is_read = any(each.is_read for each in self._engines_by_vm.values())
+        self._settled = None if is_read else service
         for vm, order in self._orders(service, lease):
+            self._settled = None
             if self._take_turn(order, bundle):
                 engine = self._engines_by_vm[vm]
                 engine.order = order
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -48,6 +48,16 @@
         self.assertEqual(2, len(world.given(0)))
         self.assertEqual(2, len(world.given(1)))
 
+    @with_world(engines=1)
+    async def test_bundle_that_changes_during_a_read_is_followed(self, world):
+        await trio.sleep(30)
+        world.network.latency_s = 0.3
+        for number in range(2, 40):
+            world.set_bundle(number, role=('both', 'decode')[number % 2])
+            await trio.sleep(7.3)
+            wanted = world.bundle.services_by_name['p/matcher'].role
+            self.assertEqual(wanted, world.engines[0].orders.role)
+
     @with_world(engines=8)
     async def test_loads_keep_to_the_rate_and_to_a_quarter(self, world):
         world.set_bundle(2, other_services=('p/a', 'p/b', 'p/c'), version='v2')
