Compare the table of metrics with what the code reports

Cause: nothing noticed a metric that is listed but not reported. Change: the table has a module of its own; a test reads the calls and lists of metrics in the package's source and compares names, kinds and labels. Totals reports counters that parts keep themselves.

--- /dev/null
+++ b/eelgrassfork/metric_table.py
@@ -0,0 +1,80 @@
+"""
+eelgrassfork.metric_table
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+All metrics of the router as operators see them.
+"""
+
+from typing import Final, Literal, NamedTuple
+
+__all__ = ('METRICS_BY_NAME', 'Kind', 'MetricSpec')
+
+Kind = Literal['counter', 'gauge', 'timer']
+
+
+class MetricSpec(NamedTuple):
+    """
+    A metric as operators see it.
+
+    :param kind: how statsd adds up its samples.
+    :param labels: what follows the name, in this order.
+    :param sentence: what it tells.
+    """
+
+    kind: Kind
+    labels: tuple[str, ...]
+    sentence: str
+
+
+METRICS_BY_NAME: Final = {
+    'requests': MetricSpec(
+        'counter',
+        ('route', 'status'),
+        'Requests answered, by route and HTTP status; 499 if the caller left.',
+    ),
+    'request_ms': MetricSpec(
+        'timer',
+        ('route',),
+        'Milliseconds from the arrival of a request to the end of its answer.',
+    ),
+    'refusals': MetricSpec(
+        'counter',
+        ('code', 'outcome'),
+        'Requests answered with an error of the router, by code and outcome.',
+    ),
+    'orders': MetricSpec(
+        'counter',
+        ('service', 'outcome'),
+        'Non-idempotent calls by the outcome that was recorded for them.',
+    ),
+    'plain_retries': MetricSpec(
+        'counter',
+        ('service',),
+        'Idempotent plain calls sent again to another backend server.',
+    ),
+    'claims_pending': MetricSpec(
+        'gauge',
+        (),
+        'Outcomes of claims that the platform does not hold yet.',
+    ),
+    'keys_in_use': MetricSpec(
+        'gauge',
+        (),
+        'Issued keys of this router whose request has no outcome yet.',
+    ),
+    'key_reports_pending': MetricSpec(
+        'gauge',
+        (),
+        'Outcomes that the issuer of a key has not noted yet.',
+    ),
+    'requests_in_flight': MetricSpec(
+        'gauge',
+        (),
+        'Requests of callers in progress at this router.',
+    ),
+    'bundle_version': MetricSpec(
+        'gauge',
+        (),
+        'Version of the bundle in force at this router, or 0.',
+    ),
+}
--- a/eelgrassfork/metrics.py
+++ b/eelgrassfork/metrics.py
@@ -2,24 +2,24 @@
 eelgrassfork.metrics
 ~~~~~~~~~~~~~~~~~~~~
 
-Statsd client with fleet-qualified names, and the table of all metrics.
+Statsd client with fleet-qualified names, and reports of levels and totals.
 """
 
 import re
 from collections.abc import Callable, Mapping
-from typing import Final, Literal, NamedTuple, Protocol
+from typing import Final, Protocol
 
 import statsd
 import trio
 
 from .errors import EelgrassError
+from .metric_table import METRICS_BY_NAME, Kind
 
 __all__ = (
-    'METRICS_BY_NAME',
-    'MetricSpec',
     'Metrics',
     'NoMetrics',
     'StatsdMetrics',
+    'Totals',
     'connect',
     'report_levels',
 )
@@ -27,76 +27,6 @@
 _PREFIX: Final = 'eelgrassfork'
 _SPECIAL: Final = re.compile('[^A-Za-z0-9_-]')
 
-Kind = Literal['counter', 'gauge', 'timer']
-
-
-class MetricSpec(NamedTuple):
-    """
-    A metric as operators see it.
-
-    :param kind: how statsd adds up its samples.
-    :param labels: what follows the name, in this order.
-    :param sentence: what it tells.
-    """
-
-    kind: Kind
-    labels: tuple[str, ...]
-    sentence: str
-
-
-METRICS_BY_NAME: Final = {
-    'requests': MetricSpec(
-        'counter',
-        ('route', 'status'),
-        'Requests answered, by route and HTTP status; 499 if the caller left.',
-    ),
-    'request_ms': MetricSpec(
-        'timer',
-        ('route',),
-        'Milliseconds from the arrival of a request to the end of its answer.',
-    ),
-    'refusals': MetricSpec(
-        'counter',
-        ('code', 'outcome'),
-        'Requests answered with an error of the router, by code and outcome.',
-    ),
-    'orders': MetricSpec(
-        'counter',
-        ('service', 'outcome'),
-        'Non-idempotent calls by the outcome that was recorded for them.',
-    ),
-    'plain_retries': MetricSpec(
-        'counter',
-        ('service',),
-        'Idempotent plain calls sent again to another backend server.',
-    ),
-    'claims_pending': MetricSpec(
-        'gauge',
-        (),
-        'Outcomes of claims that the platform does not hold yet.',
-    ),
-    'keys_in_use': MetricSpec(
-        'gauge',
-        (),
-        'Issued keys of this router whose request has no outcome yet.',
-    ),
-    'key_reports_pending': MetricSpec(
-        'gauge',
-        (),
-        'Outcomes that the issuer of a key has not noted yet.',
-    ),
-    'requests_in_flight': MetricSpec(
-        'gauge',
-        (),
-        'Requests of callers in progress at this router.',
-    ),
-    'bundle_version': MetricSpec(
-        'gauge',
-        (),
-        'Version of the bundle in force at this router, or 0.',
-    ),
-}
-
 
 class Metrics(Protocol):
     """What parts report to; every name is a key of the table."""
@@ -196,6 +126,37 @@
         await trio.sleep(interval_s)
 
 
+class Totals:
+    """
+    Reports totals that only grow as counters.
+
+    :param metrics: where they go.
+    :param fleet: fleet of this router.
+    :param totals_by_name: queries by name of the counter and its labels.
+    """
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        fleet: str,
+        totals_by_name: Mapping[tuple[str, ...], Callable[[], int]],
+    ) -> None:
+        self._metrics = metrics
+        self._fleet = fleet
+        self._totals_by_name = totals_by_name
+        self._reported: dict[tuple[str, ...], int] = {}
+
+    def report(self) -> None:
+        """Report what was added since the last time."""
+        for key, query in self._totals_by_name.items():
+            total = query()
+            added = total - self._reported.get(key, 0)
+            if added:
+                name, *labels = key
+                self._metrics.count(name, self._fleet, *labels, amount=added)
+            self._reported[key] = total
+
+
 def connect(address: str) -> Metrics:
     """
     Make the metrics of a process.
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -5,7 +5,9 @@
 Guards against samples of two fleets or metrics running into one name.
 """
 
+import ast
 import socket
+from pathlib import Path
 
 import testtools
 import trio
@@ -13,6 +15,49 @@
 
 from eelgrassfork import metrics
 from eelgrassfork.errors import EelgrassError
+from eelgrassfork.metric_table import METRICS_BY_NAME
+
+PACKAGE = Path(metrics.__file__).parent
+KINDS = {'count': 'counter', 'gauge': 'gauge', 'timing': 'timer'}
+# Functions that list queries by name for the gauges and counters.
+LISTS = {
+    'levels': 'gauge',
+    '_levels': 'gauge',
+    'totals': 'counter',
+    '_totals': 'counter',
+}
+
+
+def reported():
+    """List (kind, name, number of labels) of all that the code reports."""
+    found = set()
+    for path in sorted(PACKAGE.glob('*.py')):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Call):
+                found.update(of_call(node))
+            elif isinstance(node, ast.FunctionDef) and node.name in LISTS:
+                found.update(of_list(node))
+    return found
+
+
+def of_call(call):
+    function = call.func
+    if not isinstance(function, ast.Attribute) or function.attr not in KINDS:
+        return
+    if 'metrics' not in ast.unparse(function.value) or not call.args:
+        return
+    name, *rest = call.args
+    if isinstance(name, ast.Constant):
+        yield KINDS[function.attr], name.value, len(rest) - 1
+
+
+def of_list(function):
+    for node in ast.walk(function):
+        if isinstance(node, ast.Dict):
+            for key in filter(None, node.keys):
+                parts = ast.literal_eval(key)
+                name, *labels = (parts,) if isinstance(parts, str) else parts
+                yield LISTS[function.name], name, len(labels)
 
 
 class StatsdTests(testtools.TestCase):
@@ -40,6 +85,13 @@
 
 
 class TableTests(testtools.TestCase):
+    def test_table_lists_exactly_what_the_code_reports(self):
+        listed = {
+            (spec.kind, name, len(spec.labels))
+            for name, spec in METRICS_BY_NAME.items()
+        }
+        self.assertEqual(listed, reported())
+
     def test_wrong_use_fails_with_and_without_a_server(self):
         clients = metrics.connect(''), metrics.connect('127.0.0.1:9')
         for client in clients:
@@ -48,6 +100,23 @@
                     EelgrassError, client.count, name, 'pazlen', *labels
                 )
 
+    def test_totals_are_reported_once(self):
+        counted = []
+
+        class Counters(metrics.NoMetrics):
+            def count(self, name, fleet, *labels, amount=1):
+                super().count(name, fleet, *labels, amount=amount)
+                counted.append((name, *labels, amount))
+
+        total = 5
+        key = ('plain_retries', 'pazlen/shopdesk')
+        totals = metrics.Totals(Counters(), 'pazlen', {key: lambda: total})
+        totals.report()
+        totals.report()
+        total = 7
+        totals.report()
+        self.assertEqual([(*key, 5), (*key, 2)], counted)
+
     def test_gauges_are_reported_until_stopped(self):
         levels = []
 
