--- a/eelgrassfork/backends.py
+++ b/eelgrassfork/backends.py
@@ -6,12 +6,12 @@
 """
 
 import random
-from collections import OrderedDict
 from collections.abc import Iterable
-from typing import Final, Literal, NamedTuple
+from typing import Final, NamedTuple
 
 import trio
 
+from .backend_server import BackendServer, CacheEvent
 from .retries import (
     EjectionPolicy,
     ServerHealth,
@@ -26,19 +26,6 @@
 
 _DRAINING_S: Final = 60.0
 _IN_USE_S: Final = 60.0
-_MAX_CACHED_PREFIXES: Final = 1024
-
-
-class CacheEvent(NamedTuple):
-    """
-    A prefix entered or left a server's cache.
-
-    :param number: number of the event at its server.
-    """
-
-    number: int
-    kind: Literal['stored', 'evicted']
-    prefix: str
 
 
 class PollTarget(NamedTuple):
@@ -55,40 +42,6 @@
     events_after: int
 
 
-class _Server:
-    def __init__(self, record: VmRecord, now_s: float) -> None:
-        self.record = record
-        self.in_flight = 0
-        self.health = ServerHealth()
-        self.draining_until = now_s
-        self.running = 0
-        self.waiting = 0
-        self.reported_at = now_s
-        self.polled_at = -_IN_USE_S
-        self.events_after = 0
-        self.prefixes: OrderedDict[str, None] = OrderedDict()
-        self.cached_prefixes: frozenset[str] = frozenset()
-
-    def is_leaving(self, now_s: float) -> bool:
-        return self.record.state == 'leaving' or now_s < self.draining_until
-
-    def state(self, now_s: float) -> ServerState:
-        record = self.record
-        return ServerState(
-            record.vm,
-            record.address,
-            record.service,
-            record.failure_domain,
-            'leaving' if self.is_leaving(now_s) else 'live',
-            self.in_flight,
-            self.running,
-            self.waiting,
-            now_s - self.reported_at,
-            self.health.ejected,
-            self.cached_prefixes,
-        )
-
-
 class Backends:
     """
     State of the backend servers as this router sees it.
@@ -100,7 +53,7 @@
     def __init__(self, policy: EjectionPolicy, source: random.Random) -> None:
         self._policy = policy
         self._source = source
-        self._servers_by_vm: dict[str, _Server] = {}
+        self._servers_by_vm: dict[str, BackendServer] = {}
         self._vms_by_service: dict[str, list[str]] = {}
         self._used_at_by_service: dict[str, float] = {}
 
@@ -111,12 +64,12 @@
         :param vms: records; those of other roles are ignored.
         """
         now_s = trio.current_time()
-        servers_by_vm: dict[str, _Server] = {}
+        servers_by_vm: dict[str, BackendServer] = {}
         vms_by_service: dict[str, list[str]] = {}
         for record in vms:
             if record.role == 'backend':
                 server = self._servers_by_vm.get(record.vm)
-                server = server or _Server(record, now_s)
+                server = server or BackendServer(record, now_s)
                 server.record = record
                 servers_by_vm[record.vm] = server
                 vms_by_service.setdefault(record.service, []).append(record.vm)
@@ -259,16 +212,8 @@
         :param events: events in the order of their numbers.
         """
         server = self._servers_by_vm.get(vm)
-        if server is None:
-            return
-        for event in events:
-            server.events_after = max(server.events_after, event.number)
-            server.prefixes.pop(event.prefix, None)
-            if event.kind == 'stored':
-                server.prefixes[event.prefix] = None
-        while len(server.prefixes) > _MAX_CACHED_PREFIXES:
-            server.prefixes.popitem(last=False)
-        server.cached_prefixes = frozenset(server.prefixes)
+        if server is not None:
+            server.take_events(events)
 
     def polls_due(self, interval_s: float, most: int) -> list[PollTarget]:
         """
@@ -314,7 +259,9 @@
             states_by_vm[vm] = state
         return {'servers_by_vm': states_by_vm}
 
-    def _is_due(self, server: _Server, now_s: float, interval_s: float) -> bool:
+    def _is_due(
+        self, server: BackendServer, now_s: float, interval_s: float
+    ) -> bool:
         if now_s - server.polled_at < interval_s:
             return False
         if server.health.ejected:
