Count ejections of backend servers, and servers by state

Cause: operators could not see ejections and leaving servers over time. Change: counters ejections and server_returns by service, gauges servers_listed, servers_ejected and servers_leaving.

--- a/eelgrassfork/backends.py
+++ b/eelgrassfork/backends.py
@@ -12,6 +12,7 @@
 import trio
 
 from .backend_server import BackendServer, CacheEvent
+from .metrics import Metrics, NoMetrics
 from .retries import (
     EjectionPolicy,
     ServerHealth,
@@ -22,10 +23,11 @@
 from .routing import ServerState
 from .vm_list import VmRecord
 
-__all__ = ('Backends', 'CacheEvent', 'PollTarget')
+__all__ = ('Backends', 'CacheEvent', 'Census', 'PollTarget')
 
 _DRAINING_S: Final = 60.0
 _IN_USE_S: Final = 60.0
+_NO_METRICS: Final = NoMetrics()
 
 
 class PollTarget(NamedTuple):
@@ -42,17 +44,32 @@
     events_after: int
 
 
-class Backends:
+class Census(NamedTuple):
+    """Number of servers that are listed, ejected and leaving."""
+
+    listed: int
+    ejected: int
+    leaving: int
+
+
+class Backends:  # noqa: WPS214 - a small method for each event and query
     """
     State of the backend servers as this router sees it.
 
     :param policy: when a server is ejected.
     :param source: random source of jitter.
+    :param metrics: where ejections and returns are counted.
     """
 
-    def __init__(self, policy: EjectionPolicy, source: random.Random) -> None:
+    def __init__(
+        self,
+        policy: EjectionPolicy,
+        source: random.Random,
+        metrics: Metrics = _NO_METRICS,
+    ) -> None:
         self._policy = policy
         self._source = source
+        self._metrics = metrics
         self._servers_by_vm: dict[str, BackendServer] = {}
         self._vms_by_service: dict[str, list[str]] = {}
         self._used_at_by_service: dict[str, float] = {}
@@ -105,6 +122,20 @@
             )
         )
 
+    def census(self) -> Census:
+        """
+        Count the servers of all services.
+
+        :returns: numbers of servers by state.
+        """
+        now_s = trio.current_time()
+        servers = self._servers_by_vm.values()
+        return Census(
+            len(servers),
+            sum(server.health.ejected for server in servers),
+            sum(server.is_leaving(now_s) for server in servers),
+        )
+
     def is_listed(self, vm: str) -> bool:
         """
         Tell whether a server is still in the VM list.
@@ -144,7 +175,7 @@
         """
         server = self._servers_by_vm.get(vm)
         if server is not None:
-            server.health = ServerHealth()
+            self._set_health(server, ServerHealth())
 
     def failed(self, vm: str, silent: bool = False) -> None:
         """
@@ -155,13 +186,14 @@
         """
         server = self._servers_by_vm.get(vm)
         if server is not None:
-            server.health = after_failure(
+            health = after_failure(
                 server.health,
                 trio.current_time(),
                 silent,
                 self._policy,
                 self._source,
             )
+            self._set_health(server, health)
 
     def probed(self, vm: str, alive: bool) -> None:
         """
@@ -172,13 +204,14 @@
         """
         server = self._servers_by_vm.get(vm)
         if server is not None:
-            server.health = after_probe(
+            health = after_probe(
                 server.health,
                 trio.current_time(),
                 alive,
                 self._policy,
                 self._source,
             )
+            self._set_health(server, health)
 
     def draining(self, vm: str) -> None:
         """
@@ -259,6 +292,16 @@
             states_by_vm[vm] = state
         return {'servers_by_vm': states_by_vm}
 
+    def _set_health(self, server: BackendServer, health: ServerHealth) -> None:
+        was_ejected = server.health.ejected
+        server.health = health
+        service = server.record.service
+        fleet = service.partition('/')[0]
+        if health.ejected and not was_ejected:
+            self._metrics.count('ejections', fleet, service)
+        elif was_ejected and not health.ejected:
+            self._metrics.count('server_returns', fleet, service)
+
     def _is_due(
         self, server: BackendServer, now_s: float, interval_s: float
     ) -> bool:
--- a/eelgrassfork/metric_table.py
+++ b/eelgrassfork/metric_table.py
@@ -52,6 +52,31 @@
         ('service',),
         'Idempotent plain calls sent again to another backend server.',
     ),
+    'ejections': MetricSpec(
+        'counter',
+        ('service',),
+        'Backend servers that this router gave up for a time.',
+    ),
+    'server_returns': MetricSpec(
+        'counter',
+        ('service',),
+        'Ejected backend servers that get requests again.',
+    ),
+    'servers_listed': MetricSpec(
+        'gauge',
+        (),
+        'Backend servers in the VM list, of all services.',
+    ),
+    'servers_ejected': MetricSpec(
+        'gauge',
+        (),
+        'Backend servers that this router has ejected.',
+    ),
+    'servers_leaving': MetricSpec(
+        'gauge',
+        (),
+        'Backend servers that get no new requests because they leave.',
+    ),
     'claims_pending': MetricSpec(
         'gauge',
         (),
--- a/eelgrassfork/router.py
+++ b/eelgrassfork/router.py
@@ -118,7 +118,9 @@
             BundleSources(self.platform, self.peering, self.membership),
             self.membership.is_poller,
         )
-        self.backends = Backends(EjectionPolicy(), environment.source)
+        self.backends = Backends(
+            EjectionPolicy(), environment.source, environment.metrics
+        )
         self._engines = EngineClient(self._http)
         self._claims = Claims(
             self.platform,
@@ -343,5 +345,8 @@
         return {
             'requests_in_flight': lambda: self.callers.busy,
             'bundle_version': lambda: self.rollout.version,
+            'servers_listed': lambda: self.backends.census().listed,
+            'servers_ejected': lambda: self.backends.census().ejected,
+            'servers_leaving': lambda: self.backends.census().leaving,
             **self.requests.levels(),
         }
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -12,10 +12,20 @@
 import trio.testing
 
 from eelgrassfork.backends import Backends, CacheEvent
+from eelgrassfork.metrics import NoMetrics
 from eelgrassfork.retries import EjectionPolicy
 from eelgrassfork.vm_list import VmRecord
 
 
+class Counts(NoMetrics):
+    def __init__(self):
+        self.names = []
+
+    def count(self, name, fleet, *labels, amount=1):
+        super().count(name, fleet, *labels, amount=amount)
+        self.names.append((name, fleet, *labels))
+
+
 def record(vm: str, state: str = 'live', **fields) -> VmRecord:
     listed = VmRecord(
         vm, 'backend', state, 'p', 'p/matcher', 'p/a', 'r', f'{vm}:1'
@@ -77,6 +87,24 @@
         backends.probed('vm-1', alive=True)
         self.assertFalse(states(backends)['vm-1'].ejected)
 
+    @in_trio
+    async def test_each_ejection_and_return_is_counted_once(self, backends):
+        backends._metrics = Counts()
+        for _ in range(5):
+            backends.failed('vm-1')
+        backends.draining('vm-2')
+        self.assertEqual((2, 1, 1), backends.census())
+        backends.probed('vm-1', alive=False)
+        backends.probed('vm-1', alive=True)
+        backends.succeeded('vm-1')
+        self.assertEqual(
+            [
+                ('ejections', 'p', 'p/matcher'),
+                ('server_returns', 'p', 'p/matcher'),
+            ],
+            backends._metrics.names,
+        )
+
     @in_trio
     async def test_polls_are_bounded_and_only_for_services_in_use(
         self, backends
