Report chat as metrics

Cause: chat reported nothing, although it is most of the traffic. Change: chat_first_token_ms, chat_tokens, chat_retries, chat_resumes, chat_cut and chat_refusals, by service and qualified by the caller's fleet. A retry counts once another server was found for it.

--- a/eelgrassfork/chat.py
+++ b/eelgrassfork/chat.py
@@ -15,6 +15,7 @@
 
 from .bundle_types import Bundle, Caller
 from .chat_attempts import Attempts, ChatParts
+from .chat_metrics import report_run
 from .chat_relay import Relay
 from .chat_request import ChatRequest, model_name, parse_request
 from .chat_run import CallerSink, ChatRun
@@ -41,7 +42,11 @@
     def __init__(self, parts: ChatParts) -> None:
         self._parts = parts
         self._settlement = Settlement(
-            parts.accounts, parts.engines, parts.backends, parts.source
+            parts.accounts,
+            parts.engines,
+            parts.backends,
+            parts.source,
+            parts.metrics,
         )
         self._relay = Relay(parts.engines, self._settlement)
         self._attempts = Attempts(parts, self._relay)
@@ -121,6 +126,7 @@
 
     async def _serve(self, call: Call, request: ChatRequest) -> None:
         run = ChatRun(request)
+        started_at = trio.current_time()
         self._parts.retry_budget.request_started()
         failure: RequestError | None = None
         ending: Ending = 'interrupted'
@@ -135,6 +141,9 @@
         finally:
             # Also when the server closes and cancels this task.
             self._settlement.ended(run, ending)
+            report_run(
+                self._parts.metrics, run, started_at, failure, call.started
+            )
         self._ended[failure.code if failure else 'whole'] += 1
         if failure is not None:
             if call.started:
--- a/eelgrassfork/chat_attempts.py
+++ b/eelgrassfork/chat_attempts.py
@@ -21,6 +21,7 @@
 from .errors import RequestError
 from .http_server import Call
 from .limits import Admission
+from .metrics import Metrics, NoMetrics
 from .retries import RetryBudget
 from .routing import (
     Chooser,
@@ -55,6 +56,7 @@
     source: random.Random
     choose: Chooser = choose
     policy: RoutePolicy = RoutePolicy()
+    metrics: Metrics = NoMetrics()
 
 
 class Attempts:
@@ -86,6 +88,7 @@
             server = server or self._choose(run, failed)
             if server is None:
                 raise self._no_server(run, error)
+            run.retried += error is not None
             error = await self._try(call, run, server)
             if error is None:
                 return
--- /dev/null
+++ b/eelgrassfork/chat_metrics.py
@@ -0,0 +1,63 @@
+"""
+eelgrassfork.chat_metrics
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Reports chat requests as metrics, by service.
+"""
+
+from typing import Final
+
+from .chat_run import ChatRun
+from .errors import RequestError
+from .metrics import Metrics
+
+__all__ = ('count_tokens', 'report_run')
+
+_MS: Final = 1000
+
+
+def report_run(
+    metrics: Metrics,
+    run: ChatRun,
+    started_at: float,
+    failure: RequestError | None,
+    is_cut: bool,
+) -> None:
+    """
+    Report a request that ended.
+
+    :param metrics: where it is reported.
+    :param run: the request.
+    :param started_at: when it arrived, on the clock of trio.
+    :param failure: why its answer is not whole, if it is not.
+    :param is_cut: whether its answer had begun by then.
+    """
+    fleet = run.request.caller.fleet
+    service = run.request.service.name
+    if run.first_token_at is not None:
+        spent_ms = (run.first_token_at - started_at) * _MS
+        metrics.timing(
+            'chat_first_token_ms', fleet, service, milliseconds=spent_ms
+        )
+    if run.retried:
+        metrics.count('chat_retries', fleet, service, amount=run.retried)
+    if run.resumed:
+        metrics.count('chat_resumes', fleet, service, amount=run.resumed)
+    if failure is not None and is_cut:
+        metrics.count('chat_cut', fleet, service, failure.code)
+    elif failure is not None:
+        metrics.count('chat_refusals', fleet, service, failure.code)
+
+
+def count_tokens(metrics: Metrics, run: ChatRun, tokens: int) -> None:
+    """
+    Count what a request is billed.
+
+    :param metrics: where it is counted.
+    :param run: the request.
+    :param tokens: prompt and completion tokens.
+    """
+    request = run.request
+    metrics.count(
+        'chat_tokens', request.caller.fleet, request.service.name, amount=tokens
+    )
--- a/eelgrassfork/chat_relay.py
+++ b/eelgrassfork/chat_relay.py
@@ -8,6 +8,8 @@
 from contextlib import aclosing
 from typing import Final
 
+import trio
+
 from .chat_meter import Usage, answer_usage
 from .chat_run import CallerSink, ChatRun
 from .chat_settlement import Settlement
@@ -86,6 +88,7 @@
         while not await _relay_events(answer, run, sink, resumes):
             resumes += 1
             self.resumed += 1
+            run.resumed += 1
             answer = await self._engines.resume(
                 engine_call, run.meter.next_event
             )
@@ -130,6 +133,8 @@
         async with aclosing(answer.events()) as batches:
             async for events in batches:
                 await sink.send(meter.take(events))
+                if meter.tokens and run.first_token_at is None:
+                    run.first_token_at = trio.current_time()
                 if meter.overrun:
                     raise _overrun()
     except EngineError:
--- a/eelgrassfork/chat_run.py
+++ b/eelgrassfork/chat_run.py
@@ -117,6 +117,9 @@
         then pays.
     :ivar answering: the server whose answer has begun.
     :ivar first_payer: text form of the payer tag that this answer names.
+    :ivar first_token_at: when the first token of a stream was sent on.
+    :ivar retried: number of further servers that were tried.
+    :ivar resumed: how often its stream was resumed.
     """
 
     def __init__(self, request: ChatRequest) -> None:
@@ -128,6 +131,9 @@
         self.doubtful: list[ServerState] = []
         self.answering: ServerState | None = None
         self.first_payer = ''
+        self.first_token_at: float | None = None
+        self.retried = 0
+        self.resumed = 0
         self.meter = StreamMeter(request.max_tokens, request.include_usage)
 
     @property
--- a/eelgrassfork/chat_settlement.py
+++ b/eelgrassfork/chat_settlement.py
@@ -13,10 +13,12 @@
 
 from .backends import Backends
 from .chat_meter import Usage, billable_tokens
+from .chat_metrics import count_tokens
 from .chat_records import ChatRecords
 from .chat_run import Accounts, ChatRun
 from .engine_client import EngineClient
 from .engine_types import EngineRecord
+from .metrics import Metrics
 
 __all__ = ('Ending', 'Settlement')
 
@@ -42,6 +44,7 @@
     :param engines: client of the engines.
     :param backends: which servers are still listed.
     :param source: random source of jitter.
+    :param metrics: where billed tokens are counted.
     """
 
     def __init__(
@@ -50,8 +53,10 @@
         engines: EngineClient,
         backends: Backends,
         source: random.Random,
+        metrics: Metrics,
     ) -> None:
         self._accounts = accounts
+        self._metrics = metrics
         self._records = ChatRecords(engines, backends, source)
         self._scope = trio.CancelScope()
         self._stopped = trio.Event()
@@ -193,14 +198,20 @@
         return False
 
     def _settle(self, run: ChatRun, spent: int) -> None:
-        if run.reservation is not None and not run.settled:
+        if not run.settled:
             run.settled = True
-            self._accounts.settle(run.reservation, spent)
+            self._settle_once(run, spent)
 
     def _bill(self, run: ChatRun, spent: int) -> None:
         self.open_bills -= 1
-        if run.reservation is not None:
-            self._accounts.settle(run.reservation, spent)
+        self._settle_once(run, spent)
+
+    def _settle_once(self, run: ChatRun, spent: int) -> None:
+        if run.reservation is None:
+            return
+        self._accounts.settle(run.reservation, spent)
+        if spent:
+            count_tokens(self._metrics, run, spent)
 
 
 def _tokens(run: ChatRun, usage: Usage) -> int:
--- a/eelgrassfork/metric_table.py
+++ b/eelgrassfork/metric_table.py
@@ -52,6 +52,37 @@
         ('service',),
         'Idempotent plain calls sent again to another backend server.',
     ),
+    'chat_first_token_ms': MetricSpec(
+        'timer',
+        ('service',),
+        'Milliseconds from the arrival of a request for a stream until its '
+        'first token is sent on.',
+    ),
+    'chat_tokens': MetricSpec(
+        'counter',
+        ('service',),
+        'Tokens of prompts and completions billed for model calls.',
+    ),
+    'chat_retries': MetricSpec(
+        'counter',
+        ('service',),
+        'Model calls sent to another backend server before their answer began.',
+    ),
+    'chat_resumes': MetricSpec(
+        'counter',
+        ('service',),
+        'Streams that broke and were resumed at their backend server.',
+    ),
+    'chat_cut': MetricSpec(
+        'counter',
+        ('service', 'code'),
+        'Answers to model calls that were cut visibly after they had begun.',
+    ),
+    'chat_refusals': MetricSpec(
+        'counter',
+        ('service', 'code'),
+        'Model calls that ended with an error before their answer began.',
+    ),
     'ejections': MetricSpec(
         'counter',
         ('service',),
--- a/eelgrassfork/router_requests.py
+++ b/eelgrassfork/router_requests.py
@@ -149,6 +149,7 @@
             retry_budget=self._retry_budget,
             failure_domain=inputs.failure_domain,
             source=inputs.source,
+            metrics=inputs.metrics,
         )
 
     def _plain_parts(self, inputs: RequestInputs) -> PlainParts:
--- a/tests/chat_setting.py
+++ b/tests/chat_setting.py
@@ -32,6 +32,7 @@
 from eelgrassfork.vm_list import VmRecord
 from standins.engine import EngineSettings, EngineStandin
 from tests.memory_network import MemoryNetwork
+from tests.metric_recorder import MetricRecorder
 
 SERVICE = Service(
     'p/matcher',
@@ -127,6 +128,7 @@
     def __init__(self, setting, name: str) -> None:
         self.accounts = FakeAccounts(f'{name}.a')
         self.retry_budget = RetryBudget()
+        self.metrics = MetricRecorder()
         self.backends = Backends(EjectionPolicy(), random.Random(1))
         transport = setting.network.transport(name)
         self.chat = Chat(
@@ -140,6 +142,7 @@
                 failure_domain='p/a',
                 source=random.Random(2),
                 choose=first_usable,
+                metrics=self.metrics,
             )
         )
         self.server = HttpServer(self.serve, transport=transport)
--- /dev/null
+++ b/tests/metric_recorder.py
@@ -0,0 +1,34 @@
+"""
+tests.metric_recorder
+~~~~~~~~~~~~~~~~~~~~~
+
+Metrics that are kept instead of sent.
+"""
+
+from collections import Counter
+
+from eelgrassfork.metrics import NoMetrics
+
+__all__ = ('MetricRecorder',)
+
+
+class MetricRecorder(NoMetrics):
+    """Checks and keeps samples; the fleet is the first label."""
+
+    def __init__(self) -> None:
+        self.counts = Counter()
+        self.times_ms = {}
+        self.levels = {}
+
+    def count(self, name, fleet, *labels, amount=1):
+        super().count(name, fleet, *labels, amount=amount)
+        self.counts[(name, fleet, *labels)] += amount
+
+    def gauge(self, name, fleet, *labels, level):
+        super().gauge(name, fleet, *labels, level=level)
+        self.levels[(name, fleet, *labels)] = level
+
+    def timing(self, name, fleet, *labels, milliseconds):
+        super().timing(name, fleet, *labels, milliseconds=milliseconds)
+        key = (name, fleet, *labels)
+        self.times_ms.setdefault(key, []).append(milliseconds)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -12,18 +12,9 @@
 import trio.testing
 
 from eelgrassfork.backends import Backends, CacheEvent
-from eelgrassfork.metrics import NoMetrics
 from eelgrassfork.retries import EjectionPolicy
 from eelgrassfork.vm_list import VmRecord
-
-
-class Counts(NoMetrics):
-    def __init__(self):
-        self.names = []
-
-    def count(self, name, fleet, *labels, amount=1):
-        super().count(name, fleet, *labels, amount=amount)
-        self.names.append((name, fleet, *labels))
+from tests.metric_recorder import MetricRecorder
 
 
 def record(vm: str, state: str = 'live', **fields) -> VmRecord:
@@ -89,7 +80,7 @@
 
     @in_trio
     async def test_each_ejection_and_return_is_counted_once(self, backends):
-        backends._metrics = Counts()
+        backends._metrics = MetricRecorder()
         for _ in range(5):
             backends.failed('vm-1')
         backends.draining('vm-2')
@@ -98,11 +89,11 @@
         backends.probed('vm-1', alive=True)
         backends.succeeded('vm-1')
         self.assertEqual(
-            [
-                ('ejections', 'p', 'p/matcher'),
-                ('server_returns', 'p', 'p/matcher'),
-            ],
-            backends._metrics.names,
+            {
+                ('ejections', 'p', 'p/matcher'): 1,
+                ('server_returns', 'p', 'p/matcher'): 1,
+            },
+            backends._metrics.counts,
         )
 
     @in_trio
