Report credit, peers, the bundle's age, engine orders and the event loop

Cause: these parts reported nothing to operators. Change: credit_drawn and credit_returned come from the accounts' dumps every 10 s, credit_reclaimed from the reclaimer's writes, credit_refusals from the error answers by organisation. Gauges tell peers heard and suspect, the age of the bundle and the worst lateness of the event loop; counters tell the bytes of exchanges and the engine orders. router_metrics.py reports them all.

--- a/eelgrassfork/front.py
+++ b/eelgrassfork/front.py
@@ -30,6 +30,9 @@
 _UNAVAILABLE: Final = 503
 _CALLER_GONE: Final = 499
 _MS: Final = 1000
+_CREDIT_CODES: Final = frozenset(
+    ('budget_exhausted', 'credit_held_elsewhere', 'credit_unreachable')
+)
 _MAX_PATH_CHARACTERS: Final = 200
 _SERVICES_PREFIX: Final = '/services/'
 
@@ -195,6 +198,13 @@
         )
         if error is not None:
             metrics.count('refusals', fleet, error.code, error.outcome)
+            if caller is not None and error.code in _CREDIT_CODES:
+                metrics.count(
+                    'credit_refusals',
+                    fleet,
+                    caller.organisation.name,
+                    error.code,
+                )
         _log.info(
             'front: {} {} -> {} in {:.0f} ms for {}{}',
             call.method,
--- a/eelgrassfork/metric_table.py
+++ b/eelgrassfork/metric_table.py
@@ -128,6 +128,57 @@
         (),
         'Requests of callers in progress at this router.',
     ),
+    'credit_drawn': MetricSpec(
+        'counter',
+        (),
+        'Tokens set aside for accounts of this router, net in 10 s.',
+    ),
+    'credit_returned': MetricSpec(
+        'counter',
+        (),
+        'Tokens that accounts of this router gave back, net in 10 s.',
+    ),
+    'credit_reclaimed': MetricSpec(
+        'counter',
+        (),
+        'Tokens of dead holders that this router made available again.',
+    ),
+    'credit_refusals': MetricSpec(
+        'counter',
+        ('organisation', 'code'),
+        'Requests refused for lack of credit, by organisation and code.',
+    ),
+    'engine_orders': MetricSpec(
+        'counter',
+        ('service', 'order', 'outcome'),
+        'Orders to engines by kind; done or failed.',
+    ),
+    'peer_bytes': MetricSpec(
+        'counter',
+        ('direction',),
+        'Bytes of exchanges with other routers, sent and received, without '
+        'headers.',
+    ),
+    'peers_heard': MetricSpec(
+        'gauge',
+        (),
+        'Routers that this router exchanges with or was called by.',
+    ),
+    'peers_suspect': MetricSpec(
+        'gauge',
+        (),
+        'Those of them that were silent for three heartbeats.',
+    ),
+    'loop_late_ms': MetricSpec(
+        'gauge',
+        (),
+        'Worst lateness of the event loop since the last report.',
+    ),
+    'bundle_age_s': MetricSpec(
+        'gauge',
+        (),
+        'Seconds for which the bundle has been in force at this router.',
+    ),
     'bundle_version': MetricSpec(
         'gauge',
         (),
--- a/eelgrassfork/order_duty.py
+++ b/eelgrassfork/order_duty.py
@@ -301,6 +301,10 @@
             engine.state = None
             engine.read_at = _NEVER
         self._given[f'{order.kind} {outcome}'] += 1
+        fleet = self._name.partition('/')[0]
+        self._parts.metrics.count(
+            'engine_orders', fleet, self._name, order.kind, outcome
+        )
 
     def _note_failure(
         self, engine: _Engine, order: Order, error: EngineError
--- a/eelgrassfork/router.py
+++ b/eelgrassfork/router.py
@@ -6,8 +6,7 @@
 """
 
 import random
-from collections.abc import Callable
-from typing import Any, Final, NamedTuple
+from typing import Final, NamedTuple
 
 import logbook
 import trio
@@ -23,7 +22,7 @@
 from .http_server import HttpServer
 from .leases import Leases
 from .membership import Membership
-from .metrics import Metrics, NoMetrics, report_levels
+from .metrics import Metrics, NoMetrics
 from .names import new_holder
 from .operator_port import OperatorParts, operator_handler
 from .order_duty import DutyParts
@@ -34,6 +33,7 @@
 from .retries import EjectionPolicy
 from .rollout import Rollout
 from .router_credit import CreditInputs, RouterCredit
+from .router_metrics import MeteredParts, RouterMetrics
 from .router_requests import RequestInputs, RouterRequests
 from .router_settings import (
     drain_settings,
@@ -51,7 +51,6 @@
 _log = logbook.Logger('router')
 
 _MS: Final = 1000
-_GAUGE_INTERVAL_S: Final = 10
 _CLOSE_LIMIT_S: Final = 10
 _MAX_IDLE_CONNECTIONS: Final = 32
 
@@ -162,13 +161,7 @@
         await self.requests.start(nursery)
         await self.orders.start(nursery)
         await self.callers.start(nursery, *settings.callers)
-        nursery.start_soon(
-            report_levels,
-            self._environment.metrics,
-            settings.fleet,
-            self._levels(),
-            _GAUGE_INTERVAL_S,
-        )
+        await RouterMetrics(self._metered_parts()).start(nursery)
         _log.info('router: {} serves on {}', self.holder, self.callers.address)
 
     async def run_drain(self) -> dict[str, int]:
@@ -285,6 +278,7 @@
             ),
             on_fenced=lambda: self.drain.begin('its accounts were closed'),
             report_interval_s=settings.report_interval_ms / _MS,
+            metrics=self._environment.metrics,
         )
 
     def _request_inputs(self) -> RequestInputs:
@@ -341,12 +335,15 @@
             drain=lambda: self.drain.begin('an operator asked for it'),
         )
 
-    def _levels(self) -> dict[str, Callable[[], Any]]:
-        return {
-            'requests_in_flight': lambda: self.callers.busy,
-            'bundle_version': lambda: self.rollout.version,
-            'servers_listed': lambda: self.backends.census().listed,
-            'servers_ejected': lambda: self.backends.census().ejected,
-            'servers_leaving': lambda: self.backends.census().leaving,
-            **self.requests.levels(),
-        }
+    def _metered_parts(self) -> MeteredParts:
+        return MeteredParts(
+            metrics=self._environment.metrics,
+            fleet=self._settings.fleet,
+            busy=lambda: self.callers.busy,
+            rollout=self.rollout,
+            membership=self.membership,
+            peering=self.peering,
+            backends=self.backends,
+            credit=self.credit,
+            levels=self.requests.levels(),
+        )
--- a/eelgrassfork/router_credit.py
+++ b/eelgrassfork/router_credit.py
@@ -15,9 +15,11 @@
 from .credit import CreditAccounts
 from .credit_book import CreditHooks, ledger_key
 from .credit_policy import CreditSettings
+from .ledger_metrics import ReclaimMeter
 from .lender_choice import home_vm, order_lenders
 from .lending import LendingSettings, LoanServer
 from .membership import Membership, PeerRecord
+from .metrics import Metrics, NoMetrics
 from .names import PayerTag
 from .peering import Peering
 from .platform_client import PlatformClient
@@ -50,6 +52,7 @@
     sources: tuple[RecordSource, ...]
     on_fenced: Callable[[], None]
     report_interval_s: float
+    metrics: Metrics = NoMetrics()
 
 
 class RouterCredit:
@@ -90,7 +93,9 @@
             settings,
         )
         self._reclaimer = Reclaimer(
-            inputs.platform, self._reclaim_inputs(), ReclaimSettings()
+            ReclaimMeter(inputs.platform, inputs.metrics),
+            self._reclaim_inputs(),
+            ReclaimSettings(),
         )
 
     async def start(self, nursery: trio.Nursery) -> None:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -24,8 +24,8 @@
     HttpClient,
 )
 from eelgrassfork.http_server import HttpServer
-from eelgrassfork.metrics import NoMetrics
 from tests.memory_network import MemoryNetwork
+from tests.metric_recorder import MetricRecorder
 
 KEY = 'sk-atelier'
 CALLER = Caller(
@@ -49,6 +49,7 @@
         self.unready = ''
         self.draining = False
         self.refuses = False
+        self.metrics = MetricRecorder()
         network = MemoryNetwork()
         parts = FrontParts(
             bundle=lambda: self.bundle,
@@ -59,7 +60,7 @@
             models=functools.partial(self.answer, b'models'),
             plain=functools.partial(self.answer, b'plain'),
             issue_key=lambda organisation: f'efk1.{organisation}',
-            metrics=NoMetrics(),
+            metrics=self.metrics,
         )
         self.server = HttpServer(
             Front(parts).serve, transport=network.transport('router')
@@ -69,6 +70,8 @@
     async def answer(self, body, call, caller):
         if 'x-bug' in call.headers_by_name:
             raise ValueError(f'bug near Bearer {KEY}')
+        if 'x-poor' in call.headers_by_name:
+            raise RequestError('budget_exhausted', 'the budget is spent')
         if 'x-cut' in call.headers_by_name:
             await call.start(200, ())
             raise RequestError('server_failed', 'cut', 'ran')
@@ -105,6 +108,31 @@
 
 
 class FrontTests(testtools.TestCase):
+    @run_setting
+    async def test_refusals_for_lack_of_credit_name_the_organisation(
+        self, setting
+    ):
+        for headers in ((('x-poor', '1'),), (('x-bug', '1'),)):
+            await setting.call('POST', '/v1/chat/completions', headers)
+        refusals = {
+            key: amount
+            for key, amount in setting.metrics.counts.items()
+            if 'refusals' in key[0]
+        }
+        self.assertEqual(
+            {
+                ('refusals', 'pazlen', 'budget_exhausted', 'not_run'): 1,
+                ('refusals', 'pazlen', 'internal_error', 'unknown'): 1,
+                (
+                    'credit_refusals',
+                    'pazlen',
+                    'pazlen/atelier',
+                    'budget_exhausted',
+                ): 1,
+            },
+            refusals,
+        )
+
     @run_setting
     async def test_paths_reach_their_part(self, setting):
         cases = (
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -24,6 +24,7 @@
 
 from . import bundles
 from .memory_network import MemoryNetwork
+from .metric_recorder import MetricRecorder
 
 __all__ = ('Scene', 'with_scene')
 
@@ -42,6 +43,7 @@
         self.engine = EngineStandin(
             EngineSettings('old'), self.network.transport('engine')
         )
+        self.metrics = MetricRecorder()
         self.routers = [self.router(number) for number in (1, 2)]
 
     def router(self, number: int) -> Router:
@@ -63,7 +65,8 @@
             RouterEnvironment(
                 self.network.transport(vm),
                 self.platform.for_client(vm),
-                source=random.Random(number),
+                self.metrics,
+                random.Random(number),
             ),
         )
 
@@ -141,3 +144,29 @@
         successor, duty = await self.holder(scene)
         self.assertIsNot(router, successor)
         self.assertEqual(2, duty['lease']['fencing_number'])
+
+
+class MetricsTests(testtools.TestCase):
+    @with_scene
+    async def test_parts_report_to_the_metrics_of_the_router(self, scene):
+        await trio.sleep(35)
+        scene.network.cut('vm-1', 'vm-2')
+        await trio.sleep(20)
+        levels = {
+            name: level for (name, *_), level in scene.metrics.levels.items()
+        }
+        for name, least, most in (
+            ('bundle_version', 1, 1),
+            ('bundle_age_s', 40, 60),
+            ('servers_listed', 1, 1),
+            ('servers_ejected', 0, 0),
+            ('peers_heard', 1, 1),
+            ('peers_suspect', 1, 1),
+            ('loop_late_ms', 0, 1),
+        ):
+            with self.subTest(name=name):
+                self.assertTrue(least <= levels[name] <= most, levels[name])
+        counts = scene.metrics.counts
+        order = ('engine_orders', 'pazlen', SERVICE, 'load_model', 'done')
+        self.assertEqual(1, counts[order])
+        self.assertTrue(counts['peer_bytes', 'pazlen', 'sent'] > 1000)
