--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -14,6 +14,7 @@
 from eelgrassfork.backends import Backends, CacheEvent
 from eelgrassfork.retries import EjectionPolicy
 from eelgrassfork.vm_list import VmRecord
+from tests.metric_recorder import MetricRecorder
 
 
 def record(vm: str, state: str = 'live', **fields) -> VmRecord:
@@ -77,6 +78,24 @@
         backends.probed('vm-1', alive=True)
         self.assertFalse(states(backends)['vm-1'].ejected)
 
+    @in_trio
+    async def test_each_ejection_and_return_is_counted_once(self, backends):
+        backends._metrics = MetricRecorder()
+        for _ in range(5):
+            backends.failed('vm-1')
+        backends.draining('vm-2')
+        self.assertEqual((2, 1, 1), backends.census())
+        backends.probed('vm-1', alive=False)
+        backends.probed('vm-1', alive=True)
+        backends.succeeded('vm-1')
+        self.assertEqual(
+            {
+                ('ejections', 'p', 'p/matcher'): 1,
+                ('server_returns', 'p', 'p/matcher'): 1,
+            },
+            backends._metrics.counts,
+        )
+
     @in_trio
     async def test_polls_are_bounded_and_only_for_services_in_use(
         self, backends
