--- a/eelgrassfork/router.py
+++ b/eelgrassfork/router.py
@@ -6,8 +6,7 @@
 """
 
 import random
-from collections.abc import Callable
-from typing import Any, Final, NamedTuple
+from typing import Final, NamedTuple
 
 import logbook
 import trio
@@ -18,12 +17,15 @@
 from .claims import Claims, ClaimsIdentity
 from .drain import Drain
 from .engine_client import EngineClient
+from .engine_orders import EngineOrders
 from .http_client import ClientTimeouts, HttpClient
 from .http_server import HttpServer
+from .leases import Leases
 from .membership import Membership
-from .metrics import Metrics, NoMetrics, report_levels
+from .metrics import Metrics, NoMetrics
 from .names import new_holder
 from .operator_port import OperatorParts, operator_handler
+from .order_duty import DutyParts
 from .peer_messages import Heartbeat, RouterState
 from .peering import Peering, PeerSettings
 from .platform_client import PlatformClient
@@ -31,10 +33,12 @@
 from .retries import EjectionPolicy
 from .rollout import Rollout
 from .router_credit import CreditInputs, RouterCredit
+from .router_metrics import MeteredParts, RouterMetrics
 from .router_requests import RequestInputs, RouterRequests
 from .router_settings import (
     drain_settings,
     member_settings,
+    order_settings,
     rollout_settings,
     server_limits,
 )
@@ -47,7 +51,6 @@
 _log = logbook.Logger('router')
 
 _MS: Final = 1000
-_GAUGE_INTERVAL_S: Final = 10
 _CLOSE_LIMIT_S: Final = 10
 _MAX_IDLE_CONNECTIONS: Final = 32
 
@@ -114,7 +117,9 @@
             BundleSources(self.platform, self.peering, self.membership),
             self.membership.is_poller,
         )
-        self.backends = Backends(EjectionPolicy(), environment.source)
+        self.backends = Backends(
+            EjectionPolicy(), environment.source, environment.metrics
+        )
         self._engines = EngineClient(self._http)
         self._claims = Claims(
             self.platform,
@@ -126,6 +131,7 @@
         )
         self.credit = RouterCredit(self._credit_inputs())
         self.requests = RouterRequests(self._request_inputs())
+        self.orders = EngineOrders(settings.vm, self._duty_parts())
         self.callers = HttpServer(
             self.requests.front.serve,
             server_limits(settings),
@@ -153,14 +159,9 @@
         await self.membership.start(nursery, self.peering)
         await self.credit.start(nursery)
         await self.requests.start(nursery)
+        await self.orders.start(nursery)
         await self.callers.start(nursery, *settings.callers)
-        nursery.start_soon(
-            report_levels,
-            self._environment.metrics,
-            settings.fleet,
-            self._levels(),
-            _GAUGE_INTERVAL_S,
-        )
+        await RouterMetrics(self._metered_parts()).start(nursery)
         _log.info('router: {} serves on {}', self.holder, self.callers.address)
 
     async def run_drain(self) -> dict[str, int]:
@@ -179,6 +180,7 @@
         self.callers.stop_accepting()
         limit = trio.move_on_after(_CLOSE_LIMIT_S)
         with limit:
+            await self.orders.close()
             await self.requests.close()
             await self.credit.close()
         if limit.cancelled_caught:
@@ -242,6 +244,8 @@
 
     def _take_vm_list(self, vm_list: VmList) -> None:
         self.backends.update(vm_list.vms)
+        self.requests.review_queue()
+        self.orders.take_vm_list(vm_list)
         for record in vm_list.vms:
             if record.vm == self._settings.vm and record.state == 'leaving':
                 self.drain.begin('the VM is leaving')
@@ -274,6 +278,7 @@
             ),
             on_fenced=lambda: self.drain.begin('its accounts were closed'),
             report_interval_s=settings.report_interval_ms / _MS,
+            metrics=self._environment.metrics,
         )
 
     def _request_inputs(self) -> RequestInputs:
@@ -292,6 +297,21 @@
             source=self._environment.source,
         )
 
+    def _duty_parts(self) -> DutyParts:
+        def bundle() -> Bundle | None:
+            # A router that is stopping or catching up gives no orders.
+            idle = self.drain.is_begun or self.unready()
+            return None if idle else self._bundle()
+
+        settings = order_settings(self._settings)
+        return DutyParts(
+            Leases(self.platform, self.holder, settings.lease_s),
+            self._engines,
+            bundle,
+            settings,
+            metrics=self._environment.metrics,
+        )
+
     def _operator_parts(self) -> OperatorParts:
         def unready() -> str:
             return 'draining' if self.drain.is_begun else self.unready()
@@ -309,14 +329,21 @@
                 'peering': self.peering.dump,
                 'credit': self.credit.dump,
                 'backends': self.backends.dump,
+                'engine_orders': self.orders.dump,
                 **self.requests.dumps(),
             },
             drain=lambda: self.drain.begin('an operator asked for it'),
         )
 
-    def _levels(self) -> dict[str, Callable[[], Any]]:
-        return {
-            'requests_in_flight': lambda: self.callers.busy,
-            'bundle_version': lambda: self.rollout.version,
-            **self.requests.levels(),
-        }
+    def _metered_parts(self) -> MeteredParts:
+        return MeteredParts(
+            metrics=self._environment.metrics,
+            fleet=self._settings.fleet,
+            busy=lambda: self.callers.busy,
+            rollout=self.rollout,
+            membership=self.membership,
+            peering=self.peering,
+            backends=self.backends,
+            credit=self.credit,
+            levels=self.requests.levels(),
+        )
