Add a holder's accounts and their group commit

Cause: 61,000 requests a second can't each write to the platform, and a draw whose answer is lost must neither be used twice nor be lost.

--- a/eelgrassfork/credit_policy.py
+++ b/eelgrassfork/credit_policy.py
@@ -12,6 +12,7 @@
 __all__ = (
     'CreditNeed',
     'CreditSettings',
+    'backoff_s',
     'draw_size',
     'fitting',
     'is_scarce',
@@ -23,6 +24,7 @@
 # drawn and returned in turns when the demand varies.
 _MOST_INTERVALS_KEPT: Final = 8
 _INTERVALS_KEPT: Final = 2
+_MOST_DOUBLINGS: Final = 16
 
 
 class CreditSettings(NamedTuple):
@@ -67,6 +69,23 @@
     draw_fraction: float
 
 
+def backoff_s(
+    attempt: int, first_s: float, most_s: float, jitter: float
+) -> float:
+    """
+    Choose the wait before the next attempt.
+
+    :param attempt: attempts that failed so far, from 1.
+    :param first_s: longest wait after the first, in seconds.
+    :param most_s: longest wait after many, in seconds.
+    :param jitter: random number from 0 to 1, so that routers spread out.
+    :returns: seconds.
+    """
+    doublings = min(attempt - 1, _MOST_DOUBLINGS)
+    longest_s = min(most_s, first_s * (1 << doublings))
+    return longest_s * (1 + jitter) / 2
+
+
 def is_scarce(need: CreditNeed) -> bool:
     """
     Tell whether the budget is near exhaustion.
--- /dev/null
+++ b/eelgrassfork/ledger_plan.py
@@ -0,0 +1,256 @@
+"""
+eelgrassfork.ledger_plan
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Plans one conditional update of a ledger shard for a holder's accounts.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from .credit_account import Account, Waiter
+from .credit_policy import (
+    CreditNeed,
+    CreditSettings,
+    draw_size,
+    fitting,
+    refusal_code,
+    return_size,
+)
+from .ledger import (
+    BudgetRecord,
+    HolderEntry,
+    LedgerError,
+    LedgerShard,
+    Refusal,
+    close_holder,
+    put_holder_entries,
+    unreserved,
+)
+
+__all__ = ('Plan', 'PlanContext', 'make_plan')
+
+
+class PlanContext(NamedTuple):
+    """
+    What a plan depends on besides the accounts and the shard.
+
+    :param is_fresh: whether the shard was read for this plan; otherwise it
+        is the content of the last write.
+    :param is_resolved: whether no earlier write can take effect any more.
+    """
+
+    holder: str
+    settings: CreditSettings
+    draw_fraction_of: Callable[[str], float]
+    listed_at: int
+    now: float
+    closing: bool
+    is_fresh: bool
+    is_resolved: bool
+
+
+class Plan:
+    """
+    One update and what it means for the accounts once it took effect.
+
+    :param shard: the shard to be changed.
+    :ivar is_unsure: a reservation would be refused, but the shard may be
+        out of date.
+    :ivar fenced_budget: a budget whose entry was removed by others.
+    :ivar is_forced: the shard is to be written unchanged, so that an earlier
+        write of unknown outcome can't take effect any more.
+    """
+
+    def __init__(self, shard: LedgerShard) -> None:
+        self.shard = shard
+        self.is_unsure = False
+        self.fenced_budget = ''
+        self.is_forced = False
+        self._entries: list[tuple[Account, HolderEntry]] = []
+        self._closed: list[Account] = []
+
+    def has_changes(self) -> bool:
+        """
+        Tell whether there is anything to write.
+
+        :returns: whether a write is needed.
+        """
+        return bool(self._entries or self._closed or self.is_forced)
+
+    def put(self, account: Account, entry: HolderEntry) -> None:
+        """
+        Include a new entry of an account.
+
+        :param account: the account.
+        :param entry: its whole entry.
+        """
+        self._entries.append((account, entry))
+
+    def close(self, account: Account, holder: str) -> None:
+        """
+        Include the end of an account.
+
+        :param account: an account without open reservations.
+        :param holder: the holder.
+        """
+        reported = account.entry['spent'] if account.entry else 0
+        self.shard = _checked(
+            close_holder(
+                self.shard, account.budget, holder, account.spent - reported
+            ),
+        )
+        self._closed.append(account)
+
+    def finish(self, holder: str) -> None:
+        """
+        Compute the shard to be written.
+
+        :param holder: the holder.
+        """
+        entries_by_budget = {
+            account.budget: entry for account, entry in self._entries
+        }
+        self.shard = _checked(
+            put_holder_entries(self.shard, holder, entries_by_budget)
+        )
+
+    def apply(self) -> None:
+        """Let the accounts use what the ledger has confirmed."""
+        for account, entry in self._entries:
+            account.adopt(entry)
+            account.serve_waiters()
+        for account in self._closed:
+            account.adopt(None)
+            account.closed = True
+
+    def take_back(self) -> None:
+        """Let the accounts use again what they were about to return."""
+        for account, _ in self._entries:
+            account.adopt(account.entry)
+
+
+def make_plan(
+    shard: LedgerShard,
+    accounts_by_budget: Mapping[str, Account],
+    context: PlanContext,
+) -> Plan:
+    """
+    Plan an update for all accounts that need one.
+
+    Credit to be returned is taken from the accounts at once. Reservations
+    that a fresh shard can't cover are refused.
+
+    :param shard: the shard as the platform has it.
+    :param accounts_by_budget: accounts of the holder in this shard.
+    :param context: everything else.
+    :returns: the plan.
+    :raises LedgerError: if the shard doesn't take the change.
+    """
+    plan = Plan(shard)
+    plan.is_forced = not context.is_resolved
+    for account in accounts_by_budget.values():
+        record = shard['budgets'].get(account.budget)
+        if context.is_resolved and not _adopt(account, record, context):
+            plan.fenced_budget = account.budget
+            return plan
+        if context.closing:
+            _plan_close(plan, account, record, context)
+        elif record is None:
+            _refuse(plan, account, account.waiters, record, context)
+        else:
+            _plan_entry(plan, account, record, context)
+    plan.finish(context.holder)
+    return plan
+
+
+def _checked(changed: LedgerShard | Refusal) -> LedgerShard:
+    if isinstance(changed, Refusal):
+        raise LedgerError(changed.code, changed.message)
+    return changed
+
+
+def _adopt(
+    account: Account, record: BudgetRecord | None, context: PlanContext
+) -> bool:
+    entry = record['holders'].get(context.holder) if record else None
+    is_gone = entry is None and account.entry is not None
+    if is_gone and not context.closing:
+        return False
+    account.adopt(entry)
+    return True
+
+
+def _plan_close(
+    plan: Plan,
+    account: Account,
+    record: BudgetRecord | None,
+    context: PlanContext,
+) -> None:
+    is_open = bool(account.amounts_by_number)
+    if account.entry is None or record is None:
+        account.closed = context.is_resolved and not is_open
+    elif is_open:
+        account.limit -= account.free
+        _put_if_changed(plan, account, account.limit, context)
+    else:
+        account.limit = account.spent
+        plan.close(account, context.holder)
+
+
+def _plan_entry(
+    plan: Plan, account: Account, record: BudgetRecord, context: PlanContext
+) -> None:
+    drawn_before = account.entry['drawn'] if account.entry else 0
+    rest = unreserved(record) + drawn_before - account.limit
+    amounts = [waiter.amount for waiter in account.waiters]
+    covered = fitting(amounts, account.free + rest)
+    refused = [
+        waiter
+        for waiter, is_covered in zip(account.waiters, covered)
+        if not is_covered
+    ]
+    _refuse(plan, account, refused, record, context)
+    needed = sum(
+        amount for amount, is_covered in zip(amounts, covered) if is_covered
+    )
+    need = CreditNeed(
+        needed=max(needed - account.free, 0),
+        free=account.free,
+        demand=account.demand.at(context.now),
+        rest=rest,
+        draw_fraction=context.draw_fraction_of(account.budget),
+    )
+    if not needed:
+        account.limit -= return_size(
+            need,
+            context.now - account.used_at,
+            context.settings.idle_after_s,
+        )
+    account.serve_waiters()
+    _put_if_changed(plan, account, account.limit + draw_size(need), context)
+
+
+def _refuse(
+    plan: Plan,
+    account: Account,
+    refused: list[Waiter],
+    record: BudgetRecord | None,
+    context: PlanContext,
+) -> None:
+    if refused and not context.is_fresh:
+        plan.is_unsure = True
+        return
+    account.waiters = [
+        waiter for waiter in account.waiters if waiter not in refused
+    ]
+    for loser in refused:
+        loser.refuse(refusal_code(record, loser.amount))
+
+
+def _put_if_changed(
+    plan: Plan, account: Account, drawn: int, context: PlanContext
+) -> None:
+    drawn_before = account.entry['drawn'] if account.entry else 0
+    if drawn != drawn_before or not account.is_reported():
+        plan.put(account, account.next_entry(drawn, context.listed_at))
