Add lending of credit between routers

Cause: a router without credit and without the platform refuses requests that a peer's credit would cover. A third call, loans_of, tells a reclaimer what was borrowed from a dead lender; a router that has answered it starts nothing more on that lender's credit. credit_book.py refuses to open accounts once its tasks have ended.

--- /dev/null
+++ b/eelgrassfork/borrowing.py
@@ -0,0 +1,202 @@
+"""
+eelgrassfork.borrowing
+~~~~~~~~~~~~~~~~~~~~~~
+
+Borrower's side of reservations on the accounts of peers.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import trio
+
+from .credit import Reservation
+from .lending import RESERVE_KIND, LendingSettings, PeerCalls
+from .loan_outbox import Loan, LoanOutbox
+from .membership import PeerRecord
+from .names import PayerTag, parse_payer
+from .peer_messages import Payload
+from .peering import PeerRefused, PeerUnreachable
+from .spend_records import RecordsMissing
+
+__all__ = ('LOANS_KIND', 'LoanClient')
+
+LOANS_KIND: Final = 'loans_of'
+
+
+class LoanClient:
+    """
+    Reserves with peers, and tells them what was spent until they know.
+
+    :param holder: this holder.
+    :param peers: the exchange with peers.
+    :param lenders_of: peers to ask for a budget, in order.
+    :param is_home_elsewhere: whether another router draws for a budget, so
+        that it is asked before the platform.
+    :param is_dead: proof of a holder's death.
+    :param settings: bounds.
+    """
+
+    def __init__(
+        self,
+        holder: str,
+        peers: PeerCalls,
+        lenders_of: Callable[[str], list[PeerRecord]],
+        is_home_elsewhere: Callable[[str], bool],
+        is_dead: Callable[[str], bool],
+        settings: LendingSettings,
+    ) -> None:
+        self._holder = holder
+        self._peers = peers
+        self._lenders_of = lenders_of
+        self._is_home_elsewhere = is_home_elsewhere
+        self._is_dead = is_dead
+        self._settings = settings
+        self._count = 0
+        self._open_by_payer: dict[PayerTag, Loan] = {}
+        self._surveyed: set[str] = set()
+        self._outbox = LoanOutbox(peers, is_dead, settings)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """
+        Send settlements in the background, and answer reclaimers.
+
+        :param nursery: where this runs.
+        """
+        self._peers.register(LOANS_KIND, self._serve_loans)
+        await self._outbox.start(nursery)
+
+    async def close(self) -> None:
+        """Wait until lenders know all settlements, or the caller cancels."""
+        await self._outbox.close()
+
+    def is_first(self, budget: str) -> bool:
+        """
+        Tell whether peers are asked before the platform.
+
+        :param budget: name of the budget.
+        :returns: whether another router draws for it.
+        """
+        return self._is_home_elsewhere(budget)
+
+    async def borrow(self, budget: str, amount: int) -> Reservation | None:
+        """
+        Reserve with the first peer that can.
+
+        :param budget: name of the budget.
+        :param amount: tokens.
+        :returns: the reservation, to be settled once, or ``None``.
+        """
+        with trio.move_on_after(self._settings.borrow_wait_s):
+            peers = self._lenders_of(budget)
+            for peer in peers[: self._settings.most_peers]:
+                lent = await self._ask(peer, budget, amount)
+                if lent is not None:
+                    return lent
+        return None
+
+    def settle(self, reservation: Reservation, spent: int) -> None:
+        """
+        Tell the lender what was spent; repeating has no effect.
+
+        :param reservation: from :meth:`borrow`.
+        :param spent: tokens.
+        """
+        loan = self._open_by_payer.pop(reservation.payer, None)
+        if loan is not None:
+            self._outbox.add(loan._replace(spent=spent))
+
+    def loans_of(self, lender: str) -> Payload:
+        """
+        Report what was borrowed from a dead lender, and borrow no more.
+
+        :param lender: the dead holder.
+        :returns: ``open`` payer tags, and tokens by payer tag ``settled``.
+        """
+        self._surveyed.add(lender)
+        settled = self._outbox.settled_with(lender)
+        still_open = [
+            str(tag) for tag in self._open_by_payer if tag.holder == lender
+        ]
+        return {
+            'open': still_open,
+            'settled': {str(tag): spent for tag, spent in settled.items()},
+        }
+
+    async def survey(self, lender: str, vms: list[str]) -> dict[PayerTag, int]:
+        """
+        Ask all routers what they have borrowed from a dead lender.
+
+        Without this, a router could spend a reservation after the lender's
+        credit was taken back.
+
+        :param lender: the dead holder.
+        :param vms: VMs of all other routers that may still run.
+        :returns: tokens by payer tag that the lender may not have reported.
+        :raises RecordsMissing: if a router can't be asked or has an open
+            reservation.
+        """
+        settled = _settled(lender, self.loans_of(lender))
+        for vm in vms:
+            try:
+                report = await self._peers.call(
+                    vm, LOANS_KIND, {'lender': lender}
+                )
+            except (PeerRefused, PeerUnreachable) as error:
+                raise RecordsMissing(f'{vm} gave no loans: {error}') from None
+            settled.update(_settled(lender, report))
+        return settled
+
+    def dump(self) -> dict[str, Any]:
+        """
+        Describe the state for operators.
+
+        :returns: open loans by payer tag, settlements to be sent.
+        """
+        return {
+            'open_loans': [str(payer) for payer in self._open_by_payer],
+            **self._outbox.dump(),
+        }
+
+    async def _ask(
+        self, peer: PeerRecord, budget: str, amount: int
+    ) -> Reservation | None:
+        self._count += 1
+        reference = f'{self._holder}/{self._count}'
+        unknown = Loan(peer.vm, peer.holder, reference)
+        payload = {'reference': reference, 'budget': budget, 'amount': amount}
+        try:
+            answer = await self._peers.call(peer.vm, RESERVE_KIND, payload)
+        except PeerRefused:
+            return None
+        except PeerUnreachable as error:
+            if error.sent:
+                self._outbox.add(unknown)
+            return None
+        except trio.Cancelled:
+            self._outbox.add(unknown)
+            raise
+        return self._take(unknown, parse_payer(answer['payer']), amount)
+
+    def _take(
+        self, loan: Loan, payer: PayerTag, amount: int
+    ) -> Reservation | None:
+        if payer.holder in self._surveyed or self._is_dead(payer.holder):
+            return None
+        self._open_by_payer[payer] = loan._replace(
+            lender=payer.holder, payer=payer
+        )
+        return Reservation(payer, amount, loan.vm)
+
+    async def _serve_loans(self, sender: str, payload: Payload) -> Payload:
+        await trio.lowlevel.checkpoint()
+        return self.loans_of(str(payload['lender']))
+
+
+def _settled(lender: str, report: Payload) -> dict[PayerTag, int]:
+    if report['open']:
+        raise RecordsMissing(f'{lender} has lent {report["open"][0]}')
+    return {
+        parse_payer(payer): int(spent)
+        for payer, spent in report['settled'].items()
+    }
--- a/eelgrassfork/credit_book.py
+++ b/eelgrassfork/credit_book.py
@@ -167,6 +167,10 @@
                 self._nursery = nursery
                 nursery.start_soon(self.reachability.run)
                 task_status.started()
+                try:
+                    await trio.sleep_forever()
+                finally:
+                    self.is_shut = True
 
     async def _return_all(self) -> None:
         for writer in self._writers_by_key.values():
--- /dev/null
+++ b/eelgrassfork/loan_outbox.py
@@ -0,0 +1,186 @@
+"""
+eelgrassfork.loan_outbox
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Settlements of borrowed credit, sent until the lender has them.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+import logbook
+import trio
+
+from .credit_policy import backoff_s
+from .errors import EelgrassError
+from .lending import SETTLE_KIND, LendingSettings, PeerCalls
+from .names import PayerTag
+
+__all__ = ('Loan', 'LoanOutbox')
+
+_log = logbook.Logger('lending')
+
+_MOST_KEPT: Final = 4096
+_MOST_PER_CALL: Final = 500
+
+
+class Loan(NamedTuple):
+    """
+    A reservation with a lender.
+
+    :param lender: the lender's holder.
+    :param reference: names the loan; the borrower never uses it twice.
+    :param payer: names the reservation; ``None`` if the lender's answer was
+        lost.
+    :param spent: tokens, once it is settled.
+    """
+
+    vm: str
+    lender: str
+    reference: str
+    payer: PayerTag | None = None
+    spent: int = 0
+
+
+class LoanOutbox:
+    """
+    Sends settlements in the background.
+
+    :param peers: the exchange with peers.
+    :param is_dead: proof of a holder's death.
+    :param settings: times between attempts.
+    """
+
+    def __init__(
+        self,
+        peers: PeerCalls,
+        is_dead: Callable[[str], bool],
+        settings: LendingSettings,
+    ) -> None:
+        self._peers = peers
+        self._is_dead = is_dead
+        self._settings = settings
+        self._unsent_by_reference: dict[str, Loan] = {}
+        # Settlements that a dead lender never took; its reclaimer asks.
+        self._kept_by_payer: dict[PayerTag, int] = {}
+        self._sending_vms: set[str] = set()
+        self._scope = trio.CancelScope()
+        self._has_unsent = trio.Event()
+        self._all_sent = trio.Event()
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """
+        Send in the background.
+
+        :param nursery: where this runs.
+        """
+        nursery.start_soon(self._run)
+
+    async def close(self) -> None:
+        """Wait until lenders know all settlements, or the caller cancels."""
+        try:
+            while self._unsent_by_reference:
+                self._all_sent = trio.Event()
+                await self._all_sent.wait()
+        finally:
+            self._scope.cancel()
+
+    def add(self, loan: Loan) -> None:
+        """
+        Take a settlement.
+
+        :param loan: the loan with what was spent.
+        """
+        self._unsent_by_reference[loan.reference] = loan
+        self._has_unsent.set()
+
+    def settled_with(self, lender: str) -> dict[PayerTag, int]:
+        """
+        List the settlements that a lender may not have.
+
+        :param lender: the lender's holder.
+        :returns: tokens by payer tag.
+        """
+        settled = {
+            tag: spent
+            for tag, spent in self._kept_by_payer.items()
+            if tag.holder == lender
+        }
+        for loan in self._unsent_by_reference.values():
+            if loan.payer is not None and loan.lender == lender:
+                settled[loan.payer] = loan.spent
+        return settled
+
+    def dump(self) -> dict[str, Any]:
+        """
+        Describe the state for operators.
+
+        :returns: counts of settlements.
+        """
+        return {
+            'unsent_settlements': len(self._unsent_by_reference),
+            'kept_settlements': len(self._kept_by_payer),
+        }
+
+    async def _run(self) -> None:
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                while True:
+                    await self._has_unsent.wait()
+                    self._has_unsent = trio.Event()
+                    self._start_sending(nursery)
+
+    def _start_sending(self, nursery: trio.Nursery) -> None:
+        unsent_vms = {loan.vm for loan in self._unsent_by_reference.values()}
+        for vm in unsent_vms - self._sending_vms:
+            self._sending_vms.add(vm)
+            nursery.start_soon(self._send_until_known, vm)
+
+    async def _send_until_known(self, vm: str) -> None:
+        attempt = 0
+        while self._unsent_to(vm):
+            if await self._try_send(vm, self._unsent_to(vm)):
+                attempt = 0
+                continue
+            attempt += 1
+            jitter = random.random()  # noqa: S311  Spreads out retries.
+            await trio.sleep(
+                backoff_s(
+                    attempt,
+                    self._settings.retry_s,
+                    self._settings.max_retry_s,
+                    jitter,
+                ),
+            )
+        self._sending_vms.discard(vm)
+        if not self._unsent_by_reference:
+            self._all_sent.set()
+
+    def _unsent_to(self, vm: str) -> list[Loan]:
+        unsent = [
+            loan for loan in self._unsent_by_reference.values() if loan.vm == vm
+        ]
+        return unsent[:_MOST_PER_CALL]
+
+    async def _try_send(self, vm: str, loans: list[Loan]) -> bool:
+        rows = [(loan.reference, loan.lender, loan.spent) for loan in loans]
+        try:
+            answer = await self._peers.call(vm, SETTLE_KIND, {'loans': rows})
+        except EelgrassError as error:
+            _log.debug('lending: {} is not told: {}', vm, error)
+            answer = {'refused': [loan.reference for loan in loans]}
+        refused = set(answer['refused'])
+        for loan in loans:
+            if loan.reference not in refused or self._keep_if_dead(loan):
+                self._unsent_by_reference.pop(loan.reference)
+        return not refused
+
+    def _keep_if_dead(self, loan: Loan) -> bool:
+        if not self._is_dead(loan.lender):
+            return False
+        if loan.payer is not None:
+            self._kept_by_payer[loan.payer] = loan.spent
+        if len(self._kept_by_payer) > _MOST_KEPT:
+            self._kept_by_payer.pop(next(iter(self._kept_by_payer)))
+        return True
