Add reclaiming of dead holders' credit

Cause: what a dead router had drawn is otherwise lost to its organisations. Change: reclaim.py scans the ledger shards that this router looks after, collects evidence for holders that are proven dead and closes all of them in one conditional update a shard; reclaim_plan.py has the pure parts. The entry stays while an engine can't be asked, a request still runs, or a router that may live can't be asked for its loans: without asking, a borrower could spend a reservation after the lender's credit was given to others. A lost race reads the shard again and sums anew, because the holder's last write may land late. The rendezvous-first router by shard starts, the second takes over after a time.

--- /dev/null
+++ b/eelgrassfork/reclaim.py
@@ -0,0 +1,224 @@
+"""
+eelgrassfork.reclaim
+~~~~~~~~~~~~~~~~~~~~
+
+Takes back the credit of dead holders.
+"""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, NamedTuple
+
+import logbook
+import trio
+
+from .credit_policy import backoff_s
+from .errors import EelgrassError
+from .ledger import LedgerShard, decode_shard, empty_shard, encode_shard
+from .ledger_writer import LedgerStore
+from .names import PayerTag, vm_of_holder
+from .platform_types import AnswerLost, Conflict
+from .reclaim_plan import Evidence, VmsByDomain, close_dead, starter_rank
+from .spend_records import RecordSource, read_records
+
+__all__ = ('LoanSurvey', 'ReclaimInputs', 'ReclaimSettings', 'Reclaimer')
+
+_log = logbook.Logger('reclaim')
+
+_MOST_ATTEMPTS: Final = 8
+_FIRST_RETRY_S: Final = 0.01
+_MOST_RETRY_S: Final = 1
+
+LoanSurvey = Callable[[str], Awaitable[dict[PayerTag, int]]]
+
+
+class ReclaimSettings(NamedTuple):
+    """
+    Times of reclaiming, in seconds.
+
+    :param interval_s: between two scans of the ledger.
+    :param quiet_s: after death was proven, so that engines have taken what
+        the holder sent last.
+    :param takeover_s: after which the second router starts in the place of
+        the first.
+    """
+
+    interval_s: float = 10
+    quiet_s: float = 2
+    takeover_s: float = 30
+
+
+class ReclaimInputs(NamedTuple):
+    """
+    What reclaiming depends on.
+
+    :param own_vm: this router's VM.
+    :param is_dead: proof of a holder's death; also takes the revision that
+        listed its VM as the holder recorded it.
+    :param ledger_keys: query for the keys of all ledger shards.
+    :param live_vms_by_domain: query for the live routers.
+    :param domain_of: query for the failure domain of a VM that may be gone;
+        empty if it is not known.
+    :param sources: records of engines and claims by payer.
+    :param survey: reads what peers have borrowed from a dead holder; raises
+        :class:`~eelgrassfork.spend_records.RecordsMissing` while one may
+        still spend it.
+    """
+
+    own_vm: str
+    is_dead: Callable[[str, int], bool]
+    ledger_keys: Callable[[], list[str]]
+    live_vms_by_domain: Callable[[], VmsByDomain]
+    domain_of: Callable[[str], str]
+    sources: tuple[RecordSource, ...]
+    survey: LoanSurvey
+
+
+class Reclaimer:
+    """
+    Scans the ledger for dead holders.
+
+    :param platform: where the ledger is.
+    :param inputs: what it depends on.
+    :param settings: times.
+    """
+
+    def __init__(
+        self,
+        platform: LedgerStore,
+        inputs: ReclaimInputs,
+        settings: ReclaimSettings,
+    ) -> None:
+        self._platform = platform
+        self._inputs = inputs
+        self._settings = settings
+        self._found_at_by_holder: dict[str, float] = {}
+        self._waits_by_holder: dict[str, str] = {}
+        self._scope = trio.CancelScope()
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """
+        Scan in the background.
+
+        :param nursery: where this runs.
+        """
+        nursery.start_soon(self._run)
+
+    async def close(self) -> None:
+        """Stop scanning."""
+        self._scope.cancel()
+        await trio.lowlevel.checkpoint()
+
+    def dump(self) -> dict[str, Any]:
+        """
+        Describe the state for operators.
+
+        :returns: dead holders whose credit is kept, and why.
+        """
+        return {'waits_by_holder': dict(self._waits_by_holder)}
+
+    async def scan(self) -> None:
+        """Close what can be closed in the shards this router looks after."""
+        self._waits_by_holder.clear()
+        inputs = self._inputs
+        own_domain = inputs.domain_of(inputs.own_vm)
+        live = inputs.live_vms_by_domain()
+        for key in inputs.ledger_keys():
+            # The first two of the whole fleet are also among those of their
+            # own failure domain.
+            if starter_rank(inputs.own_vm, key, own_domain, live) is None:
+                continue
+            try:
+                await self.reclaim_shard(key)
+            except EelgrassError as error:
+                _log.warning('reclaim: {} is left: {}', key, error)
+
+    async def reclaim_shard(self, key: str) -> None:
+        """
+        Close the accounts of dead holders in one shard.
+
+        :param key: key of the ledger shard.
+        :raises EelgrassError: if the platform can't be asked.
+        """
+        shard, version = await self._read(key)
+        evidence_by_holder: dict[str, Evidence] = {}
+        for holder in self._due_holders(key, shard):
+            try:
+                evidence_by_holder[holder] = await self._evidence(holder)
+            except EelgrassError as error:
+                self._waits_by_holder[holder] = error.message
+                _log.warning('reclaim: {} is kept: {}', holder, error)
+        if evidence_by_holder:
+            await self._close(key, shard, version, evidence_by_holder)
+
+    async def _run(self) -> None:
+        with self._scope:
+            while True:
+                await trio.sleep(self._settings.interval_s)
+                await self.scan()
+
+    def _due_holders(self, key: str, shard: LedgerShard) -> list[str]:
+        entries_by_holder = {
+            holder: entry
+            for record in shard['budgets'].values()
+            for holder, entry in record['holders'].items()
+        }
+        return [
+            holder
+            for holder, entry in entries_by_holder.items()
+            if self._inputs.is_dead(holder, entry.get('listed_at', 0))
+            and self._is_due(key, holder)
+        ]
+
+    def _is_due(self, key: str, holder: str) -> bool:
+        now = trio.current_time()
+        found_at = self._found_at_by_holder.setdefault(holder, now)
+        rank = starter_rank(
+            self._inputs.own_vm,
+            key,
+            self._inputs.domain_of(vm_of_holder(holder)),
+            self._inputs.live_vms_by_domain(),
+        )
+        if rank is None:
+            return False
+        delay_s = self._settings.quiet_s + rank * self._settings.takeover_s
+        return now - found_at >= delay_s
+
+    async def _evidence(self, holder: str) -> Evidence:
+        # Asked first: borrowers that have answered start nothing more.
+        settled_by_payer = await self._inputs.survey(holder)
+        records = await read_records(self._inputs.sources, f'{holder}/')
+        return Evidence(records, settled_by_payer)
+
+    async def _close(
+        self,
+        key: str,
+        shard: LedgerShard,
+        version: int | None,
+        evidence_by_holder: dict[str, Evidence],
+    ) -> None:
+        for attempt in range(1, _MOST_ATTEMPTS + 1):
+            closed = close_dead(shard, evidence_by_holder)
+            if closed is shard:
+                return
+            try:
+                await self._platform.put(key, encode_shard(closed), version)
+            except (AnswerLost, Conflict):
+                await _back_off(attempt)
+                shard, version = await self._read(key)
+            else:
+                _log.info(
+                    'reclaim: closed {} in {}', sorted(evidence_by_holder), key
+                )
+                return
+
+    async def _read(self, key: str) -> tuple[LedgerShard, int | None]:
+        stored = await self._platform.get(key)
+        if stored is None:
+            return empty_shard(), None
+        return decode_shard(stored.body), stored.version
+
+
+async def _back_off(attempt: int) -> None:
+    jitter = random.random()  # noqa: S311  Spreads out retries.
+    await trio.sleep(backoff_s(attempt, _FIRST_RETRY_S, _MOST_RETRY_S, jitter))
--- a/tests/test_ledger_writer.py
+++ b/tests/test_ledger_writer.py
@@ -16,7 +16,11 @@
 from eelgrassfork.credit import CreditAccounts, CreditError
 from eelgrassfork.credit_book import CreditHooks, ledger_key
 from eelgrassfork.credit_policy import CreditSettings
-from eelgrassfork.platform_types import AnswerLost, Conflict
+from eelgrassfork.platform_types import (
+    AnswerLost,
+    Conflict,
+    PlatformUnavailable,
+)
 from standins.fake_platform import FakePlatform
 
 BUDGET = 'pazlen/atelier/main'
@@ -167,6 +171,24 @@
         await trio.sleep(31)
         self.assertEqual([200], drawn_when_reserved)
 
+    @with_accounts
+    async def test_refused_write_does_not_hide_a_return_that_may_come_late(
+        self, platform, accounts, _
+    ):
+        await draw_and_report(accounts)
+
+        async def lose_then_refuse(body, version):
+            platform.before_put = refuse
+            raise AnswerLost('answer_lost', 'comes late')
+
+        async def refuse(body, version):
+            raise PlatformUnavailable('rate_limited', 'no effect')
+
+        platform.before_put = lose_then_refuse
+        await trio.sleep(40)
+        self.assertEqual(300, platform.entry()['drawn'])
+        self.assertEqual('credit_unreachable', await code_of(accounts, 200))
+
     @with_accounts
     async def test_credit_is_usable_again_if_its_return_had_no_effect(
         self, platform, accounts, _
