Count lending as use of an account

Cause: a lender returned its credit as idle while peers were borrowing it, and a home router never drew ahead for its peers. Change: reserve_own notes the use, and as home router also the demand.

--- a/eelgrassfork/credit.py
+++ b/eelgrassfork/credit.py
@@ -148,8 +148,9 @@
         """
         account = self._open_account(budget)
         number = account.allocate()
-        if self._reserve_now(account, number, amount):
-            return self._own(account, number, amount)
+        # A home router draws ahead for its peers' demand as well.
+        demand = amount if may_draw else 0
+        account.note_demand(demand, trio.current_time())
         try:
             return await self._find_own(account, number, amount, may_draw)
         except BaseException:
@@ -234,9 +235,10 @@
     async def _find_own(
         self, account: Account, number: int, amount: int, may_draw: bool
     ) -> Reservation:
+        if self._reserve_now(account, number, amount):
+            return self._own(account, number, amount)
         code = 'credit_held_elsewhere'
         if may_draw:
-            account.note_demand(amount, trio.current_time())
             code = await self._draw(account, number, amount)
         if code:
             raise CreditError(code, account.budget)
