Check usable credit at every write of the ledger

Cause: with 60 examples the state machine missed a mutant that used a draw before it was confirmed, because spend has to reach the grant to show it. Change: after every write that takes effect, and after each step, no account may use more than its entry sets aside.

--- a/tests/credit_world.py
+++ b/tests/credit_world.py
@@ -179,6 +179,9 @@
                 task_status.started()
                 await trio.sleep_forever()
 
+    def accounts(self):
+        return self.credit.dump()['accounts_by_budget']
+
     async def reserve(self, budget, amount):
         try:
             self.reserved.append(await self.credit.reserve(budget, amount))
@@ -232,15 +235,35 @@
         self.dead = set()
         self.nodes_by_vm = {}
         self.incarnations = 0
+        self.violations = []
 
     async def start(self, nursery):
         self.nursery = nursery
+        self._put = self.platform.core.objects.put
+        self.platform.core.objects.put = self._checked_put
         await self.platform.put(
             KEY, ledger.encode_shard(ledger.empty_shard()), None
         )
         for vm in VMS:
             await self.start_node(vm)
 
+    def _checked_put(self, key, body, expected_version):
+        version = self._put(key, body, expected_version)
+        self.note_credit_without_entry()
+        return version
+
+    def note_credit_without_entry(self):
+        """Note accounts that could spend more than the ledger set aside."""
+        for node in self.nodes_by_vm.values():
+            for budget, account in node.accounts().items():
+                record = self.shard()['budgets'].get(budget)
+                entry = record['holders'].get(node.holder) if record else None
+                drawn = entry['drawn'] if entry else account['spent']
+                if account['limit'] > drawn:
+                    self.violations.append(
+                        (node.holder, budget, account, entry)
+                    )
+
     async def start_node(self, vm):
         self.incarnations += 1
         node = Node(self, vm, self.incarnations)
--- a/tests/test_credit.py
+++ b/tests/test_credit.py
@@ -135,6 +135,11 @@
             used = world.spent(budget) + world.may_be_spent(budget)
             assert used <= record['granted'], (budget, used, record)
 
+    @invariant()
+    def usable_credit_is_set_aside(self):
+        self._world.note_credit_without_entry()
+        assert not self._world.violations, self._world.violations[0]
+
     @invariant()
     def nobody_is_fenced(self):
         for node in self._world.nodes_by_vm.values():
