--- a/eelgrassfork/bundle.py
+++ b/eelgrassfork/bundle.py
@@ -2,7 +2,7 @@
 eelgrassfork.bundle
 ~~~~~~~~~~~~~~~~~~~
 
-Signed manifests and the parts they name, decoded and verified by msgspec.
+Parts of a bundle, verified and put together.
 """
 
 import hashlib
@@ -20,9 +20,15 @@
     Place,
     Service,
 )
-from .errors import EelgrassError
+from .manifest import (
+    CURRENT_KEY,
+    BundleError,
+    Manifest,
+    SignedManifest,
+    open_manifest,
+    seal_manifest,
+)
 from .options import OptionsError, Problems, read_record
-from .signing import KeyPair, SigningError, verify
 
 __all__ = (
     'CURRENT_KEY',
@@ -42,8 +48,6 @@
     'seal_manifest',
 )
 
-CURRENT_KEY: Final = 'bundle/current'
-
 Record = Fleet | Organisation | Place | Service
 
 RecordType = type[Record]
@@ -56,31 +60,6 @@
 }
 
 
-class BundleError(EelgrassError):
-    """A manifest or a part is not what it has to be."""
-
-
-class Manifest(NamedTuple):
-    """
-    What a person signs.
-
-    :param version: higher than that of the bundle it replaces.
-    :param parts: SHA-256 of the parts in hexadecimal; a part of kind
-        ``index`` names further parts.
-    """
-
-    version: int
-    parts: tuple[str, ...]
-
-
-class SignedManifest(NamedTuple):
-    """A manifest whose signature was verified, and its encoded form."""
-
-    manifest: Manifest
-    envelope: bytes
-    key_id: str
-
-
 class Part(NamedTuple):
     """
     A part that matches its hash.
@@ -97,17 +76,6 @@
     callers_by_key_hash: Mapping[str, Caller] = MappingProxyType({})
 
 
-class _ManifestBody(TypedDict):
-    version: int
-    parts: tuple[str, ...]
-
-
-class _Envelope(TypedDict):
-    manifest: bytes
-    key_id: str
-    signature: bytes
-
-
 class _PartBody(TypedDict):
     kind: str
     content: Any
@@ -155,49 +123,6 @@
         raise BundleError('bad_part', message) from None
 
 
-def seal_manifest(manifest: Manifest, key: KeyPair) -> bytes:
-    """
-    Encode and sign a manifest.
-
-    :param manifest: what to sign.
-    :param key: the operator's key.
-    :returns: the envelope, as stored at the platform.
-    """
-    body = msgspec.msgpack.encode(manifest._asdict())
-    return msgspec.msgpack.encode(
-        {
-            'manifest': body,
-            'key_id': key.key_id,
-            'signature': key.sign(body),
-        },
-    )
-
-
-def open_manifest(
-    envelope: bytes, trusted_keys: Mapping[str, str]
-) -> SignedManifest:
-    """
-    Verify and decode a signed manifest.
-
-    :param envelope: as received from anyone.
-    :param trusted_keys: public keys in base64 by key identifier.
-    :returns: the manifest.
-    :raises BundleError: ``bad_manifest`` if it is malformed, not signed, or
-        not signed by a trusted key.
-    """
-    try:
-        signed = msgspec.msgpack.decode(envelope, type=_Envelope)
-        body = signed['manifest']
-        verify(trusted_keys, signed['key_id'], body, signed['signature'])
-        decoded = msgspec.msgpack.decode(body, type=_ManifestBody)
-    except (msgspec.DecodeError, SigningError) as error:
-        raise BundleError('bad_manifest', str(error)) from None
-    if decoded['version'] < 1:
-        raise BundleError('bad_manifest', 'the version is below 1')
-    manifest = Manifest(decoded['version'], decoded['parts'])
-    return SignedManifest(manifest, envelope, signed['key_id'])
-
-
 def needed_parts(
     manifest: Manifest, parts_by_hash: Mapping[str, Part]
 ) -> Iterator[str]:
--- /dev/null
+++ b/eelgrassfork/manifest.py
@@ -0,0 +1,104 @@
+"""
+eelgrassfork.manifest
+~~~~~~~~~~~~~~~~~~~~~
+
+Signed manifests: version and parts of a bundle, as a person signs them.
+"""
+
+from collections.abc import Mapping
+from typing import Final, NamedTuple, TypedDict
+
+import msgspec
+
+from .errors import EelgrassError
+from .signing import KeyPair, SigningError, verify
+
+__all__ = (
+    'CURRENT_KEY',
+    'BundleError',
+    'Manifest',
+    'SignedManifest',
+    'open_manifest',
+    'seal_manifest',
+)
+
+CURRENT_KEY: Final = 'bundle/current'
+
+
+class BundleError(EelgrassError):
+    """A manifest or a part is not what it has to be."""
+
+
+class Manifest(NamedTuple):
+    """
+    What a person signs.
+
+    :param version: higher than that of the bundle it replaces.
+    :param parts: SHA-256 of the parts in hexadecimal; a part of kind
+        ``index`` names further parts.
+    """
+
+    version: int
+    parts: tuple[str, ...]
+
+
+class SignedManifest(NamedTuple):
+    """A manifest whose signature was verified, and its encoded form."""
+
+    manifest: Manifest
+    envelope: bytes
+    key_id: str
+
+
+class _ManifestBody(TypedDict):
+    version: int
+    parts: tuple[str, ...]
+
+
+class _Envelope(TypedDict):
+    manifest: bytes
+    key_id: str
+    signature: bytes
+
+
+def seal_manifest(manifest: Manifest, key: KeyPair) -> bytes:
+    """
+    Encode and sign a manifest.
+
+    :param manifest: what to sign.
+    :param key: the operator's key.
+    :returns: the envelope, as stored at the platform.
+    """
+    body = msgspec.msgpack.encode(manifest._asdict())
+    return msgspec.msgpack.encode(
+        {
+            'manifest': body,
+            'key_id': key.key_id,
+            'signature': key.sign(body),
+        },
+    )
+
+
+def open_manifest(
+    envelope: bytes, trusted_keys: Mapping[str, str]
+) -> SignedManifest:
+    """
+    Verify and decode a signed manifest.
+
+    :param envelope: as received from anyone.
+    :param trusted_keys: public keys in base64 by key identifier.
+    :returns: the manifest.
+    :raises BundleError: ``bad_manifest`` if it is malformed, not signed, or
+        not signed by a trusted key.
+    """
+    try:
+        signed = msgspec.msgpack.decode(envelope, type=_Envelope)
+        body = signed['manifest']
+        verify(trusted_keys, signed['key_id'], body, signed['signature'])
+        decoded = msgspec.msgpack.decode(body, type=_ManifestBody)
+    except (msgspec.DecodeError, SigningError) as error:
+        raise BundleError('bad_manifest', str(error)) from None
+    if decoded['version'] < 1:
+        raise BundleError('bad_manifest', 'the version is below 1')
+    manifest = Manifest(decoded['version'], decoded['parts'])
+    return SignedManifest(manifest, envelope, signed['key_id'])
