Add aliases of services and keys that two fleets share

After a merger old names and keys have to go on working. aliases.json beside the other sources lists the old names of services, and the keys that organisations of two fleets have in common; it becomes a part of the bundle of its own. eelgrassfork.bundle_lookup finds services by old and new names, where an unqualified name means the caller's own fleet, and callers by key, where a shared key means the organisation of the router's fleet. A key that stands twice without being listed is still refused, in the sources and again in the signed parts. Only services can have aliases: names of organisations, fleets and places are part of what the platform stores.

--- a/eelgrassfork/bundle.py
+++ b/eelgrassfork/bundle.py
@@ -11,6 +11,13 @@
 
 import msgspec
 
+from .bundle_aliases import (
+    NO_ALIASES,
+    Aliases,
+    check_aliases,
+    read_aliases,
+    resolve,
+)
 from .bundle_types import (
     Bundle,
     Fleet,
@@ -75,12 +82,14 @@
     :param hashes: further parts, of an index.
     :param records: records of a part of another kind.
     :param leaf: organisations, which stay encoded.
+    :param aliases: of a part of kind ``aliases``.
     """
 
     body: bytes
     hashes: tuple[str, ...] = ()
     records: tuple[Record, ...] = ()
     leaf: Leaf | None = None
+    aliases: Aliases = NO_ALIASES
 
 
 class _PartBody(TypedDict):
@@ -102,8 +111,10 @@
     """
     Encode a part.
 
-    :param kind: ``index`` or a key of :data:`RECORD_TYPES`.
-    :param content: hashes of an index, otherwise fields by name.
+    :param kind: ``index``, ``aliases`` or a key of :data:`RECORD_TYPES`.
+    :param content: hashes of an index, fields of
+        :class:`~eelgrassfork.bundle_aliases.Aliases`, otherwise fields by
+        name.
     :returns: the part's hash and body.
     """
     encoder = msgspec.msgpack.Encoder(order='sorted')
@@ -175,9 +186,16 @@
     :returns: the bundle.
     :raises BundleError: ``bad_bundle`` if records clash or are incomplete.
     """
+    aliases = _aliases(manifest, parts_by_hash)
     organisations = _organisations(manifest, parts_by_hash, previous)
     bundle = Bundle(
-        manifest.version, {}, organisations, {}, {}, CallerTable(organisations)
+        version=manifest.version,
+        fleets_by_name={},
+        organisations_by_name=organisations,
+        services_by_name={},
+        places_by_name={},
+        callers_by_key_hash=CallerTable(organisations),
+        service_aliases=aliases.services,
     )
     by_type: dict[RecordType, dict[str, Any]] = {
         Fleet: bundle.fleets_by_name,
@@ -191,9 +209,26 @@
                 raise BundleError('bad_bundle', f'{record.name} stands twice')
             by_name[record.name] = record
     _check_fleets(bundle)
+    _check_shared_keys(organisations, aliases)
+    problems = Problems()
+    check_aliases(aliases, bundle.services_by_name.keys(), problems)
+    if problems.found:
+        raise BundleError('bad_bundle', f'alias {problems.found[0]}')
     return bundle
 
 
+def _aliases(manifest: Manifest, parts_by_hash: Mapping[str, Part]) -> Aliases:
+    services: dict[str, str] = {}
+    shared_keys: dict[str, tuple[str, ...]] = {}
+    for part_hash in needed_parts(manifest, parts_by_hash):
+        aliases = parts_by_hash[part_hash].aliases
+        services.update(aliases.services)
+        shared_keys.update(aliases.shared_keys)
+    # One step leads to the newest name, also in bundles signed with chains.
+    newest = {old: resolve(services, old) for old in services}
+    return Aliases(newest, shared_keys)
+
+
 def _organisations(
     manifest: Manifest,
     parts_by_hash: Mapping[str, Part],
@@ -212,12 +247,18 @@
     name = table.repeated_name()
     if name is not None:
         raise BundleError('bad_bundle', f'{name} stands twice')
-    for key_hash in table.repeated_keys(known):
-        owners = ' and '.join(sorted(table.owners(key_hash)))
-        raise BundleError('bad_bundle', f'a key belongs to {owners}')
     return table
 
 
+def _check_shared_keys(table: OrganisationTable, aliases: Aliases) -> None:
+    shared = aliases.shared_keys
+    for key_hash in table.repeated_keys | shared.keys():
+        owners = sorted(table.owners(key_hash))
+        if owners != sorted(shared.get(key_hash, ())):
+            named = ' and '.join(owners)
+            raise BundleError('bad_bundle', f'a key belongs to {named}')
+
+
 def _new_group(root: str, parts_by_hash: Mapping[str, Part]) -> Group:
     hashes = (root, *parts_by_hash[root].hashes)
     leaves = (parts_by_hash[part_hash].leaf for part_hash in hashes)
@@ -236,6 +277,8 @@
     kind, content = decoded['kind'], decoded['content']
     if kind == 'index':
         return Part(body, msgspec.convert(content, tuple[str, ...]))
+    if kind == 'aliases':
+        return Part(body, aliases=_read_part_aliases(content))
     record_type = RECORD_TYPES.get(kind)
     if record_type is None:
         raise BundleError('bad_part', f'parts of kind {kind!r} are unknown')
@@ -252,5 +295,12 @@
     return Part(body, (), tuple(record for record in read if record))
 
 
+def _read_part_aliases(content: Any) -> Aliases:
+    problems = Problems()
+    aliases = read_aliases(content, None, problems)
+    problems.check()
+    return aliases
+
+
 def _hash(body: bytes) -> str:
     return hashlib.sha256(body).hexdigest()
--- a/eelgrassfork/bundle_rules.py
+++ b/eelgrassfork/bundle_rules.py
@@ -6,7 +6,7 @@
 """
 
 import re
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from typing import Final
 
 from .bundle_types import Organisation, Service
@@ -75,6 +75,7 @@
     organisation: Organisation,
     services: Collection[str],
     owners_by_hash: dict[str, str],
+    shared_keys: Mapping[str, Collection[str]],
     add_problem: AddProblem,
 ) -> None:
     """
@@ -84,6 +85,8 @@
     :param services: qualified names of all services.
     :param owners_by_hash: organisations of the keys seen so far; its own
         keys are added.
+    :param shared_keys: organisations that may have the same key, by its
+        hash.
     :param add_problem: takes field and message of what is wrong.
     """
     for service in sorted(organisation.services):
@@ -94,7 +97,8 @@
         if not _KEY_HASH.fullmatch(key_hash):
             add_problem(path, 'is not a SHA-256 in lower-case hexadecimal')
         owner = owners_by_hash.setdefault(key_hash, organisation.name)
-        if owner != organisation.name:
+        allowed = shared_keys.get(key_hash, ())
+        if owner != organisation.name and organisation.name not in allowed:
             add_problem(path, f'is also a key of {owner}')
         if not _is_budget(budget):
             add_problem(path, f'{budget!r} is not the name of a budget')
--- a/eelgrassfork/bundle_source.py
+++ b/eelgrassfork/bundle_source.py
@@ -11,13 +11,25 @@
 from typing import Any, Final, NamedTuple, cast
 
 from .bundle import RECORD_TYPES, BundleError, Record, new_part
-from .bundle_rules import check_organisation, check_ranges, check_service
-from .bundle_types import Organisation, Service
-from .json_comments import problems_of, read_document
+from .bundle_aliases import (
+    NO_ALIASES,
+    Aliases,
+    read_aliases,
+    resolve,
+)
+from .bundle_types import Organisation
+from .json_comments import Document, problems_of, read_document
 from .names import BadName, qualify
-from .options import FieldPath, OptionsError, Problem, Problems, read_record
+from .options import OptionsError, Problems, read_record
+from .source_check import ALIASES_FILE, Entry, Sources, check_sources
 
-__all__ = ('CompiledParts', 'Entry', 'Sources', 'compile_parts', 'read_sources')
+__all__ = (
+    'CompiledParts',
+    'Entry',
+    'Sources',
+    'compile_parts',
+    'read_sources',
+)
 
 # A change of one organisation sends a leaf, an index and the manifest to
 # each router, about 9 KB together at 3,300 organisations of 45 budgets.
@@ -27,29 +39,6 @@
 _MAX_PART_BYTES: Final = 900_000
 
 
-class Entry(NamedTuple):
-    """One record and where it stands in the sources."""
-
-    record: Record
-    path: FieldPath
-    problems: Problems
-
-    def add_problem(self, path: FieldPath, message: str) -> None:
-        """
-        Note what is wrong with the record.
-
-        :param path: field within the record.
-        :param message: what is wrong with it.
-        """
-        self.problems.add((*self.path, *path), message)
-
-
-class Sources(NamedTuple):
-    """Checked records by kind and qualified name."""
-
-    entries_by_kind: dict[str, dict[str, Entry]]
-
-
 class CompiledParts(NamedTuple):
     """
     Parts of a bundle.
@@ -67,6 +56,7 @@
         self.entries_by_kind: dict[str, dict[str, Entry]] = {
             kind: {} for kind in RECORD_TYPES
         }
+        self.aliases = NO_ALIASES
         self.all_problems: list[Problems] = []
 
     def read_directory(self, directory: str) -> None:
@@ -87,6 +77,9 @@
                 fleet = _only_name(document.content)
                 if not document.content:
                     problems.add((), 'declares no fleet')
+        file = os.path.join(directory, ALIASES_FILE)
+        if os.path.exists(file):
+            self._read_aliases(read_document(file), fleet)
 
     def check(self) -> None:
         found = [
@@ -118,6 +111,19 @@
             if record is not None:
                 self._keep(kind, Entry(record, (written,), problems))
 
+    def _read_aliases(self, document: Document, fleet: str | None) -> None:
+        problems = problems_of(document)
+        self.all_problems.append(problems)
+        read = read_aliases(document.content, fleet, problems)
+        for old, new in read.services.items():
+            other = self.aliases.services.get(old, new)
+            if other != new:
+                problems.add(('services', old), f'also leads to {other!r}')
+        self.aliases = Aliases(
+            {**self.aliases.services, **read.services},
+            {**self.aliases.shared_keys, **read.shared_keys},
+        )
+
     def _keep(self, kind: str, entry: Entry) -> None:
         entries = self.entries_by_kind[kind]
         name = entry.record.name
@@ -134,7 +140,7 @@
     Read and check sources; names of a directory with one fleet take it.
 
     :param directories: each holds ``fleets.json``, ``organisations.json``,
-        ``services.json`` and ``places.json``.
+        ``services.json``, ``places.json`` and maybe ``aliases.json``.
     :returns: the records.
     :raises OptionsError: naming file, line and field of all that is wrong.
     """
@@ -142,9 +148,9 @@
     for directory in directories:
         reader.read_directory(directory)
     reader.check()
-    sources = Sources(reader.entries_by_kind)
+    sources = Sources(reader.entries_by_kind, reader.aliases)
     _qualify_services(sources)
-    _check_sources(sources)
+    reader.all_problems.append(check_sources(sources))
     reader.check()
     return sources
 
@@ -169,6 +175,10 @@
     for start in range(0, len(leaves), _LEAVES_PER_INDEX):
         index = leaves[start : start + _LEAVES_PER_INDEX]
         hashes.append(_add_part(bodies, 'index', index))
+    if sources.aliases != NO_ALIASES:
+        fields = sources.aliases._asdict().items()
+        content = {field: dict(names) for field, names in fields}
+        hashes.append(_add_part(bodies, 'aliases', content))
     return CompiledParts(tuple(hashes), bodies)
 
 
@@ -193,37 +203,14 @@
         services = set()
         for service in organisation.services:
             try:
-                services.add(str(qualify(service, fleet)))
+                qualified = str(qualify(service, fleet))
+                services.add(resolve(sources.aliases.services, qualified))
             except BadName as error:
                 entry.add_problem(('services',), error.message)
         changed = organisation._replace(services=frozenset(services))
         entries[name] = entry._replace(record=changed)
 
 
-def _check_sources(sources: Sources) -> None:
-    entries_by_kind = sources.entries_by_kind
-    if not entries_by_kind['fleets']:
-        raise OptionsError(Problem('the sources declare no fleet'))
-    services = entries_by_kind['services'].keys()
-    owners_by_hash: dict[str, str] = {}
-    for entries in entries_by_kind.values():
-        for entry in entries.values():
-            _check_fleet(entry, entries_by_kind['fleets'].keys())
-            check_ranges(entry.record, entry.add_problem)
-            if isinstance(entry.record, Service):
-                check_service(entry.record, entry.add_problem)
-            if isinstance(entry.record, Organisation):
-                check_organisation(
-                    entry.record, services, owners_by_hash, entry.add_problem
-                )
-
-
-def _check_fleet(entry: Entry, fleets: Iterable[str]) -> None:
-    fleet = entry.record.name.partition('/')[0]
-    if fleet not in fleets:
-        entry.add_problem((), f'fleet {fleet!r} does not exist')
-
-
 def _records(sources: Sources, kind: str) -> list[Record]:
     entries = sources.entries_by_kind[kind]
     return [entries[name].record for name in sorted(entries)]
--- a/eelgrassfork/bundle_types.py
+++ b/eelgrassfork/bundle_types.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Literal, NamedTuple
 
 __all__ = (
@@ -114,6 +115,11 @@
 
     Organisations and callers are decoded when they are looked up; two
     look-ups may give equal records that are not the same object.
+
+    :param callers_by_key_hash: a key that organisations of two fleets have
+        stands as ``<fleet>/<hash>`` for each, see
+        :func:`~eelgrassfork.bundle_lookup.find_caller`.
+    :param service_aliases: name of a service by one it had before.
     """
 
     version: int
@@ -122,3 +128,4 @@
     services_by_name: dict[str, Service]
     places_by_name: dict[str, Place]
     callers_by_key_hash: Mapping[str, Caller]
+    service_aliases: Mapping[str, str] = MappingProxyType({})
--- a/eelgrassfork/organisation_table.py
+++ b/eelgrassfork/organisation_table.py
@@ -34,7 +34,9 @@
     :param groups: groups of leaves, by the hash of the index or the leaf
         that the manifest names.
     :param previous: table of an older bundle, whose decoded organisations
-        are used on.
+        are used on, and whose keys are not compared again.
+    :ivar repeated_keys: SHA-256 in hexadecimal of the keys that several
+        organisations have.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         self._decoded: OrderedDict[tuple[str, str], Organisation] = (
             OrderedDict() if previous is None else previous._decoded
         )
+        self.repeated_keys = self._find_repeated_keys(previous)
 
     def __getitem__(self, name: str) -> Organisation:
         leaf = self._leaf_by_name[name]
@@ -109,25 +112,19 @@
             if key_hash in self[name].budgets_by_key_hash
         ]
 
-    def repeated_keys(self, previous: 'OrganisationTable | None') -> set[str]:
-        """
-        Find keys that several organisations have.
-
-        :param previous: table that was searched before, or ``None``; only
-            keys of leaves that it lacks are searched.
-        :returns: SHA-256 of the keys in hexadecimal.
-        """
+    def _find_repeated_keys(
+        self, previous: 'OrganisationTable | None'
+    ) -> frozenset[str]:
         if previous is None:
             prefixes = self._repeated_prefixes()
+            hashes: set[str] = set()
         else:
             known = {leaf.part_hash for leaf in previous.leaves()}
             prefixes = self._repeated_new_prefixes(known)
-        hashes = {
-            key_hash
-            for prefix in prefixes
-            for key_hash in self._hashes_with(prefix)
-        }
-        return {each for each in hashes if len(self.owners(each)) > 1}
+            hashes = set(previous.repeated_keys)
+        for prefix in prefixes:
+            hashes.update(self._hashes_with(prefix))
+        return frozenset(each for each in hashes if len(self.owners(each)) > 1)
 
     def _leaves_with(self, prefix: int) -> list[Leaf]:
         return find_leaves(self.groups.values(), prefix)
@@ -161,21 +158,33 @@
     """
     Callers by the SHA-256 of their keys in hexadecimal.
 
+    A key that organisations of several fleets have is listed for each of
+    them as ``<fleet>/<hash>``.
+
     :param organisations: where they are found.
     """
 
     def __init__(self, organisations: OrganisationTable) -> None:
         self._organisations = organisations
 
-    def __getitem__(self, key_hash: str) -> Caller:
+    def __getitem__(self, key: str) -> Caller:
+        fleet, slash, key_hash = key.rpartition('/')
         owners = self._organisations.owners(key_hash)
-        if len(owners) != 1:
-            raise KeyError(key_hash)
-        return self._caller(owners[0], key_hash)
+        is_shared = len(owners) > 1
+        if is_shared is not bool(slash):
+            raise KeyError(key)
+        for owner in owners:
+            if owner.startswith(f'{fleet}{slash}'):
+                return self._caller(owner, key_hash)
+        raise KeyError(key)
 
     def __iter__(self) -> Iterator[str]:
-        for organisation in self._organisations.values():
-            yield from organisation.budgets_by_key_hash
+        repeated = self._organisations.repeated_keys
+        for name, organisation in self._organisations.items():
+            for key_hash in organisation.budgets_by_key_hash:
+                fleet = name.partition('/')[0]
+                is_shared = key_hash in repeated
+                yield f'{fleet}/{key_hash}' if is_shared else key_hash
 
     def __len__(self) -> int:
         leaves = self._organisations.leaves()
