Add the merger of two fleets' sources

Records of different fleets with the same name are kept apart by their fleet, a service can be renamed by a file of old and new names and keeps the old one as an alias, and a key that both fleets use goes on working at the routers of each. Every clash is listed with both sides and what was done. What a program can't decide (a fleet or a record with two contents, a key of two organisations of one fleet, an alias with two meanings, a new name that is taken) is listed with exit code 3 and nothing is written. Files that are there are never overwritten; the same command again changes nothing, and so does merging a side into the merger again. Comments of both sides are kept.

--- a/eelgrassfork/cli.py
+++ b/eelgrassfork/cli.py
@@ -32,6 +32,7 @@
     router_dump,
     router_list,
 )
+from .cli_merge import bundle_merge
 from .errors import EelgrassError
 
 __all__ = ('COMMANDS', 'main')
@@ -40,6 +41,7 @@
     'settings': {'check': settings_check},
     'bundle': {
         'check': bundle_check,
+        'merge': bundle_merge,
         'sign': bundle_sign,
         'submit': bundle_submit,
         'show': bundle_show,
--- a/eelgrassfork/cli_common.py
+++ b/eelgrassfork/cli_common.py
@@ -63,8 +63,10 @@
 
 _EXIT_BY_CODE: Final = {
     'conflict': ExitCode.CONFLICT,
+    'merge_clash': ExitCode.CONFLICT,
     'name_taken': ExitCode.CONFLICT,
     'operation_id_reused': ExitCode.CONFLICT,
+    'out_differs': ExitCode.CONFLICT,
     'file': ExitCode.USAGE,
     'bad_amount': ExitCode.USAGE,
     'unknown_budget': ExitCode.USAGE,
--- a/eelgrassfork/json_comments.py
+++ b/eelgrassfork/json_comments.py
@@ -15,7 +15,10 @@
 
 __all__ = (
     'Document',
+    'is_plain',
     'line_of',
+    'name_span',
+    'object_span',
     'parse_document',
     'problems_of',
     'read_document',
@@ -113,6 +116,52 @@
     return line
 
 
+def is_plain(document: Document) -> bool:
+    """
+    Tell whether a document is plain JSON, without comments.
+
+    :param document: what was read.
+    :returns: whether the standard library can decode it.
+    """
+    try:
+        json.loads(document.text)
+    except ValueError:
+        return False
+    return True
+
+
+def object_span(document: Document) -> tuple[int, int] | None:
+    """
+    Find the braces around a document's object.
+
+    :param document: valid JSON with comments.
+    :returns: positions of the braces; ``None`` if they are not found.
+    """
+    text = document.text
+    start = text.find('{')
+    # A comment before the object may hold braces too.
+    for _ in range(_MAX_CANDIDATES):
+        content, failure, stop = _json5_parse(text, max(start, 0))
+        if not failure and content == document.content:
+            return start, text.rindex('}', 0, stop)
+        start = text.find('{', start + 1)
+    return None
+
+
+def name_span(document: Document, name: str) -> tuple[int, int] | None:
+    """
+    Find a name of a document's outermost object.
+
+    :param document: valid JSON with comments.
+    :param name: the name.
+    :returns: start and end of the name with its quotes and colon; ``None``
+        if it is not found.
+    """
+    text = document.text
+    found = _find_name(text, 0, len(text), name)
+    return None if found is None else found.span()
+
+
 def _reason(error: Exception) -> str:
     for kind, sentence in _REASONS:
         if isinstance(error, kind):
--- /dev/null
+++ b/tests/test_bundle_merge.py
@@ -0,0 +1,188 @@
+"""
+tests.test_bundle_merge
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against mergers that lose, overwrite or silently mix records.
+"""
+
+import random
+
+import testtools
+
+from eelgrassfork.bundle_aliases import NO_ALIASES, Aliases
+from eelgrassfork.bundle_merge import merge_sources
+from eelgrassfork.bundle_source import read_sources
+
+from .test_bundle_source import PAZLEN, THREADLANTERN, write_sources
+
+KEYS = [digit * 64 for digit in 'abcdef']
+RENAMES = Aliases({'threadlantern/shopdesk': 'threadlantern/staff-desk'})
+
+
+def organisation(*key_hashes, service=''):
+    keys = ', '.join(f'"{key_hash}": "main"' for key_hash in key_hashes)
+    services = f'"{service}"' if service else ''
+    return f'{{"budgets_by_key_hash": {{{keys}}}, "services": [{services}]}}'
+
+
+def sources_of(fleet, organisations=(), services=(), **files):
+    """Read sources whose records are given by name as JSON."""
+    texts = {
+        'fleets': f'{{"{fleet}": {{}}}}',
+        'places': '{}',
+        'services': join(dict(services)),
+        'organisations': join(dict(organisations)),
+        **files,
+    }
+    return read_sources([write_sources(**texts)])
+
+
+def join(by_name):
+    records = (f'"{name}": {fields}' for name, fields in by_name.items())
+    return f'{{{", ".join(records)}}}'
+
+
+def records(sources):
+    return {
+        kind: {name: entry.record for name, entry in entries.items()}
+        for kind, entries in sources.entries_by_kind.items()
+    }
+
+
+class ExampleTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.pazlen = read_sources([PAZLEN])
+        self.threadlantern = read_sources([THREADLANTERN])
+
+    def test_clashes_are_listed_with_both_sides(self):
+        merger = merge_sources(self.pazlen, self.threadlantern)
+        self.assertEqual([], merger.unsettled())
+        found = {(clash.kind, clash.name) for clash in merger.clashes}
+        expected = {
+            ('organisations', 'atelier'),
+            ('places', 'depot'),
+            ('services', 'shopdesk'),
+        }
+        self.assertEqual(expected, found)
+        for clash in merger.clashes:
+            self.assertIn(f'pazlen/{clash.name} at {PAZLEN}', clash.first)
+            self.assertIn(f'threadlantern/{clash.name} at ', clash.second)
+
+    def test_rename_keeps_the_old_name_as_an_alias(self):
+        merger = merge_sources(self.pazlen, self.threadlantern, RENAMES)
+        merged = records(merger.sources)
+        self.assertEqual(RENAMES.services, merger.sources.aliases.services)
+        self.assertNotIn('threadlantern/shopdesk', merged['services'])
+        self.assertIn('threadlantern/staff-desk', merged['services'])
+        self.assertIn('pazlen/shopdesk', merged['services'])
+        weavehouse = merged['organisations']['threadlantern/kandy-weavehouse']
+        self.assertIn('threadlantern/staff-desk', weavehouse.services)
+        [clash] = [each for each in merger.clashes if each.kind == 'services']
+        self.assertIn('the old name is an alias', clash.done)
+
+    def test_merging_a_side_again_changes_nothing(self):
+        whole = merge_sources(self.pazlen, self.threadlantern, RENAMES).sources
+        for side in (self.pazlen, self.threadlantern, whole):
+            for first, second in ((whole, side), (side, whole)):
+                again = merge_sources(first, second)
+                self.assertEqual([], again.unsettled())
+                self.assertEqual(records(whole), records(again.sources))
+                self.assertEqual(whole.aliases, again.sources.aliases)
+
+
+class SettlementTests(testtools.TestCase):
+    def test_key_of_two_fleets_works_for_both(self):
+        first = sources_of('f', {'a': organisation(*KEYS[:2])})
+        second = sources_of('g', {'b': organisation(*KEYS[1:3])})
+        merger = merge_sources(first, second)
+        self.assertEqual([], merger.unsettled())
+        shared = {KEYS[1]: ('f/a', 'g/b')}
+        self.assertEqual(shared, merger.sources.aliases.shared_keys)
+        [clash] = merger.clashes
+        self.assertEqual(('keys', KEYS[1]), (clash.kind, clash.name))
+        self.assertIn('f/a at routers of f', clash.done)
+
+    def test_a_person_decides(self):
+        plain, priced = '{"kind": "plain"}', '{"kind": "plain", "priority": 2}'
+        cases = {
+            'other policy of a fleet': (
+                sources_of('f'),
+                sources_of('f', fleets='{"f": {"draw_fraction": 0.5}}'),
+                NO_ALIASES,
+                'they differ in draw_fraction',
+            ),
+            'other record of a fleet': (
+                sources_of('f', services={'s': plain}),
+                sources_of('f', services={'s': priced}),
+                NO_ALIASES,
+                'they differ in priority',
+            ),
+            'key within a fleet': (
+                sources_of('f', {'a': organisation(KEYS[0])}),
+                sources_of('f', {'b': organisation(KEYS[0])}),
+                NO_ALIASES,
+                'both are of the fleet f',
+            ),
+            'alias with two meanings': (
+                sources_of(
+                    'f',
+                    services={'s': plain},
+                    aliases='{"services": {"o":"s"}}',
+                ),
+                sources_of('g'),
+                Aliases({'f/o': 'f/p'}),
+                'nothing is written',
+            ),
+            'rename to a name in use': (
+                sources_of('f', services={'s': plain, 't': plain}),
+                sources_of('g'),
+                Aliases({'f/s': 'f/t'}),
+                'can not get the name f/t',
+            ),
+            'two renames to one name': (
+                sources_of('f', services={'s': plain, 't': plain}),
+                sources_of('g'),
+                Aliases({'f/s': 'f/u', 'f/t': 'f/u'}),
+                'can not get the name f/u',
+            ),
+            'rename to a name of the other side': (
+                sources_of('f', services={'s': plain}),
+                sources_of('g', services={'s': priced}),
+                Aliases({'f/s': 'g/s'}),
+                'they differ in priority',
+            ),
+        }
+        for name, (first, second, renames, message) in cases.items():
+            with self.subTest(name=name):
+                found = merge_sources(first, second, renames).unsettled()
+                self.assertEqual(1, len(found), found)
+                self.assertIn(message, found[0].done)
+
+    def test_no_record_is_lost_or_changed(self):
+        for seed in range(40):
+            source = random.Random(seed)
+            sides = [
+                sources_of(
+                    fleet,
+                    {
+                        name: organisation(key, service=source.choice('st'))
+                        for name, key in zip('abc', source.sample(KEYS, 3))
+                    },
+                    {
+                        name: f'{{"kind": "plain", "priority": {priority}}}'
+                        for name, priority in zip(
+                            'st', source.choices([0, 1], k=2)
+                        )
+                    },
+                )
+                for fleet in source.choices('fg', k=2)
+            ]
+            merger = merge_sources(*sides)
+            if merger.unsettled():
+                continue
+            merged = records(merger.sources)
+            for side in sides:
+                for kind, by_name in records(side).items():
+                    for name, record in by_name.items():
+                        self.assertEqual(record, merged[kind][name])
