Tell the loser of a submission what clashed, and join what does not

A manifest names the version its sources were made from and its author. The conditional update compares that version with the accepted one; whoever loses gets each field that both changed, with both values, the value before and who wrote the accepted one.

Signed files move to signed_file.py; write_signed_file takes a manifest, and its test moves with it.

--- a/eelgrassfork/budget_admin.py
+++ b/eelgrassfork/budget_admin.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from .bundle_submit import ObjectStore
+from .bundle_store import ObjectStore
 from .bundle_types import Bundle
 from .errors import EelgrassError
 from .ledger import (
--- a/eelgrassfork/bundle.py
+++ b/eelgrassfork/bundle.py
@@ -196,6 +196,7 @@
         places_by_name={},
         callers_by_key_hash=CallerTable(organisations),
         service_aliases=aliases.services,
+        shared_keys=aliases.shared_keys,
     )
     by_type: dict[RecordType, dict[str, Any]] = {
         Fleet: bundle.fleets_by_name,
--- /dev/null
+++ b/eelgrassfork/bundle_changes.py
@@ -0,0 +1,212 @@
+"""
+eelgrassfork.bundle_changes
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What two operators changed in a bundle, compared by name and field.
+"""
+
+from collections.abc import Iterator, Mapping
+from typing import Any, Final, NamedTuple
+
+from .bundle import RECORD_TYPES, Record
+from .bundle_types import Bundle
+from .organisation_table import OrganisationTable
+
+__all__ = (
+    'ABSENT',
+    'ALIASES',
+    'Change',
+    'Comparison',
+    'FieldName',
+    'RECORD',
+    'changes_between',
+    'compare',
+    'flat_fields',
+    'value_of',
+)
+
+
+class _Absent:
+    def __repr__(self) -> str:
+        return 'absent'
+
+
+ABSENT: Final = _Absent()
+# Stands for a whole record that is there or not.
+RECORD: Final = 'record'
+ALIASES: Final = 'aliases'
+
+
+class FieldName(NamedTuple):
+    """
+    A field of a record.
+
+    :param kind: kind of records, or ``aliases``.
+    :param name: qualified name of the record, or the old name of a service.
+    :param field: the field, with the key within it where it is a table or a
+        set; ``record`` for the whole record.
+    """
+
+    kind: str
+    name: str
+    field: str
+
+    def __str__(self) -> str:
+        return f'{self.kind} {self.name} {self.field}'
+
+
+class Change(NamedTuple):
+    """One changed field; :data:`ABSENT` where it was or is not there."""
+
+    field: FieldName
+    before: Any
+    after: Any
+
+
+class Comparison(NamedTuple):
+    """
+    Changes of two operators since the same bundle.
+
+    :param ours: what the first one changed.
+    :param theirs: what the second one changed.
+    :param clashes: fields that both changed, to different values.
+    """
+
+    ours: dict[FieldName, Change]
+    theirs: dict[FieldName, Change]
+    clashes: list[FieldName]
+
+
+def compare(base: Bundle, ours: Bundle, theirs: Bundle) -> Comparison:
+    """
+    Compare two changes of a bundle.
+
+    :param base: the bundle that both were made from.
+    :param ours: the first change.
+    :param theirs: the second.
+    :returns: the changes and where they clash.
+    """
+    our_changes = {each.field: each for each in changes_between(base, ours)}
+    their_changes = {each.field: each for each in changes_between(base, theirs)}
+    clashes = {
+        field
+        for field in our_changes.keys() & their_changes.keys()
+        if our_changes[field].after != their_changes[field].after
+    }
+    clashes.update(_addition_clashes(our_changes, their_changes))
+    clashes.update(_removal_clashes(our_changes, their_changes))
+    clashes.update(_removal_clashes(their_changes, our_changes))
+    return Comparison(our_changes, their_changes, sorted(clashes))
+
+
+def changes_between(before: Bundle, after: Bundle) -> Iterator[Change]:
+    """
+    List what differs between two bundles.
+
+    :param before: a bundle.
+    :param after: another one.
+    :returns: iterator; a record that is only in one of them comes as one
+        field ``record`` and with each of its own.
+    """
+    for kind in RECORD_TYPES:
+        old, new = _records(before, kind), _records(after, kind)
+        for name in sorted(_changed_names(old, new)):
+            yield from _record_changes(kind, name, old.get(name), new.get(name))
+    old_aliases, new_aliases = before.service_aliases, after.service_aliases
+    for alias in sorted(old_aliases.keys() | new_aliases.keys()):
+        pair = old_aliases.get(alias, ABSENT), new_aliases.get(alias, ABSENT)
+        if pair[0] != pair[1]:
+            yield Change(FieldName(ALIASES, alias, RECORD), *pair)
+
+
+def value_of(bundle: Bundle, field: FieldName) -> Any:
+    """
+    Read one field.
+
+    :param bundle: a bundle.
+    :param field: what to read.
+    :returns: its value, or :data:`ABSENT`.
+    """
+    if field.kind == ALIASES:
+        return bundle.service_aliases.get(field.name, ABSENT)
+    record = _records(bundle, field.kind).get(field.name)
+    return flat_fields(record).get(field.field, ABSENT)
+
+
+def flat_fields(record: Record | None) -> dict[str, Any]:
+    """
+    Write a record as fields that can be compared one by one.
+
+    :param record: the record, or ``None``.
+    :returns: values by field; members of a set have the value ``True``.
+    """
+    if record is None:
+        return {}
+    flat: dict[str, Any] = {RECORD: True}
+    for field, given in record._asdict().items():
+        if isinstance(given, dict):
+            flat.update({f'{field}.{key}': each for key, each in given.items()})
+        elif isinstance(given, frozenset):
+            flat.update({f'{field}.{each}': True for each in given})
+        elif field != 'name':
+            flat[field] = given
+    return flat
+
+
+def _records(bundle: Bundle, kind: str) -> Mapping[str, Record]:
+    by_name: Mapping[str, Record] = getattr(bundle, f'{kind}_by_name')
+    return by_name
+
+
+def _changed_names(
+    old: Mapping[str, Record], new: Mapping[str, Record]
+) -> set[str]:
+    if isinstance(old, OrganisationTable) and isinstance(
+        new, OrganisationTable
+    ):
+        # Decoding all organisations of the target takes seconds.
+        names = old.names_beside(new)
+    else:
+        names = old.keys() | new.keys()
+    return {name for name in names if old.get(name) != new.get(name)}
+
+
+def _record_changes(
+    kind: str, name: str, old: Record | None, new: Record | None
+) -> Iterator[Change]:
+    before, after = flat_fields(old), flat_fields(new)
+    for field in sorted(before.keys() | after.keys()):
+        pair = before.get(field, ABSENT), after.get(field, ABSENT)
+        if pair[0] != pair[1]:
+            yield Change(FieldName(kind, name, field), *pair)
+
+
+def _addition_clashes(
+    ours: Mapping[FieldName, Change], theirs: Mapping[FieldName, Change]
+) -> set[FieldName]:
+    """List what differs in records that both sides added under one name."""
+    added = {
+        (field.kind, field.name)
+        for field in ours.keys() & theirs.keys()
+        if field.field == RECORD and ours[field].before is ABSENT
+    }
+    return {
+        field
+        for field in ours.keys() ^ theirs.keys()
+        if (field.kind, field.name) in added
+    }
+
+
+def _removal_clashes(
+    removing: Mapping[FieldName, Change], changing: Mapping[FieldName, Change]
+) -> Iterator[FieldName]:
+    """List records that one side removed and the other changed."""
+    removed = {
+        (field.kind, field.name)
+        for field, change in removing.items()
+        if field.field == RECORD and change.after is ABSENT
+    }
+    for field, change in changing.items():
+        is_removed = (field.kind, field.name) in removed
+        if is_removed and change.after is not ABSENT:
+            yield field
--- /dev/null
+++ b/eelgrassfork/bundle_join.py
@@ -0,0 +1,125 @@
+"""
+eelgrassfork.bundle_join
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Changes of one operator made again on the bundle of another.
+"""
+
+from collections.abc import Collection, Iterable, Mapping
+from typing import Any
+
+from .bundle import RECORD_TYPES, Record
+from .bundle_aliases import Aliases
+from .bundle_changes import (
+    ABSENT,
+    ALIASES,
+    RECORD,
+    Change,
+    flat_fields,
+)
+from .bundle_types import Bundle, Organisation
+from .options import Problems
+from .source_check import Entry, Sources, check_sources
+
+__all__ = ('join_changes',)
+
+
+def join_changes(
+    accepted: Bundle, ours: Bundle, changes: Iterable[Change]
+) -> Sources:
+    """
+    Make changes on an accepted bundle.
+
+    :param accepted: the bundle.
+    :param ours: the bundle that has the changes; keys that it or the
+        accepted one shares between fleets may be shared.
+    :param changes: what to make; none may clash with the accepted bundle.
+    :returns: checked records of both.
+    :raises OptionsError: if the records don't fit together.
+    """
+    problems = Problems()
+    records_by_kind: dict[str, dict[str, Record]] = {
+        kind: dict(getattr(accepted, f'{kind}_by_name'))
+        for kind in RECORD_TYPES
+    }
+    services = dict(accepted.service_aliases)
+    for (kind, name), of_record in _by_record(changes).items():
+        if kind == ALIASES:
+            _put(services, name, of_record[0].after)
+        else:
+            records = records_by_kind[kind]
+            record = _changed(kind, name, records.get(name), of_record)
+            _put(records, name, record)
+    shared = accepted.shared_keys.keys() | ours.shared_keys.keys()
+    sources = Sources(
+        {
+            each: {
+                record.name: Entry(record, (each, record.name), problems)
+                for record in by_name.values()
+            }
+            for each, by_name in records_by_kind.items()
+        },
+        Aliases(services, _owners(records_by_kind['organisations'], shared)),
+    )
+    problems.found.extend(check_sources(sources).found)
+    problems.check()
+    return sources
+
+
+def _by_record(
+    changes: Iterable[Change],
+) -> dict[tuple[str, str], list[Change]]:
+    grouped: dict[tuple[str, str], list[Change]] = {}
+    for change in changes:
+        place = (change.field.kind, change.field.name)
+        grouped.setdefault(place, []).append(change)
+    return grouped
+
+
+def _put(by_name: dict[str, Any], name: str, given: Any) -> None:
+    if given is None or given is ABSENT:
+        by_name.pop(name, None)
+    else:
+        by_name[name] = given
+
+
+def _changed(
+    kind: str, name: str, record: Record | None, changes: Iterable[Change]
+) -> Record | None:
+    flat = flat_fields(record)
+    for change in changes:
+        _put(flat, change.field.field, change.after)
+    if not flat.pop(RECORD, False):
+        return None
+    plain = {field: given for field, given in flat.items() if '.' not in field}
+    if kind != 'organisations':
+        return RECORD_TYPES[kind](name=name, **plain)
+    return Organisation(
+        name=name,
+        budgets_by_key_hash=_members(flat, 'budgets_by_key_hash'),
+        services=frozenset(_members(flat, 'services')),
+        **plain,
+    )
+
+
+def _members(flat: Mapping[str, Any], field: str) -> dict[str, Any]:
+    return {
+        path.removeprefix(f'{field}.'): given
+        for path, given in flat.items()
+        if path.startswith(f'{field}.')
+    }
+
+
+def _owners(
+    organisations: Mapping[str, Record], shared: Collection[str]
+) -> dict[str, tuple[str, ...]]:
+    owners_by_hash: dict[str, list[str]] = {key_hash: [] for key_hash in shared}
+    for name in sorted(organisations):
+        keys = getattr(organisations[name], 'budgets_by_key_hash', {})
+        for key_hash in owners_by_hash.keys() & keys.keys():
+            owners_by_hash[key_hash].append(name)
+    return {
+        shared_key: tuple(owners)
+        for shared_key, owners in owners_by_hash.items()
+        if len(owners) > 1
+    }
--- a/eelgrassfork/bundle_types.py
+++ b/eelgrassfork/bundle_types.py
@@ -120,6 +120,8 @@
         stands as ``<fleet>/<hash>`` for each, see
         :func:`~eelgrassfork.bundle_lookup.find_caller`.
     :param service_aliases: name of a service by one it had before.
+    :param shared_keys: names of the organisations that have the same key,
+        by its hash.
     """
 
     version: int
@@ -129,3 +131,4 @@
     places_by_name: dict[str, Place]
     callers_by_key_hash: Mapping[str, Caller]
     service_aliases: Mapping[str, str] = MappingProxyType({})
+    shared_keys: Mapping[str, tuple[str, ...]] = MappingProxyType({})
--- a/eelgrassfork/cli_bundle.py
+++ b/eelgrassfork/cli_bundle.py
@@ -5,21 +5,19 @@
 Commands on bundles: check, sign, submit, show and status.
 """
 
+import getpass
 from collections.abc import Mapping
 from typing import Any
 
 from .bundle_source import compile_parts, read_sources
-from .bundle_submit import (
-    read_accepted,
-    read_signed_file,
-    submit,
-    write_signed_file,
-)
+from .bundle_submit import Submitted, submit, submit_merged
 from .bundle_types import Fleet, Place, Service
 from .cli_common import Session, run_session, say, say_json
 from .held_bundle import HeldBundle
+from .manifest import Manifest
 from .router_admin import RouterStatus, read_operator_key, read_statuses
 from .settings import load_settings
+from .signed_file import read_signed_file, write_signed_file
 from .signing import load_key
 
 __all__ = (
@@ -45,7 +43,14 @@
     say(f'{len(parts.bodies_by_hash)} parts, {size} bytes')
 
 
-def bundle_sign(*directories: str, key: str, base: int, out: str) -> None:
+def bundle_sign(
+    *directories: str,
+    key: str,
+    base: int,
+    out: str,
+    above: int = 0,
+    author: str = '',
+) -> None:
     """
     Compile and sign a bundle.
 
@@ -54,31 +59,48 @@
     :param base: accepted version that the sources were made from; the
         bundle gets the next one.
     :param out: file for the signed bundle.
+    :param above: version that the bundle has to exceed too, such as the one
+        in force in the other fleet of a merger.
+    :param author: name of the person who signs, told to others; the login
+        name where it is left out.
     """
     parts = compile_parts(read_sources(directories))
     pair = load_key(key)
-    write_signed_file(out, base + 1, parts, pair)
-    say(f'{out}: version {base + 1}, signed by {pair.key_id}')
+    version = max(base, above) + 1
+    name = author or getpass.getuser()
+    write_signed_file(out, Manifest(version, (), base, name), parts, pair)
+    say(f'{out}: version {version}, signed by {pair.key_id}')
 
 
-def bundle_submit(file: str, *, settings: str) -> None:
+def bundle_submit(
+    file: str, *, settings: str, merge: bool = False, key: str = ''
+) -> None:
     """
-    Let the platform accept a signed bundle.
+    Let the platform accept a signed bundle, if it follows the accepted one.
 
     :param file: the signed bundle.
     :param settings: settings file of any router of the fleet.
+    :param merge: if another bundle was accepted since, make the changes of
+        this one on that; refused where both changed the same field.
+    :param key: the operator's key file, to sign a merged bundle.
     """
     held = read_signed_file(file, load_settings(settings).trusted_keys)
+    pair = load_key(key) if merge else None
 
-    async def action(session: Session) -> bool:
-        accepted = await read_accepted(
-            session.platform, session.settings.trusted_keys
-        )
-        return await submit(session.platform, held, accepted)
+    async def action(session: Session) -> Submitted:
+        if pair is not None:
+            return await submit_merged(session.bundles, held, pair)
+        accepted = await session.bundles.accepted()
+        is_new = await submit(session.bundles, held, accepted)
+        return Submitted(held.bundle.version, is_new)
 
-    is_new = run_session(settings, action)
-    was = 'is' if is_new else 'was already'
-    say(f'version {held.bundle.version} {was} accepted')
+    submitted = run_session(settings, action)
+    was = 'is' if submitted.is_new else 'was already'
+    say(f'version {submitted.version} {was} accepted')
+    if submitted.joined:
+        say('take these changes of others into your sources:')
+        for name in submitted.joined:
+            say(f'  {name}')
 
 
 def bundle_show(file: str = '', *, settings: str) -> None:
@@ -118,9 +140,7 @@
 
 
 async def _accepted(session: Session) -> HeldBundle | None:
-    accepted = await read_accepted(
-        session.platform, session.settings.trusted_keys
-    )
+    accepted = await session.bundles.accepted()
     return accepted.held
 
 
@@ -129,6 +149,8 @@
     return {
         'version': bundle.version,
         'signed_by': held.signed.key_id,
+        'author': held.signed.manifest.author,
+        'base': held.signed.manifest.base,
         'parts': len(held.parts_by_hash),
         'fleets': _fields_by_name(bundle.fleets_by_name),
         'places': _fields_by_name(bundle.places_by_name),
--- a/eelgrassfork/cli_common.py
+++ b/eelgrassfork/cli_common.py
@@ -13,6 +13,7 @@
 import msgspec
 import trio
 
+from .bundle_store import BundleStore
 from .errors import EelgrassError
 from .http_client import ClientTimeouts, HttpClient, HttpClientError
 from .names import BadName
@@ -93,6 +94,7 @@
     :ivar settings: what names the platform and the trusted keys.
     :ivar http: connections, also to routers.
     :ivar platform: client of the platform.
+    :ivar bundles: bundles at the platform.
     """
 
     def __init__(self, settings: RouterSettings) -> None:
@@ -101,6 +103,7 @@
         self.platform = PlatformClient(
             self.http, settings.platform, _TIMEOUT_S, 'operator'
         )
+        self.bundles = BundleStore(self.platform, settings.trusted_keys)
 
 
 def run_session(
--- a/eelgrassfork/cli_fleet.py
+++ b/eelgrassfork/cli_fleet.py
@@ -9,7 +9,6 @@
 from typing import Any, Final
 
 from .budget_admin import TopUp, apply_top_up, ledger_key, read_budget
-from .bundle_submit import read_accepted
 from .cli_common import Session, run_session, say, say_json
 from .ledger import BudgetView
 from .router_admin import (
@@ -126,9 +125,7 @@
 
 
 async def _ledger_key(session: Session, budget: str) -> str:
-    accepted = await read_accepted(
-        session.platform, session.settings.trusted_keys
-    )
+    accepted = await session.bundles.accepted()
     if accepted.held is None:
         raise RouterError('no_bundle', 'no bundle was accepted yet')
     return ledger_key(accepted.held.bundle, budget)
--- a/eelgrassfork/manifest.py
+++ b/eelgrassfork/manifest.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Mapping
-from typing import Final, NamedTuple, TypedDict
+from typing import Final, NamedTuple, NotRequired, TypedDict
 
 import msgspec
 
@@ -36,10 +36,14 @@
     :param version: higher than that of the bundle it replaces.
     :param parts: SHA-256 of the parts in hexadecimal; a part of kind
         ``index`` names further parts.
+    :param base: version that its sources were made from.
+    :param author: name of the person, as given by that person.
     """
 
     version: int
     parts: tuple[str, ...]
+    base: int = 0
+    author: str = ''
 
 
 class SignedManifest(NamedTuple):
@@ -53,6 +57,8 @@
 class _ManifestBody(TypedDict):
     version: int
     parts: tuple[str, ...]
+    base: NotRequired[int]
+    author: NotRequired[str]
 
 
 class _Envelope(TypedDict):
@@ -98,7 +104,15 @@
         decoded = msgspec.msgpack.decode(body, type=_ManifestBody)
     except (msgspec.DecodeError, SigningError) as error:
         raise BundleError('bad_manifest', str(error)) from None
-    if decoded['version'] < 1:
+    version = decoded['version']
+    if version < 1:
         raise BundleError('bad_manifest', 'the version is below 1')
-    manifest = Manifest(decoded['version'], decoded['parts'])
+    manifest = Manifest(
+        version,
+        decoded['parts'],
+        decoded.get('base', version - 1),
+        decoded.get('author', ''),
+    )
+    if not 0 <= manifest.base < version:
+        raise BundleError('bad_manifest', 'the base is not below the version')
     return SignedManifest(manifest, envelope, signed['key_id'])
--- a/eelgrassfork/organisation_table.py
+++ b/eelgrassfork/organisation_table.py
@@ -80,6 +80,22 @@
         groups = self.groups.values()
         return itertools.chain.from_iterable(each.leaves for each in groups)
 
+    def names_beside(self, other: 'OrganisationTable') -> set[str]:
+        """
+        Find organisations that may differ from those of another table.
+
+        :param other: the other table.
+        :returns: names of organisations that do not stand in the same part
+            of both; those of the other table too.
+        """
+        ours = {leaf.part_hash: leaf for leaf in self.leaves()}
+        theirs = {leaf.part_hash: leaf for leaf in other.leaves()}
+        return {
+            name
+            for part_hash in ours.keys() ^ theirs.keys()
+            for name in (ours.get(part_hash) or theirs[part_hash]).names
+        }
+
     def repeated_name(self) -> str | None:
         """
         Find a name that stands twice.
--- a/tests/bundles.py
+++ b/tests/bundles.py
@@ -10,9 +10,18 @@
 from nacl.signing import SigningKey
 
 from eelgrassfork import bundle
+from eelgrassfork.bundle_source import CompiledParts
+from eelgrassfork.signed_file import seal_bundle
 from eelgrassfork.signing import KeyPair
 
-__all__ = ('KEY', 'OTHER_KEY', 'TRUSTED', 'key_hash', 'signed_bundle')
+__all__ = (
+    'KEY',
+    'OTHER_KEY',
+    'TRUSTED',
+    'held_bundle',
+    'key_hash',
+    'signed_bundle',
+)
 
 KEY = KeyPair(SigningKey(b'1' * 32))
 OTHER_KEY = KeyPair(SigningKey(b'2' * 32))
@@ -49,5 +58,17 @@
         add('services', {'pazlen/matcher': {'kind': 'model', 'model': 'm'}}),
         add('index', leaves),
     )
-    manifest = bundle.Manifest(version, roots)
+    manifest = bundle.Manifest(version, roots, max(version - 1, 0))
     return bundle.seal_manifest(manifest, key), bodies
+
+
+def held_bundle(version, kinds, aliases=None, key=KEY, **manifest):
+    """Sign records given by kind and name as fields."""
+    bodies = dict(bundle.new_part(kind, kinds[kind]) for kind in kinds)
+    if aliases is not None:
+        bodies.update([bundle.new_part('aliases', aliases)])
+    return seal_bundle(
+        bundle.Manifest(version, (), **{'base': version - 1, **manifest}),
+        CompiledParts(tuple(bodies), bodies),
+        key,
+    )
--- a/tests/test_bundle_submit.py
+++ b/tests/test_bundle_submit.py
@@ -5,17 +5,14 @@
 Guards against operators who overwrite each other, and lost answers.
 """
 
-import os
-import tempfile
-
-import msgspec
 import testtools
 import trio
 import trio.testing
 
 from eelgrassfork import bundle, bundle_submit
-from eelgrassfork.bundle_source import CompiledParts
+from eelgrassfork.bundle_store import BundleStore
 from eelgrassfork.errors import EelgrassError
+from eelgrassfork.held_bundle import HeldBundle
 from eelgrassfork.platform_types import AnswerLost
 from standins.fake_platform import FakePlatform
 
@@ -27,7 +24,7 @@
     if fleets is not None:
         part_hash, body = bundle.new_part('fleets', fleets)
         bodies = {part_hash: body}
-        manifest = bundle.Manifest(version, (part_hash,))
+        manifest = bundle.Manifest(version, (part_hash,), version - 1)
         envelope = bundle.seal_manifest(manifest, key)
     opened = bundle.open_manifest(envelope, bundles.TRUSTED)
     parts = {
@@ -35,12 +32,16 @@
         for part_hash, body in bodies.items()
     }
     whole = bundle.assemble(opened.manifest, parts)
-    return bundle_submit.HeldBundle(opened, parts, whole)
+    return HeldBundle(opened, parts, whole)
 
 
 async def submit(platform, held):
-    accepted = await bundle_submit.read_accepted(platform, bundles.TRUSTED)
-    return await bundle_submit.submit(platform, held, accepted)
+    store = store_of(platform)
+    return await bundle_submit.submit(store, held, await store.accepted())
+
+
+def store_of(platform):
+    return BundleStore(platform, bundles.TRUSTED)
 
 
 def run(test):
@@ -55,9 +56,7 @@
             self.assertTrue(await submit(platform, signed(1, 'a')))
             self.assertTrue(await submit(platform, signed(2, 'a', 'b')))
             self.assertFalse(await submit(platform, signed(2, 'a', 'b')))
-            accepted = await bundle_submit.read_accepted(
-                platform, bundles.TRUSTED
-            )
+            accepted = await store_of(platform).accepted()
             self.assertEqual(2, accepted.version)
             self.assertIn(
                 'pazlen/b', accepted.held.bundle.organisations_by_name
@@ -80,15 +79,15 @@
 
     def test_race_between_read_and_write_is_a_conflict(self):
         async def main(platform):
-            accepted = await bundle_submit.read_accepted(
-                platform, bundles.TRUSTED
-            )
+            accepted = await store_of(platform).accepted()
             await submit(platform, signed(1, 'first'))
             error = await self.refused(
-                bundle_submit.submit(platform, signed(1, 'second'), accepted)
+                bundle_submit.submit(
+                    store_of(platform), signed(1, 'second'), accepted
+                )
             )
             self.assertEqual('conflict', error.code)
-            now = await bundle_submit.read_accepted(platform, bundles.TRUSTED)
+            now = await store_of(platform).accepted()
             self.assertIn('pazlen/first', now.held.bundle.organisations_by_name)
 
         run(main)
@@ -101,9 +100,7 @@
             platform.set_faults(lose_answers=0, drop_writes=20)
             error = await self.refused(submit(platform, signed(3, 'c')))
             self.assertIsInstance(error, AnswerLost)
-            accepted = await bundle_submit.read_accepted(
-                platform, bundles.TRUSTED
-            )
+            accepted = await store_of(platform).accepted()
             self.assertEqual(2, accepted.version)
 
         run(main)
@@ -126,34 +123,116 @@
         self.fail('the submission was accepted')
 
 
-class SignedFileTests(testtools.TestCase):
-    def test_altered_files_are_refused(self):
-        path = os.path.join(tempfile.mkdtemp(), 'bundle')
-        _, bodies = bundles.signed_bundle(3)
-        hashes = tuple(bodies)[1:]
-        parts = CompiledParts(hashes, bodies)
-        bundle_submit.write_signed_file(path, 3, parts, bundles.KEY)
-        held = bundle_submit.read_signed_file(path, bundles.TRUSTED)
-        self.assertEqual(3, held.bundle.version)
-        with open(path, 'rb') as stream:
-            good = stream.read()
-        stored = msgspec.msgpack.decode(good)
-        without = {**stored, 'parts': dict(list(bodies.items())[1:])}
-        other = {
-            **stored,
-            'manifest': bundles.signed_bundle(3, key=bundles.OTHER_KEY)[0],
+def organisations(**fields_by_name):
+    given = {
+        f'pazlen/{name}': {
+            'budgets_by_key_hash': {},
+            'services': [],
+            **fields,
         }
-        swapped = {**stored, 'parts': {**bodies, hashes[0]: bodies[hashes[1]]}}
-        for content in (
-            b'',
-            good[:-1],
-            *(msgspec.msgpack.encode(bad) for bad in (without, other, swapped)),
+        for name, fields in fields_by_name.items()
+    }
+    return {'fleets': {'pazlen': {}}, 'organisations': given}
+
+
+class RaceTests(testtools.TestCase):
+    async def race(self, platform, ours):
+        """Accept versions 1 to 3, of which ours knows only the first."""
+        store = store_of(platform)
+        for version, author, fields in (
+            (1, 'ann', {'priority': 1}),
+            (2, 'ben', {'priority': 0}),
+            (3, 'cleo', {'priority': 0, 'max_in_flight': 9}),
         ):
-            with open(path, 'wb') as stream:
-                stream.write(content)
-            self.assertRaises(
-                bundle.BundleError,
-                bundle_submit.read_signed_file,
-                path,
-                bundles.TRUSTED,
+            kinds = organisations(a=fields)
+            await submit(
+                platform, bundles.held_bundle(version, kinds, author=author)
+            )
+        kinds = organisations(**ours)
+        late = bundles.held_bundle(2, kinds, author='dora')
+        return store, late
+
+    def test_loser_learns_fields_values_and_who_wrote(self):
+        async def main(platform):
+            store, late = await self.race(
+                platform, {'a': {'priority': 2, 'max_in_flight': 9}}
+            )
+            for attempt in (
+                bundle_submit.submit(store, late, await store.accepted()),
+                bundle_submit.submit_merged(store, late, bundles.KEY),
+            ):
+                try:
+                    await attempt
+                except EelgrassError as error:
+                    self.assertEqual('conflict', error.code)
+                    self.assertIn(
+                        'organisations pazlen/a priority: yours 2, accepted 0, '
+                        'before 1; version 2 by ben with key '
+                        f'{bundles.KEY.key_id}',
+                        error.message,
+                    )
+                    self.assertNotIn('max_in_flight', error.message)
+                else:
+                    self.fail('the bundle was accepted')
+            self.assertEqual(3, (await store.accepted()).version)
+
+        run(main)
+
+    def test_changes_that_do_not_overlap_are_joined(self):
+        async def main(platform):
+            store, late = await self.race(
+                platform, {'a': {'priority': 1}, 'b': {'priority': 2}}
             )
+            merged = await bundle_submit.submit_merged(store, late, bundles.KEY)
+            self.assertEqual((4, True), merged[:2])
+            self.assertEqual(('organisations pazlen/a',), merged.joined)
+            held = (await store.accepted()).held
+            found = held.bundle.organisations_by_name
+            self.assertEqual(0, found['pazlen/a'].priority)
+            self.assertEqual(9, found['pazlen/a'].max_in_flight)
+            self.assertEqual(2, found['pazlen/b'].priority)
+            self.assertEqual('dora', held.signed.manifest.author)
+            again = await bundle_submit.submit_merged(store, late, bundles.KEY)
+            self.assertEqual((4, False), again[:2])
+
+        run(main)
+
+    def test_eight_operators_at_once_lose_nothing(self):
+        async def main(platform):
+            await submit(platform, bundles.held_bundle(1, organisations()))
+            platform.set_faults(delay_s=0.01)
+
+            async def operate(number):
+                kinds = organisations(**{f'o{number}': {}})
+                held = bundles.held_bundle(2, kinds)
+                store = store_of(platform.for_client(f'operator-{number}'))
+                await bundle_submit.submit_merged(store, held, bundles.KEY)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(8):
+                    nursery.start_soon(operate, number)
+            held = (await store_of(platform).accepted()).held
+            names = set(held.bundle.organisations_by_name)
+            self.assertEqual({f'pazlen/o{n}' for n in range(8)}, names)
+            self.assertEqual(9, held.bundle.version)
+
+        run(main)
+
+    def test_repeated_submit_knows_what_was_accepted_and_replaced(self):
+        async def main(platform):
+            second = signed(2, 'a', 'b')
+            await submit(platform, signed(1, 'a'))
+            await submit(platform, second)
+            await submit(platform, signed(3, 'a', 'b', 'c'))
+            self.assertFalse(await submit(platform, second))
+
+        run(main)
+
+    def test_version_above_another_fleets(self):
+        async def main(platform):
+            await submit(platform, signed(1, 'a'))
+            kinds = organisations(a={})
+            await submit(platform, bundles.held_bundle(40, kinds, base=1))
+            self.assertEqual(40, (await store_of(platform).accepted()).version)
+
+        run(main)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,6 +11,7 @@
 import os
 import queue
 import re
+import shutil
 import tempfile
 import threading
 from pathlib import Path
@@ -199,12 +200,14 @@
     def on_fleet(self, code, *argv):
         return self.expect(code, *argv, '--settings', self.settings)
 
-    def sign(self, base, name='signed', key=None):
+    def sign(
+        self, base, name='signed', key=None, author='ann', sources=SOURCES
+    ):
         out = self.path(name)
         self.expect(
             0,
-            *('bundle', 'sign', SOURCES, '--key', key or self.key),
-            *('--base', base, '--out', out),
+            *('bundle', 'sign', sources, '--key', key or self.key),
+            *('--base', base, '--out', out, '--author', author),
         )
         return out
 
@@ -243,6 +246,48 @@
         shown = json.loads(self.on_fleet(0, 'budget', 'show', BUDGET))
         self.assertEqual(500, shown['granted'])
 
+    def test_racing_submissions(self):
+        sources = self.path('sources')
+        shutil.copytree(SOURCES, sources)
+        places = Path(sources, 'places.json')
+        self.on_fleet(0, 'bundle', 'submit', self.sign(0))
+        signed = {}
+        for name, old, new in (
+            (
+                'first',
+                '"depot": {"region": "bg-south"}',
+                '"depot": {"region": "b2"}',
+            ),
+            (
+                'clash',
+                '"depot": {"region": "bg-south"}',
+                '"depot": {"region": "b3"}',
+            ),
+            ('apart', '"plovdiv-a"', '"varna": {"region": "x"}, "plovdiv-a"'),
+        ):
+            text = Path(SOURCES, 'places.json').read_text()
+            places.write_text(text.replace(old, new))
+            signed[name] = self.sign(1, name, author=name, sources=sources)
+        self.on_fleet(0, 'bundle', 'submit', signed['first'])
+        merge = ('--merge', '--key', self.key)
+        for options in ((), merge):
+            text = self.on_fleet(
+                3, 'bundle', 'submit', signed['clash'], *options
+            )
+            self.assertIn(
+                "places pazlen/depot region: yours 'b3', accepted 'b2', "
+                "before 'bg-south'; version 2 by first with key ",
+                text,
+            )
+        text = self.on_fleet(3, 'bundle', 'submit', signed['apart'])
+        self.assertIn('no field clashes', text)
+        text = self.on_fleet(0, 'bundle', 'submit', signed['apart'], *merge)
+        self.assertIn('version 3 is accepted', text)
+        self.assertIn('places pazlen/depot', text)
+        shown = json.loads(self.on_fleet(0, 'bundle', 'show'))
+        self.assertEqual('b2', shown['places']['pazlen/depot']['region'])
+        self.assertIn('pazlen/varna', shown['places'])
+
     def test_platform_down(self):
         signed = self.sign(0)
         self.world.do(self.world.platform.set_faults, down=True)
