Let a top-up follow only what the operator read

Two operators who both read a low budget could both top it up. With --if-granted, the total that budget show told, a top-up is refused if another one came first; the conflict names both totals and the operations since. The total only grows, so it serves as the version that was read; the version of the ledger shard does not, because routers write it every report interval. New operation ids carry the login name. A top-up whose answer was lost, repeated by the command with its operation id, is applied once and is no race against itself.

--- a/eelgrassfork/budget_admin.py
+++ b/eelgrassfork/budget_admin.py
@@ -5,6 +5,7 @@
 Top-ups and views of budgets for operators, through the platform.
 """
 
+import itertools
 import random
 from typing import Final, NamedTuple
 
@@ -51,11 +52,15 @@
     :param budget: ``<fleet>/<organisation>/<budget>``.
     :param operation_id: repeating a top-up with it changes nothing.
     :param amount: tokens, above 0.
+    :param read_granted: tokens that were granted in all when the operator
+        read the budget; the top-up is refused if others have followed.
+        ``None`` lets it follow any.
     """
 
     budget: str
     operation_id: str
     amount: int
+    read_granted: int | None = None
 
 
 def ledger_key(bundle: Bundle, budget: str) -> str:
@@ -87,7 +92,8 @@
     :param key: the ledger object.
     :param change: what to grant.
     :returns: false if the operation had been applied before.
-    :raises BudgetError: with the ledger's code if it refuses the change.
+    :raises BudgetError: ``conflict`` if another top-up came first, or the
+        ledger's code if it refuses the change.
     :raises PlatformError: if the platform does not answer; the operation
         may be repeated.
     """
@@ -130,10 +136,33 @@
         raise BudgetError(changed.code, changed.message)
     if changed is shard:
         return False
+    _check_read(shard, change)
     await platform.put(key, encode_shard(changed), version)
     return True
 
 
+def _check_read(shard: LedgerShard, change: TopUp) -> None:
+    record = shard['budgets'].get(change.budget)
+    granted = record['granted'] if record else 0
+    expected = change.read_granted
+    if expected is None or expected == granted:
+        return
+    top_ups = record['top_ups'] if record else {}
+    totals = itertools.accumulate(top_ups.values())
+    since = [
+        f'{amount} by {operation_id}'
+        for (operation_id, amount), total in zip(
+            top_ups.items(), totals, strict=True
+        )
+        if total > expected
+    ]
+    message = (
+        f'{change.budget} granted: you read {expected}, it is {granted}; '
+        f'topped up since: {", ".join(since) or "nothing"}'
+    )
+    raise BudgetError('conflict', message)
+
+
 async def _read_shard(
     platform: ObjectStore, key: str
 ) -> tuple[int | None, LedgerShard]:
--- a/eelgrassfork/cli_fleet.py
+++ b/eelgrassfork/cli_fleet.py
@@ -5,6 +5,7 @@
 Commands on budgets and on running routers.
 """
 
+import getpass
 import secrets
 from typing import Any, Final
 
@@ -32,7 +33,12 @@
 
 
 def budget_top_up(
-    budget: str, amount: int, *, settings: str, operation_id: str = ''
+    budget: str,
+    amount: int,
+    *,
+    settings: str,
+    operation_id: str = '',
+    if_granted: int | None = None,
 ) -> None:
     """
     Grant tokens to a budget; with the same operation id only once.
@@ -41,15 +47,17 @@
     :param amount: tokens, above 0.
     :param settings: settings file of any router of the fleet.
     :param operation_id: names the top-up, so that it can be repeated; a new
-        one where it is left out.
+        one with the login name where it is left out.
+    :param if_granted: tokens granted in all, as budget show told; the
+        top-up is refused if another one has followed since.
     """
-    name = operation_id or f'op-{secrets.token_hex(_OPERATION_ID_BYTES)}'
+    name = operation_id or _new_operation_id()
     # Printed first: it is needed if the answer of the platform is lost.
     say(f'operation id {name}')
 
     async def action(session: Session) -> bool:
         key = await _ledger_key(session, budget)
-        change = TopUp(budget, name, amount)
+        change = TopUp(budget, name, amount, if_granted)
         return await apply_top_up(session.platform, key, change)
 
     if run_session(settings, action):
@@ -124,6 +132,12 @@
     say_json(_call(settings, vm, call))
 
 
+def _new_operation_id() -> str:
+    # The name tells an operator who loses a race who was faster.
+    suffix = secrets.token_hex(_OPERATION_ID_BYTES)
+    return f'op-{getpass.getuser()}-{suffix}'
+
+
 async def _ledger_key(session: Session, budget: str) -> str:
     accepted = await session.bundles.accepted()
     if accepted.held is None:
--- a/tests/test_budget_admin.py
+++ b/tests/test_budget_admin.py
@@ -25,8 +25,8 @@
     )
 
 
-async def top_up(platform, operation_id='op-1', amount=100):
-    change = budget_admin.TopUp(BUDGET, operation_id, amount)
+async def top_up(platform, operation_id='op-1', amount=100, read=None):
+    change = budget_admin.TopUp(BUDGET, operation_id, amount, read)
     return await budget_admin.apply_top_up(platform, KEY, change)
 
 
@@ -71,6 +71,51 @@
 
         run(main)
 
+    def test_top_up_follows_only_what_the_operator_read(self):
+        async def main(platform):
+            await top_up(platform, 'op-ann', 100, read=0)
+            await top_up(platform, 'op-ben', 50, read=100)
+            for read, since in (
+                (0, '100 by op-ann, 50 by op-ben'),
+                (100, 'since: 50 by op-ben'),
+                (200, 'since: nothing'),
+            ):
+                try:
+                    await top_up(platform, 'op-late', 70, read)
+                except budget_admin.BudgetError as error:
+                    self.assertEqual('conflict', error.code)
+                    message = f'you read {read}, it is 150'
+                    self.assertIn(message, error.message)
+                    self.assertIn(since, error.message)
+                else:
+                    self.fail('the top-up was applied')
+            # Its answer was lost; what it granted itself is no race.
+            self.assertFalse(await top_up(platform, 'op-ben', 50, read=100))
+            self.assertEqual(150, await granted(platform))
+
+        run(main)
+
+    def test_one_of_two_racing_operators_wins(self):
+        async def main(platform):
+            platform.set_faults(delay_s=0.01)
+            outcomes = []
+
+            async def operate(name):
+                try:
+                    outcomes.append(await top_up(platform, name, 100, read=0))
+                except budget_admin.BudgetError as error:
+                    outcomes.append(error.code)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(8):
+                    nursery.start_soon(operate, f'op-{number}')
+            self.assertEqual(
+                [True] + ['conflict'] * 7, sorted(outcomes, key=str)
+            )
+            self.assertEqual(100, await granted(platform))
+
+        run(main)
+
     def test_refusals(self):
         async def main(platform):
             await top_up(platform)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -22,6 +22,7 @@
 from eelgrassfork import cli
 from eelgrassfork.errors import RequestError
 from eelgrassfork.http_server import HttpServer
+from eelgrassfork.platform_types import AnswerLost
 from eelgrassfork.vm_list import VmRecord
 from standins.platform import PlatformStandin
 
@@ -246,6 +247,34 @@
         shown = json.loads(self.on_fleet(0, 'budget', 'show', BUDGET))
         self.assertEqual(500, shown['granted'])
 
+    def lose_the_next_answer_and_go_down(self):
+        """Let the next write take effect, and the platform fail with it."""
+        core = self.world.platform.core
+        write = core.write
+
+        async def lose(client, kind, change):
+            await write(client, kind, change)
+            core.write = write
+            core.change_faults(down=True)
+            raise AnswerLost('answer_lost', 'the write took effect')
+
+        core.write = lose
+
+    def test_top_up_repeated_after_a_lost_answer_is_applied_once(self):
+        self.on_fleet(0, 'bundle', 'submit', self.sign(0))
+        top_up = ('budget', 'top-up', BUDGET, '500', '--if-granted', '0')
+        self.lose_the_next_answer_and_go_down()
+        told = self.on_fleet(5, *top_up)
+        self.world.do(self.world.platform.set_faults, down=False)
+        operation_id = re.search('operation id (op-[^ \n]+)', told)[1]
+        again = (*top_up, '--operation-id', operation_id)
+        self.assertIn('had been', self.on_fleet(0, *again))
+        late = self.on_fleet(3, *top_up)
+        self.assertIn('you read 0, it is 500', late)
+        self.assertIn(f'500 by {operation_id}', late)
+        shown = json.loads(self.on_fleet(0, 'budget', 'show', BUDGET))
+        self.assertEqual(500, shown['granted'])
+
     def test_racing_submissions(self):
         sources = self.path('sources')
         shutil.copytree(SOURCES, sources)
