Tell how long ago a peer was heard

The status of a place that can't be reached needs the age of what is known about it. PeerRecord gets heard_s_ago, which the state dump shows.

tests/test_membership.py passes.

--- a/eelgrassfork/membership.py
+++ b/eelgrassfork/membership.py
@@ -46,7 +46,12 @@
 
 
 class PeerRecord(NamedTuple):
-    """A router that has answered or called."""
+    """
+    A router that has answered or called.
+
+    :param heard_s_ago: seconds since the exchange began that brought its
+        last heartbeat.
+    """
 
     vm: str
     holder: str
@@ -55,6 +60,7 @@
     state: str
     bundle_version: int
     suspect: bool
+    heard_s_ago: float = 0
 
 
 class _Heard(NamedTuple):
@@ -134,7 +140,7 @@
         :returns: records of VMs that are not delisted.
         """
         limit = self._settings.heartbeat_s * _SUSPECT_HEARTBEATS
-        oldest = trio.current_time() - limit
+        now = trio.current_time()
         return [
             PeerRecord(
                 vm=vm,
@@ -143,7 +149,8 @@
                 peer_address=heard.heartbeat.peer_address,
                 state=heard.heartbeat.state,
                 bundle_version=heard.heartbeat.bundle_version,
-                suspect=heard.at < oldest,
+                suspect=heard.at < now - limit,
+                heard_s_ago=round(now - heard.at, 1),
             )
             for vm, heard in self._heard_by_vm.items()
             if not self._deaths.is_delisted(vm)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -111,7 +111,8 @@
 
         def look(members):
             members.heard(heartbeat('vm-a'), trio.current_time() - 4)
-            return members.peers()[0].suspect, members.is_dead('vm-a.1')
+            peer = members.peers()[0]
+            return peer.suspect, peer.heard_s_ago, members.is_dead('vm-a.1')
 
         found = run(look, FakePlatform(vm_list), FakePeers(vm_list))
-        self.assertEqual((True, False), found)
+        self.assertEqual((True, 4, False), found)
