Try bundles at a router before they are accepted

An accepted bundle is in force everywhere within seconds and never goes back, so stages can only come before acceptance. POST /bundle/trial at the operator port takes a signed manifest whose parts stand at the platform. The router verifies it, fetches the missing parts, assembles it beside the one in force and reports problems (older, not trusted, lacks this place or a service with listed servers) and notices (keys that stop working). It keeps nothing.

--- a/eelgrassfork/bundle_holder.py
+++ b/eelgrassfork/bundle_holder.py
@@ -81,7 +81,7 @@
         :param envelope: signed manifest as stored there.
         :raises EelgrassError: if it is refused or its parts can't be had.
         """
-        signed = self._open(envelope)
+        signed = self.verify(envelope)
         version = signed.manifest.version
         await self._take(signed, parts_from_anywhere(self._sources, version))
 
@@ -95,7 +95,7 @@
         signed_by_vm: dict[str, SignedManifest] = {}
         for vm, envelope in envelopes_by_vm.items():
             try:
-                signed_by_vm[vm] = self._open(envelope)
+                signed_by_vm[vm] = self.verify(envelope)
             except BundleError as error:
                 self.note_problem(vm, error)
         versions = [each.manifest.version for each in signed_by_vm.values()]
@@ -122,7 +122,7 @@
         try:
             answer = await ask_peer(self._sources, vm, request)
             if answer['manifest']:
-                signed = self._open(answer['manifest'])
+                signed = self.verify(answer['manifest'])
                 await self._take(signed, parts_from_peer(self._sources, vm))
         except EelgrassError as error:
             self.note_problem(vm, error)
@@ -140,7 +140,7 @@
         envelope = payload.get('manifest')
         if not isinstance(envelope, bytes):
             raise BundleError('bad_request', 'an offer needs a manifest')
-        signed = self._open(envelope)
+        signed = self.verify(envelope)
         version = signed.manifest.version
         if not self.is_wanted(version):
             return
@@ -151,6 +151,16 @@
         finally:
             self._fetching.discard(version)
 
+    def verify(self, envelope: bytes) -> SignedManifest:
+        """
+        Verify and decode a signed manifest.
+
+        :param envelope: as received from anyone.
+        :returns: the manifest.
+        :raises BundleError: ``bad_manifest``.
+        """
+        return open_manifest(envelope, self._trusted_keys)
+
     def is_wanted(self, version: int) -> bool:
         """
         Tell whether a version is worth fetching from a peer.
@@ -189,6 +199,3 @@
             self.held = held
             self.problem = ''
             self._on_newer()
-
-    def _open(self, envelope: bytes) -> SignedManifest:
-        return open_manifest(envelope, self._trusted_keys)
--- a/eelgrassfork/operator_port.py
+++ b/eelgrassfork/operator_port.py
@@ -25,6 +25,8 @@
 _ACCEPTED: Final = 202
 _UNAVAILABLE: Final = 503
 
+_TRIAL: Final = ('POST', '/bundle/trial')
+
 _Answer = tuple[int, object]
 _Dump = Callable[[], Mapping[str, Any]]
 
@@ -38,12 +40,14 @@
         string; also set from the beginning of a drain.
     :param dumps_by_part: queries for the state of each part.
     :param drain: begins a drain; repeating has no effect.
+    :param try_bundle: tries a signed manifest and reports, if it is given.
     """
 
     key_hash: str
     unready: Callable[[], str]
     dumps_by_part: Mapping[str, _Dump]
     drain: Callable[[], None]
+    try_bundle: Callable[[bytes], Awaitable[object]] | None = None
 
 
 def operator_handler(parts: OperatorParts) -> Callable[[Call], Awaitable[None]]:
@@ -86,13 +90,20 @@
             _check_key(parts.key_hash, call)
             answer = private.get(route)
         if answer is None:
-            raise RequestError('invalid_request', 'there is no such call')
-        status, body = answer()
+            status, body = await _try_bundle(parts, call)
+        else:
+            status, body = answer()
         await call.respond(status, msgspec.json.encode(body))
 
     return serve
 
 
+async def _try_bundle(parts: OperatorParts, call: Call) -> _Answer:
+    if (call.method, call.path) != _TRIAL or parts.try_bundle is None:
+        raise RequestError('invalid_request', 'there is no such call')
+    return _OK, await parts.try_bundle(call.body)
+
+
 def _check_key(key_hash: str, call: Call) -> None:
     key = bearer_key(call.headers_by_name)
     given = hashlib.sha256(key.encode('utf-8', 'surrogateescape')).hexdigest()
--- a/eelgrassfork/rollout.py
+++ b/eelgrassfork/rollout.py
@@ -22,6 +22,7 @@
     offer_to_peers,
 )
 from .bundle_holder import BundleHolder
+from .bundle_trial import BundleTrial
 from .bundle_types import Bundle
 from .errors import EelgrassError
 from .held_bundle import answer_fetch
@@ -72,6 +73,7 @@
     :param is_watcher: query whether this router watches the platform for
         its failure domain.
     :ivar current: the bundle in force, or ``None``.
+    :ivar trial: tries bundles before they are accepted.
     """
 
     def __init__(
@@ -87,6 +89,12 @@
         self._holder = BundleHolder(
             settings.trusted_keys, sources, self._signal_change
         )
+        self.trial = BundleTrial(
+            self._holder,
+            sources,
+            settings.failure_domain,
+            lambda: self.current,
+        )
         self._changed = trio.Event()
         self._started = False
         self._catching_up = False
--- a/eelgrassfork/router.py
+++ b/eelgrassfork/router.py
@@ -313,8 +313,15 @@
                 **self.requests.dumps(),
             },
             drain=lambda: self.drain.begin('an operator asked for it'),
+            try_bundle=self._try_bundle,
         )
 
+    async def _try_bundle(self, envelope: bytes) -> dict[str, Any]:
+        servers = self.membership.backend_vms()
+        listed = {record.service for record in servers}
+        report = await self.rollout.trial.run(envelope, listed)
+        return report._asdict()
+
     def _levels(self) -> dict[str, Callable[[], Any]]:
         return {
             'requests_in_flight': lambda: self.callers.busy,
--- a/tests/test_operator_port.py
+++ b/tests/test_operator_port.py
@@ -27,6 +27,10 @@
         self.reason = ''
         self.drains = []
 
+    async def try_bundle(self, envelope):
+        await trio.lowlevel.checkpoint()
+        return {'bytes': len(envelope)}
+
     async def exchange(self, calls):
         network = MemoryNetwork()
         parts = OperatorParts(
@@ -34,6 +38,7 @@
             lambda: self.reason,
             DUMPS,
             lambda: self.drains.append(1),
+            self.try_bundle,
         )
         server = HttpServer(
             operator_handler(parts), transport=network.transport('router')
@@ -58,7 +63,12 @@
     def test_only_health_needs_no_key(self):
         calls = [
             (*call, key)
-            for call in (('GET', '/state'), ('POST', '/drain'), ('GET', '/x'))
+            for call in (
+                ('GET', '/state'),
+                ('POST', '/drain'),
+                ('POST', '/bundle/trial'),
+                ('GET', '/x'),
+            )
             for key in ('', 'wrong', hashlib.sha256(KEY.encode()).hexdigest())
         ]
         statuses = [status for status, _ in self.run_calls(*calls)]
@@ -77,6 +87,13 @@
         self.assertEqual('draining', answers[1][1]['reason'])
         self.assertEqual([1], self.drains)
 
+    def test_trial_is_answered(self):
+        answers = self.run_calls(
+            ('POST', '/bundle/trial', KEY), ('GET', '/bundle/trial', KEY)
+        )
+        self.assertEqual((200, {'bytes': 0}), answers[0])
+        self.assertEqual(400, answers[1][0])
+
     def test_one_broken_part_does_not_hide_the_others(self):
         ((status, body),) = self.run_calls(('GET', '/state', KEY))
         self.assertEqual((200, 1), (status, body['good']['at']))
