Add a rollout by stages and the status of a place that is cut off

bundle rollout tries a signed bundle place by place; a problem, a place where no router answers, a router that is not ready after its trial or another operator's bundle stops it, and nothing is accepted.

--- a/eelgrassfork/bundle_submit.py
+++ b/eelgrassfork/bundle_submit.py
@@ -32,7 +32,13 @@
 from .signed_file import seal_bundle
 from .signing import KeyPair
 
-__all__ = ('SubmitRefused', 'Submitted', 'submit', 'submit_merged')
+__all__ = (
+    'SubmitRefused',
+    'Submitted',
+    'put_parts',
+    'submit',
+    'submit_merged',
+)
 
 # Each round of a race has a winner, so a few operators need few tries.
 _MAX_TRIES: Final = 20
@@ -82,8 +88,7 @@
             return False
         raise await explain_conflict(store, new, accepted)
     _check_shards(new.bundle, accepted)
-    for part_hash, part in new.parts_by_hash.items():
-        await put_once(store.platform, part_key(part_hash), part.body)
+    await put_parts(store, new)
     if accepted.held:
         # Whoever lost a race against the new bundle is told what changed
         # since the one that both were made from.
@@ -94,6 +99,18 @@
     return True
 
 
+async def put_parts(store: BundleStore, new: HeldBundle) -> None:
+    """
+    Write the parts of a bundle; they change nothing until it is accepted.
+
+    :param store: where bundles stand.
+    :param new: the bundle.
+    :raises PlatformError: if the platform does not answer.
+    """
+    for part_hash, part in new.parts_by_hash.items():
+        await put_once(store.platform, part_key(part_hash), part.body)
+
+
 async def submit_merged(
     store: BundleStore, new: HeldBundle, key: KeyPair
 ) -> Submitted:
--- a/eelgrassfork/cli.py
+++ b/eelgrassfork/cli.py
@@ -15,7 +15,6 @@
     bundle_check,
     bundle_show,
     bundle_sign,
-    bundle_status,
     bundle_submit,
 )
 from .cli_common import EXIT_CODES_TEXT, ExitCode, exit_code_of, explain
@@ -33,6 +32,7 @@
     router_list,
 )
 from .cli_merge import bundle_merge
+from .cli_rollout import bundle_rollout, bundle_status
 from .errors import EelgrassError
 
 __all__ = ('COMMANDS', 'main')
@@ -43,6 +43,7 @@
         'check': bundle_check,
         'merge': bundle_merge,
         'sign': bundle_sign,
+        'rollout': bundle_rollout,
         'submit': bundle_submit,
         'show': bundle_show,
         'status': bundle_status,
--- a/eelgrassfork/cli_bundle.py
+++ b/eelgrassfork/cli_bundle.py
@@ -2,7 +2,7 @@
 eelgrassfork.cli_bundle
 ~~~~~~~~~~~~~~~~~~~~~~~
 
-Commands on bundles: check, sign, submit, show and status.
+Commands on bundles: check, sign, submit and show.
 """
 
 import getpass
@@ -15,7 +15,6 @@
 from .cli_common import Session, run_session, say, say_json
 from .held_bundle import HeldBundle
 from .manifest import Manifest
-from .router_admin import RouterStatus, read_operator_key, read_statuses
 from .settings import load_settings
 from .signed_file import read_signed_file, write_signed_file
 from .signing import load_key
@@ -24,7 +23,6 @@
     'bundle_check',
     'bundle_show',
     'bundle_sign',
-    'bundle_status',
     'bundle_submit',
 )
 
@@ -118,27 +116,6 @@
     say_json(_summary(held) if held else {'version': 0})
 
 
-def bundle_status(*, settings: str, operator_key_file: str) -> None:
-    """
-    Show which version is in force at each router and place.
-
-    :param settings: settings file of any router of the fleet.
-    :param operator_key_file: file with the operators' key.
-    """
-    key = read_operator_key(operator_key_file)
-
-    async def action(session: Session) -> tuple[int, list[RouterStatus]]:
-        held = await _accepted(session)
-        vm_list = await session.platform.vms()
-        statuses = await read_statuses(session.http, vm_list.vms, key)
-        return held.bundle.version if held else 0, statuses
-
-    accepted, statuses = run_session(settings, action)
-    say(f'version {accepted} is accepted')
-    for status in statuses:
-        say(_status_line(status))
-
-
 async def _accepted(session: Session) -> HeldBundle | None:
     accepted = await session.bundles.accepted()
     return accepted.held
@@ -171,11 +148,3 @@
     records: Mapping[str, Fleet | Place | Service],
 ) -> dict[str, dict[str, Any]]:
     return {name: record._asdict() for name, record in records.items()}
-
-
-def _status_line(status: RouterStatus) -> str:
-    line = f'{status.failure_domain}  {status.vm}  {status.state}'
-    if status.version is None:
-        return f'{line}  version unknown'
-    line = f'{line}  version {status.version}'
-    return line if status.note == '' else f'{line}  {status.note}'
--- a/eelgrassfork/cli_common.py
+++ b/eelgrassfork/cli_common.py
@@ -22,6 +22,7 @@
 from .platform_types import AnswerLost, PlatformError, PlatformRefused
 from .settings import RouterSettings, load_settings
 from .signing import SigningError
+from .vm_list import VmRecord
 
 __all__ = (
     'EXIT_CODES_TEXT',
@@ -73,6 +74,7 @@
     'unknown_budget': ExitCode.USAGE,
     'unknown_router': ExitCode.USAGE,
     'router_unreachable': ExitCode.UNREACHABLE,
+    'routers_behind': ExitCode.UNREACHABLE,
 }
 
 # The first type that fits decides.
@@ -105,6 +107,16 @@
         )
         self.bundles = BundleStore(self.platform, settings.trusted_keys)
 
+    async def read_vms(self) -> tuple[VmRecord, ...]:
+        """
+        Read the VM list.
+
+        :returns: all VMs.
+        :raises PlatformError: if the platform does not answer.
+        """
+        vm_list = await self.platform.vms()
+        return vm_list.vms
+
 
 def run_session(
     settings_path: str, action: Callable[[Session], Awaitable[Returned]]
--- /dev/null
+++ b/eelgrassfork/cli_rollout.py
@@ -0,0 +1,136 @@
+"""
+eelgrassfork.cli_rollout
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Commands that try a bundle at routers and follow it: rollout and status.
+"""
+
+from collections.abc import Sequence
+from typing import Final
+
+from .bundle_stages import (
+    RolloutStopped,
+    StageInputs,
+    default_stages,
+    run_stages,
+    watch_statuses,
+)
+from .bundle_submit import submit
+from .cli_common import Session, run_session, say
+from .router_admin import read_operator_key
+from .router_status import RouterStatus, read_statuses, status_line
+from .settings import load_settings
+from .signed_file import read_signed_file
+from .vm_list import VmRecord
+
+__all__ = ('bundle_rollout', 'bundle_status')
+
+# An accepted bundle has to be in force everywhere within 10 s.
+_WATCH_S: Final = 30
+
+
+def bundle_rollout(
+    file: str,
+    *,
+    settings: str,
+    operator_key_file: str,
+    stages: list[str] | None = None,
+    wait_s: float = 0,
+    dry_run: bool = False,
+    watch: bool = False,
+) -> None:
+    """
+    Try a bundle place by place, then let the platform accept it.
+
+    Nothing is in force anywhere before the last stage has passed; then it
+    is in force everywhere within seconds. The first problem or Ctrl-C stops
+    it before that.
+
+    :param file: the signed bundle.
+    :param settings: settings file of any router of the fleet.
+    :param operator_key_file: file with the operators' key.
+    :param stages: places of each stage, joined by commas; one place after
+        the other where it is left out.
+    :param wait_s: seconds between the trial of a stage and its check.
+    :param dry_run: end before acceptance.
+    :param watch: wait until the bundle is in force at all routers that can
+        be reached.
+    """
+    key = read_operator_key(operator_key_file)
+    held = read_signed_file(file, load_settings(settings).trusted_keys)
+    version = held.bundle.version
+    envelope = held.signed.envelope
+
+    async def action(session: Session) -> None:
+        inputs = StageInputs(
+            session.http,
+            session.bundles,
+            session.read_vms,
+            key,
+            wait_s,
+            say,
+        )
+        accepted = (await session.bundles.accepted()).held
+        is_new = not accepted or accepted.signed.envelope != envelope
+        if is_new:
+            chosen = [each.split(',') for each in stages or ()]
+            places = chosen or default_stages(await session.read_vms())
+            await run_stages(inputs, held, places)
+        if dry_run:
+            say(f'version {version} passed, and is not accepted')
+            return
+        await submit(session.bundles, held, await session.bundles.accepted())
+        say(f'version {version} is accepted')
+        if watch:
+            await _watch(session, key, version)
+
+    run_session(settings, action)
+
+
+def bundle_status(
+    *, settings: str, operator_key_file: str, watch: bool = False
+) -> None:
+    """
+    Show which version is in force at each router and place, since when.
+
+    :param settings: settings file of any router of the fleet.
+    :param operator_key_file: file with the operators' key.
+    :param watch: wait until the accepted bundle is in force at all routers
+        that can be reached.
+    """
+    key = read_operator_key(operator_key_file)
+
+    async def action(session: Session) -> None:
+        held = (await session.bundles.accepted()).held
+        version = held.bundle.version if held else 0
+        say(f'version {version} is accepted')
+        if watch:
+            await _watch(session, key, version)
+            return
+        vms = await session.read_vms()
+        for status in await read_statuses(session.http, vms, key):
+            say(status_line(status))
+        places = held.bundle.places_by_name if held else {}
+        for place in sorted(places.keys() - _router_places(vms)):
+            say(f'{place}  no router is listed')
+
+    run_session(settings, action)
+
+
+async def _watch(session: Session, key: str, version: int) -> None:
+    async def read() -> list[RouterStatus]:
+        vms = await session.read_vms()
+        return await read_statuses(session.http, vms, key)
+
+    behind = await watch_statuses(read, version, _WATCH_S, say)
+    if behind:
+        lines = [
+            f'version {version} is accepted, but not seen in force at:',
+            *map(status_line, behind),
+        ]
+        raise RolloutStopped('routers_behind', '\n'.join(lines))
+    say(f'version {version} is in force at all routers')
+
+
+def _router_places(vms: Sequence[VmRecord]) -> set[str]:
+    return {each.failure_domain for each in vms if each.role == 'router'}
--- a/eelgrassfork/router_admin.py
+++ b/eelgrassfork/router_admin.py
@@ -5,10 +5,10 @@
 Calls of the routers' operator ports.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable
 from http import HTTPStatus
 from pathlib import Path
-from typing import Any, Final, NamedTuple
+from typing import Any, Final, NamedTuple, TypeVar
 
 import msgspec
 import trio
@@ -21,13 +21,14 @@
 __all__ = (
     'RouterCall',
     'RouterError',
-    'RouterStatus',
     'call_router',
     'find_router',
+    'on_routers',
     'read_operator_key',
-    'read_statuses',
 )
 
+Answer = TypeVar('Answer')
+
 _MAX_CALLS: Final = 32
 
 
@@ -41,28 +42,14 @@
 
     :param address: ``ip:port`` of the port.
     :param operator_key: the operators' key.
+    :param body: what to send.
     """
 
     address: str
     method: str
     path: str
     operator_key: str
-
-
-class RouterStatus(NamedTuple):
-    """
-    The bundle at one router.
-
-    :param state: as listed, or ``unreachable``.
-    :param version: version in force or last known, or ``None``.
-    :param note: age and trouble in words, or empty.
-    """
-
-    failure_domain: str
-    vm: str
-    state: str
-    version: int | None
-    note: str
+    body: bytes = b''
 
 
 def read_operator_key(path: str) -> str:
@@ -107,7 +94,9 @@
     :raises RouterError: ``router_unreachable`` or ``router_refused``.
     """
     headers = (('authorization', f'Bearer {call.operator_key}'),)
-    request = ClientRequest(call.address, call.method, call.path, headers)
+    request = ClientRequest(
+        call.address, call.method, call.path, headers, call.body
+    )
     try:
         response, body = await http.fetch(request)
     except HttpClientError as error:
@@ -123,71 +112,25 @@
         raise RouterError('router_refused', message) from None
 
 
-async def read_statuses(
-    http: HttpClient, vms: Iterable[VmRecord], operator_key: str
-) -> list[RouterStatus]:
+async def on_routers(
+    routers: Iterable[VmRecord],
+    ask: Callable[[VmRecord], Awaitable[Answer]],
+) -> dict[str, Answer]:
     """
-    Ask all routers which bundle is in force.
+    Ask several routers at once.
 
-    :param http: connections.
-    :param vms: the VM list.
-    :param operator_key: the operators' key.
-    :returns: a status for each router; of one that does not answer, what
-        another one heard last.
+    :param routers: their records.
+    :param ask: asks one.
+    :returns: answers by VM.
     """
-    routers = [record for record in vms if record.role == 'router']
-    dumps_by_vm: dict[str, Mapping[str, Any]] = {}
+    answers_by_vm: dict[str, Answer] = {}
     limiter = trio.CapacityLimiter(_MAX_CALLS)
 
-    async def ask(record: VmRecord) -> None:
-        call = RouterCall(
-            record.operator_address, 'GET', '/state', operator_key
-        )
+    async def ask_one(record: VmRecord) -> None:
         async with limiter:
-            try:
-                dump = await call_router(http, call)
-            except RouterError:
-                return
-        if isinstance(dump, dict):
-            dumps_by_vm[record.vm] = dump
+            answers_by_vm[record.vm] = await ask(record)
 
     async with trio.open_nursery() as nursery:
         for router in routers:
-            nursery.start_soon(ask, router)
-    routers.sort(key=lambda record: (record.failure_domain, record.vm))
-    return [_status(record, dumps_by_vm) for record in routers]
-
-
-def _status(
-    record: VmRecord, dumps_by_vm: Mapping[str, Mapping[str, Any]]
-) -> RouterStatus:
-    dump = dumps_by_vm.get(record.vm)
-    if dump is None:
-        known = _last_known(record.vm, dumps_by_vm.values())
-        note = '' if known is None else 'as its peers heard last'
-        return RouterStatus(
-            record.failure_domain, record.vm, 'unreachable', known, note
-        )
-    rollout = dump.get('rollout') or {}
-    notes = []
-    if rollout.get('in_force_for_s') is not None:
-        notes.append(f'for {rollout["in_force_for_s"]} s')
-    if rollout.get('last_problem'):
-        notes.append(str(rollout['last_problem']))
-    return RouterStatus(
-        record.failure_domain,
-        record.vm,
-        record.state,
-        rollout.get('version'),
-        '; '.join(notes),
-    )
-
-
-def _last_known(vm: str, dumps: Iterable[Mapping[str, Any]]) -> int | None:
-    versions = [
-        peer.get('bundle_version', 0)
-        for dump in dumps
-        for peer in (dump.get('membership') or {}).get('peers', [])
-        if peer.get('vm') == vm
-    ]
-    return max(versions, default=None)
+            nursery.start_soon(ask_one, router)
+    return answers_by_vm
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -32,8 +32,10 @@
 OPERATOR_KEY = 'operator-secret'
 BUDGET = 'pazlen/atelier/main'
 STATE = {
-    'rollout': {'version': 1, 'in_force_for_s': 3.5},
-    'membership': {'peers': [{'vm': 'vm-gone', 'bundle_version': 1}]},
+    'rollout': {'version': 1, 'in_force_for_s': 3.5, 'ready': True},
+    'membership': {
+        'peers': [{'vm': 'vm-gone', 'bundle_version': 1, 'heard_s_ago': 9.5}]
+    },
 }
 
 
@@ -43,6 +45,7 @@
     def __init__(self):
         self.started = queue.Queue()
         self.drained = []
+        self.problems = []
         self.thread = threading.Thread(target=trio.run, args=(self.main,))
         self.thread.start()
         self.token, self.stop, self.platform = self.started.get(timeout=10)
@@ -70,6 +73,10 @@
             raise RequestError('unknown_key', 'wrong key')
         if call.path == '/drain':
             self.drained.append(call.method)
+        if call.path == '/bundle/trial':
+            report = {'problems': self.problems, 'notices': [], 'took_ms': 2}
+            await call.respond(200, json.dumps(report).encode())
+            return
         await call.respond(200, json.dumps(STATE).encode())
 
     def do(self, command, **options):
@@ -233,6 +240,29 @@
         )
         self.assertIn('vm-1  live  version 1  for 3.5 s', status)
         self.assertIn('vm-gone  unreachable  version 1  as its', status)
+        self.assertIn('vm-1, 9.5 s ago', status)
+        self.assertIn('pazlen/depot  no router is listed', status)
+
+    def test_rollout_accepts_only_what_every_stage_takes(self):
+        by_key = ('--operator-key-file', self.operator_key)
+        first = self.sign(0)
+        rollout = ('bundle', 'rollout', first, *by_key)
+        self.world.problems.append('it lacks this place')
+        text = self.on_fleet(4, *rollout)
+        self.assertIn('vm-1: it lacks this place', text)
+        self.world.problems.clear()
+        text = self.on_fleet(0, *rollout, '--dry-run')
+        self.assertIn('vm-1  would take it  after 2 ms', text)
+        cut = ('--stages', 'pazlen/haskovo', 'pazlen/none,pazlen/haskovo')
+        text = self.on_fleet(4, *rollout, *cut)
+        self.assertIn('no router of pazlen/none answers', text)
+        self.assertIn('"version": 0', self.on_fleet(0, 'bundle', 'show'))
+        text = self.on_fleet(5, *rollout, '--watch')
+        self.assertIn('version 1 is accepted', text)
+        self.assertIn('vm-gone  unreachable  version 1', text)
+        self.assertNotIn('stage', self.on_fleet(0, *rollout))
+        late = self.sign(0, 'late', author='ben')
+        self.on_fleet(3, 'bundle', 'rollout', late, *by_key)
 
     def test_top_up_is_applied_once(self):
         self.on_fleet(4, 'budget', 'show', BUDGET)
