--- a/eelgrassfork/bundle_types.py
+++ b/eelgrassfork/bundle_types.py
@@ -5,6 +5,8 @@
 Records of a compiled bundle of configuration.
 """
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Literal, NamedTuple
 
 __all__ = (
@@ -116,11 +118,25 @@
 
 
 class Bundle(NamedTuple):
-    """All configuration in force at one version; names are qualified."""
+    """
+    All configuration in force at one version; names are qualified.
+
+    Organisations and callers are decoded when they are looked up; two
+    look-ups may give equal records that are not the same object.
+
+    :param callers_by_key_hash: a key that organisations of two fleets have
+        stands as ``<fleet>/<hash>`` for each, see
+        :func:`~eelgrassfork.bundle_lookup.find_caller`.
+    :param service_aliases: name of a service by one it had before.
+    :param shared_keys: names of the organisations that have the same key,
+        by its hash.
+    """
 
     version: int
     fleets_by_name: dict[str, Fleet]
-    organisations_by_name: dict[str, Organisation]
+    organisations_by_name: Mapping[str, Organisation]
     services_by_name: dict[str, Service]
     places_by_name: dict[str, Place]
-    callers_by_key_hash: dict[str, Caller]
+    callers_by_key_hash: Mapping[str, Caller]
+    service_aliases: Mapping[str, str] = MappingProxyType({})
+    shared_keys: Mapping[str, tuple[str, ...]] = MappingProxyType({})
--- a/eelgrassfork/router.py
+++ b/eelgrassfork/router.py
@@ -29,11 +29,12 @@
 from .peer_messages import Heartbeat, RouterState
 from .peering import Peering, PeerSettings
 from .platform_client import PlatformClient
-from .record_sources import claim_source, engine_source
+from .record_sources import claim_source, engine_addresses, engine_source
 from .retries import EjectionPolicy
 from .rollout import Rollout
 from .router_credit import CreditInputs, RouterCredit
 from .router_metrics import MeteredParts, RouterMetrics
+from .router_operators import bundle_trial
 from .router_requests import RequestInputs, RouterRequests
 from .router_settings import (
     drain_settings,
@@ -250,18 +251,6 @@
             if record.vm == self._settings.vm and record.state == 'leaving':
                 self.drain.begin('the VM is leaving')
 
-    def _engine_addresses(self) -> list[str]:
-        bundle = self._bundle()
-        services = bundle.services_by_name if bundle else {}
-        models = {
-            name for name, each in services.items() if each.kind == 'model'
-        }
-        return [
-            record.address
-            for record in self.membership.backend_vms()
-            if record.service in models
-        ]
-
     def _credit_inputs(self) -> CreditInputs:
         settings = self._settings
         return CreditInputs(
@@ -273,7 +262,10 @@
             membership=self.membership,
             bundle=self._bundle,
             sources=(
-                engine_source(self._engines, self._engine_addresses),
+                engine_source(
+                    self._engines,
+                    engine_addresses(self._bundle, self.membership),
+                ),
                 claim_source(self._claims),
             ),
             on_fenced=lambda: self.drain.begin('its accounts were closed'),
@@ -333,6 +325,7 @@
                 **self.requests.dumps(),
             },
             drain=lambda: self.drain.begin('an operator asked for it'),
+            try_bundle=bundle_trial(self.rollout, self.membership),
         )
 
     def _metered_parts(self) -> MeteredParts:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,6 +11,7 @@
 import os
 import queue
 import re
+import shutil
 import tempfile
 import threading
 from pathlib import Path
@@ -21,6 +22,7 @@
 from eelgrassfork import cli
 from eelgrassfork.errors import RequestError
 from eelgrassfork.http_server import HttpServer
+from eelgrassfork.platform_types import AnswerLost
 from eelgrassfork.vm_list import VmRecord
 from standins.platform import PlatformStandin
 
@@ -30,8 +32,10 @@
 OPERATOR_KEY = 'operator-secret'
 BUDGET = 'pazlen/atelier/main'
 STATE = {
-    'rollout': {'version': 1, 'in_force_for_s': 3.5},
-    'membership': {'peers': [{'vm': 'vm-gone', 'bundle_version': 1}]},
+    'rollout': {'version': 1, 'in_force_for_s': 3.5, 'ready': True},
+    'membership': {
+        'peers': [{'vm': 'vm-gone', 'bundle_version': 1, 'heard_s_ago': 9.5}]
+    },
 }
 
 
@@ -41,6 +45,7 @@
     def __init__(self):
         self.started = queue.Queue()
         self.drained = []
+        self.problems = []
         self.thread = threading.Thread(target=trio.run, args=(self.main,))
         self.thread.start()
         self.token, self.stop, self.platform = self.started.get(timeout=10)
@@ -68,6 +73,10 @@
             raise RequestError('unknown_key', 'wrong key')
         if call.path == '/drain':
             self.drained.append(call.method)
+        if call.path == '/bundle/trial':
+            report = {'problems': self.problems, 'notices': [], 'took_ms': 2}
+            await call.respond(200, json.dumps(report).encode())
+            return
         await call.respond(200, json.dumps(STATE).encode())
 
     def do(self, command, **options):
@@ -199,12 +208,14 @@
     def on_fleet(self, code, *argv):
         return self.expect(code, *argv, '--settings', self.settings)
 
-    def sign(self, base, name='signed', key=None):
+    def sign(
+        self, base, name='signed', key=None, author='ann', sources=SOURCES
+    ):
         out = self.path(name)
         self.expect(
             0,
-            *('bundle', 'sign', SOURCES, '--key', key or self.key),
-            *('--base', base, '--out', out),
+            *('bundle', 'sign', sources, '--key', key or self.key),
+            *('--base', base, '--out', out, '--author', author),
         )
         return out
 
@@ -229,6 +240,29 @@
         )
         self.assertIn('vm-1  live  version 1  for 3.5 s', status)
         self.assertIn('vm-gone  unreachable  version 1  as its', status)
+        self.assertIn('vm-1, 9.5 s ago', status)
+        self.assertIn('pazlen/depot  no router is listed', status)
+
+    def test_rollout_accepts_only_what_every_stage_takes(self):
+        by_key = ('--operator-key-file', self.operator_key)
+        first = self.sign(0)
+        rollout = ('bundle', 'rollout', first, *by_key)
+        self.world.problems.append('it lacks this place')
+        text = self.on_fleet(4, *rollout)
+        self.assertIn('vm-1: it lacks this place', text)
+        self.world.problems.clear()
+        text = self.on_fleet(0, *rollout, '--dry-run')
+        self.assertIn('vm-1  would take it  after 2 ms', text)
+        cut = ('--stages', 'pazlen/haskovo', 'pazlen/none,pazlen/haskovo')
+        text = self.on_fleet(4, *rollout, *cut)
+        self.assertIn('no router of pazlen/none answers', text)
+        self.assertIn('"version": 0', self.on_fleet(0, 'bundle', 'show'))
+        text = self.on_fleet(5, *rollout, '--watch')
+        self.assertIn('version 1 is accepted', text)
+        self.assertIn('vm-gone  unreachable  version 1', text)
+        self.assertNotIn('stage', self.on_fleet(0, *rollout))
+        late = self.sign(0, 'late', author='ben')
+        self.on_fleet(3, 'bundle', 'rollout', late, *by_key)
 
     def test_top_up_is_applied_once(self):
         self.on_fleet(4, 'budget', 'show', BUDGET)
@@ -243,6 +277,76 @@
         shown = json.loads(self.on_fleet(0, 'budget', 'show', BUDGET))
         self.assertEqual(500, shown['granted'])
 
+    def lose_the_next_answer_and_go_down(self):
+        """Let the next write take effect, and the platform fail with it."""
+        core = self.world.platform.core
+        write = core.write
+
+        async def lose(client, kind, change):
+            await write(client, kind, change)
+            core.write = write
+            core.change_faults(down=True)
+            raise AnswerLost('answer_lost', 'the write took effect')
+
+        core.write = lose
+
+    def test_top_up_repeated_after_a_lost_answer_is_applied_once(self):
+        self.on_fleet(0, 'bundle', 'submit', self.sign(0))
+        top_up = ('budget', 'top-up', BUDGET, '500', '--if-granted', '0')
+        self.lose_the_next_answer_and_go_down()
+        told = self.on_fleet(5, *top_up)
+        self.world.do(self.world.platform.set_faults, down=False)
+        operation_id = re.search('operation id (op-[^ \n]+)', told)[1]
+        again = (*top_up, '--operation-id', operation_id)
+        self.assertIn('had been', self.on_fleet(0, *again))
+        late = self.on_fleet(3, *top_up)
+        self.assertIn('you read 0, it is 500', late)
+        self.assertIn(f'500 by {operation_id}', late)
+        shown = json.loads(self.on_fleet(0, 'budget', 'show', BUDGET))
+        self.assertEqual(500, shown['granted'])
+
+    def test_racing_submissions(self):
+        sources = self.path('sources')
+        shutil.copytree(SOURCES, sources)
+        places = Path(sources, 'places.json')
+        self.on_fleet(0, 'bundle', 'submit', self.sign(0))
+        signed = {}
+        for name, old, new in (
+            (
+                'first',
+                '"depot": {"region": "bg-south"}',
+                '"depot": {"region": "b2"}',
+            ),
+            (
+                'clash',
+                '"depot": {"region": "bg-south"}',
+                '"depot": {"region": "b3"}',
+            ),
+            ('apart', '"plovdiv-a"', '"varna": {"region": "x"}, "plovdiv-a"'),
+        ):
+            text = Path(SOURCES, 'places.json').read_text()
+            places.write_text(text.replace(old, new))
+            signed[name] = self.sign(1, name, author=name, sources=sources)
+        self.on_fleet(0, 'bundle', 'submit', signed['first'])
+        merge = ('--merge', '--key', self.key)
+        for options in ((), merge):
+            text = self.on_fleet(
+                3, 'bundle', 'submit', signed['clash'], *options
+            )
+            self.assertIn(
+                "places pazlen/depot region: yours 'b3', accepted 'b2', "
+                "before 'bg-south'; version 2 by first with key ",
+                text,
+            )
+        text = self.on_fleet(3, 'bundle', 'submit', signed['apart'])
+        self.assertIn('no field clashes', text)
+        text = self.on_fleet(0, 'bundle', 'submit', signed['apart'], *merge)
+        self.assertIn('version 3 is accepted', text)
+        self.assertIn('places pazlen/depot', text)
+        shown = json.loads(self.on_fleet(0, 'bundle', 'show'))
+        self.assertEqual('b2', shown['places']['pazlen/depot']['region'])
+        self.assertIn('pazlen/varna', shown['places'])
+
     def test_platform_down(self):
         signed = self.sign(0)
         self.world.do(self.world.platform.set_faults, down=True)
