Choose peers and pollers once for each VM list

Change: the choice is made when a newer list arrives. Ruled out: a smaller ring, which would leave the cost growing with the fleet.

--- a/eelgrassfork/membership.py
+++ b/eelgrassfork/membership.py
@@ -100,8 +100,10 @@
         self._heard_by_vm: dict[str, _Heard] = {}
         self.vm_lists = VmLists(platform)
         self.listed_at = 0
+        self._chosen_addresses: set[str] = set()
+        self._is_poller = True
         self.vm_lists.on_newer(self._deaths.learn)
-        self.vm_lists.on_newer(self._note_own)
+        self.vm_lists.on_newer(self._take_list)
 
     async def start(self, nursery: trio.Nursery, peering: _Peers) -> None:
         """
@@ -191,8 +193,7 @@
 
         :returns: see :func:`is_poller`.
         """
-        own = self._own
-        return is_poller(own.vm, own.failure_domain, self.routers())
+        return self._is_poller
 
     def address_of(self, vm: str) -> str | None:
         """
@@ -220,17 +221,19 @@
             'peers': [peer._asdict() for peer in self.peers()],
         }
 
-    def _note_own(self, vm_list: VmList) -> None:
+    def _take_list(self, vm_list: VmList) -> None:
         if any(record.vm == self._own.vm for record in vm_list.vms):
             self.listed_at = vm_list.revision
+        # Once for each list: at 2,800 routers a choice takes milliseconds.
+        own = self._own
+        routers = self.routers()
+        chosen = choose_peers(own.vm, own.failure_domain, routers)
+        self._chosen_addresses = {record.peer_address for record in chosen}
+        self._is_poller = is_poller(own.vm, own.failure_domain, routers)
 
     def _peer_addresses(self) -> set[str]:
-        own = self._own
-        chosen = choose_peers(own.vm, own.failure_domain, self.routers())
-        addresses = {record.peer_address for record in chosen}
-        if not addresses:
-            addresses.update(self._settings.seeds)
-        return addresses - {own.peer_address, ''}
+        addresses = self._chosen_addresses or set(self._settings.seeds)
+        return addresses - {self._own.peer_address, ''}
 
     async def _beat_forever(self, nursery: trio.Nursery) -> None:
         while True:
