Bound the questions to engines about a dead holder

Cause: all engines were asked at once under a bound of 2 s each; with 7,200 of them 2,460 calls missed it, so that no credit would ever come back. Change: at most 64 calls in flight. Ruled out: a longer bound, which lets one silent engine hold up the rest.

--- a/eelgrassfork/record_sources.py
+++ b/eelgrassfork/record_sources.py
@@ -21,6 +21,8 @@
 
 __all__ = ('claim_source', 'engine_addresses', 'engine_source')
 
+# With all 7,200 calls at once a third missed their bound of 2 s.
+_MOST_CALLS: Final = 64
 _FINAL_STATES: Final = frozenset(('finished', 'cancelled'))
 
 
@@ -66,12 +68,14 @@
 
         async def ask(address: str) -> None:
             try:
-                found = await engines.records(address, payer_prefix)
+                async with limiter:
+                    found = await engines.records(address, payer_prefix)
             except EngineError as error:
                 failures.append(f'{address}: {error.message}')
                 return
             records.extend(_spend_of(each) for each in found)
 
+        limiter = trio.CapacityLimiter(_MOST_CALLS)
         failures: list[str] = []
         async with trio.open_nursery() as nursery:
             for address in addresses():
