Use a subset of a large service's servers

Cause: of 7,200 servers a router polls 16 a second, so nearly all its load reports were minutes old, and each request described all servers of its service. Change: a service with more servers than servers_per_service (24) is used in part: requests, admission and polls follow the subset, in which servers that leave or are ejected are replaced; ejected ones are still probed. A request with a key is placed among all servers, as by any other router, by describing only the first eight of its order.

--- a/eelgrassfork/backends.py
+++ b/eelgrassfork/backends.py
@@ -6,13 +6,14 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Final, NamedTuple
 
 import trio
 
 from .backend_server import BackendServer, CacheEvent
 from .metrics import Metrics, NoMetrics
+from .names import rendezvous_order
 from .retries import (
     EjectionPolicy,
     ServerHealth,
@@ -21,6 +22,8 @@
     needs_probe,
 )
 from .routing import ServerState
+from .server_subsets import ServerSubsets
+from .subsets import SubsetPolicy
 from .vm_list import VmRecord
 
 __all__ = ('Backends', 'CacheEvent', 'Census', 'PollTarget')
@@ -59,6 +62,8 @@
     :param policy: when a server is ejected.
     :param source: random source of jitter.
     :param metrics: where ejections and returns are counted.
+    :param subset: which servers of a large service are used; all of them
+        where it is ``None``.
     """
 
     def __init__(
@@ -66,61 +71,75 @@
         policy: EjectionPolicy,
         source: random.Random,
         metrics: Metrics = _NO_METRICS,
+        subset: SubsetPolicy | None = None,
     ) -> None:
         self._policy = policy
         self._source = source
         self._metrics = metrics
         self._servers_by_vm: dict[str, BackendServer] = {}
-        self._vms_by_service: dict[str, list[str]] = {}
+        self._subsets = ServerSubsets(subset)
+        self._ejected: set[str] = set()
         self._used_at_by_service: dict[str, float] = {}
 
     def update(self, vms: Iterable[VmRecord]) -> None:
         """
         Take over the backend servers of a VM list.
 
-        :param vms: records; those of other roles are ignored.
+        :param vms: all records.
         """
         now_s = trio.current_time()
         servers_by_vm: dict[str, BackendServer] = {}
-        vms_by_service: dict[str, list[str]] = {}
-        for record in vms:
+        listed = list(vms)
+        for record in listed:
             if record.role == 'backend':
                 server = self._servers_by_vm.get(record.vm)
                 server = server or BackendServer(record, now_s)
                 server.record = record
                 servers_by_vm[record.vm] = server
-                vms_by_service.setdefault(record.service, []).append(record.vm)
         self._servers_by_vm = servers_by_vm
-        self._vms_by_service = vms_by_service
+        self._ejected &= servers_by_vm.keys()
+        self._subsets.update(listed)
 
     def servers(self, service: str) -> list[ServerState]:
         """
-        Describe the servers of a service.
+        Describe the servers of a service that this router uses.
 
         :param service: qualified name.
-        :returns: one state per server, leaving and ejected ones included.
+        :returns: one state per server, leaving and ejected ones included
+            unless the service is so large that only some are used.
         """
         now_s = trio.current_time()
         return [
-            self._servers_by_vm[vm].state(now_s)
-            for vm in self._vms_by_service.get(service, ())
+            self._servers_by_vm[vm].state(now_s) for vm in self._in_use(service)
         ]
 
+    def ranked(
+        self, service: str, identity: str, most: int
+    ) -> list[ServerState]:
+        """
+        Describe the servers that come first for an identity.
+
+        Every router finds the same ones, whichever it uses otherwise.
+
+        :param service: qualified name.
+        :param identity: identity of a request with a key.
+        :param most: number of servers.
+        :returns: states in rendezvous order, leaving and ejected ones
+            included.
+        """
+        now_s = trio.current_time()
+        vms = rendezvous_order(identity, list(self._subsets.all_of(service)))
+        return [self._servers_by_vm[vm].state(now_s) for vm in vms[:most]]
+
     def usable(self, service: str) -> int:
         """
         Count the servers that may get requests.
 
         :param service: qualified name.
-        :returns: number of servers neither leaving nor ejected.
+        :returns: number of servers in use that are neither leaving nor
+            ejected.
         """
-        now_s = trio.current_time()
-        return sum(
-            not server.health.ejected and not server.is_leaving(now_s)
-            for server in map(
-                self._servers_by_vm.__getitem__,
-                self._vms_by_service.get(service, ()),
-            )
-        )
+        return sum(map(self._is_usable, self._in_use(service)))
 
     def census(self) -> Census:
         """
@@ -258,10 +277,19 @@
             in use whose last poll is oldest.
         """
         now_s = trio.current_time()
+        vms = self._ejected.copy()
+        for service, used_at in self._used_at_by_service.items():
+            if now_s - used_at < _IN_USE_S:
+                vms.update(self._in_use(service))
+        servers = map(self._servers_by_vm.__getitem__, vms)
         due = [
-            (not needs_probe(server.health, now_s), server.polled_at, vm)
-            for vm, server in self._servers_by_vm.items()
-            if self._is_due(server, now_s, interval_s)
+            (
+                not needs_probe(server.health, now_s),
+                server.polled_at,
+                server.record.vm,
+            )
+            for server in servers
+            if _is_due(server, now_s, interval_s)
         ]
         return [
             self._target(vm, probe=not no_probe)
@@ -298,20 +326,27 @@
         service = server.record.service
         fleet = service.partition('/')[0]
         if health.ejected and not was_ejected:
+            self._ejected.add(server.record.vm)
             self._metrics.count('ejections', fleet, service)
         elif was_ejected and not health.ejected:
+            self._ejected.discard(server.record.vm)
             self._metrics.count('server_returns', fleet, service)
 
-    def _is_due(
-        self, server: BackendServer, now_s: float, interval_s: float
-    ) -> bool:
-        if now_s - server.polled_at < interval_s:
-            return False
+    def _in_use(self, service: str) -> Sequence[str]:
+        return self._subsets.in_use(service, self._is_usable)
+
+    def _is_usable(self, vm: str) -> bool:
+        server = self._servers_by_vm[vm]
         if server.health.ejected:
-            return needs_probe(server.health, now_s)
-        used_at = self._used_at_by_service.get(server.record.service)
-        return used_at is not None and now_s - used_at < _IN_USE_S
+            return False
+        return not server.is_leaving(trio.current_time())
 
     def _target(self, vm: str, probe: bool) -> PollTarget:
         server = self._servers_by_vm[vm]
         return PollTarget(vm, server.record.address, probe, server.events_after)
+
+
+def _is_due(server: BackendServer, now_s: float, interval_s: float) -> bool:
+    if now_s - server.polled_at < interval_s:
+        return False
+    return not server.health.ejected or needs_probe(server.health, now_s)
--- a/eelgrassfork/chat_attempts.py
+++ b/eelgrassfork/chat_attempts.py
@@ -6,8 +6,9 @@
 """
 
 import random
+import sys
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 import logbook
 
@@ -15,6 +16,7 @@
 from .bundle_types import Bundle
 from .chat_lookup import look_up
 from .chat_relay import Relay
+from .chat_request import ChatRequest
 from .chat_run import Accounts, ChatRun
 from .engine_client import EngineClient
 from .engine_types import EngineError
@@ -36,6 +38,9 @@
 
 _log = logbook.Logger('chat')
 
+# More than a look-up asks, and than fail at once on an ordinary day.
+_KEYED_SERVERS: Final = 8
+
 
 class ChatParts(NamedTuple):
     """
@@ -104,7 +109,7 @@
             return None
         found = await look_up(
             self._parts.engines,
-            self._parts.backends.servers(request.service.name),
+            self._ranked(request, _KEYED_SERVERS),
             request.identity,
         )
         run.doubtful.extend(found.silent)
@@ -131,19 +136,40 @@
     ) -> ServerState | None:
         parts = self._parts
         request = run.request
+        if request.key:
+            return self._choose_keyed(request, failed)
         snapshot = RouteSnapshot(
             tuple(parts.backends.servers(request.service.name)),
             parts.failure_domain,
             request.prefix,
             failed,
         )
-        if request.key:
-            return choose_keyed(snapshot, request.identity)
         policy = parts.policy._replace(
             in_flight_per_server=request.service.in_flight_per_server
         )
         return parts.choose(snapshot, policy, parts.source)
 
+    def _choose_keyed(
+        self, request: ChatRequest, failed: frozenset[str]
+    ) -> ServerState | None:
+        # Nearly always one of the first is usable; all are described only
+        # if none is.
+        for most in (_KEYED_SERVERS, sys.maxsize):
+            snapshot = RouteSnapshot(
+                tuple(self._ranked(request, most)),
+                self._parts.failure_domain,
+                excluded=failed,
+            )
+            server = choose_keyed(snapshot, request.identity)
+            if server is not None:
+                return server
+        return None
+
+    def _ranked(self, request: ChatRequest, most: int) -> list[ServerState]:
+        return self._parts.backends.ranked(
+            request.service.name, request.identity, most
+        )
+
     def _no_server(
         self, run: ChatRun, error: EngineError | None
     ) -> RequestError:
--- a/eelgrassfork/chat_lookup.py
+++ b/eelgrassfork/chat_lookup.py
@@ -42,7 +42,8 @@
     Ask the servers that an earlier attempt would have chosen.
 
     :param engines: client of the engines.
-    :param servers: all servers of the service, in any state.
+    :param servers: servers of the service, in any state; at least those
+        that come first for the identity.
     :param identity: identity of the request at the engines.
     :returns: what they know, after at most half a second.
     """
--- a/eelgrassfork/router.py
+++ b/eelgrassfork/router.py
@@ -41,6 +41,7 @@
     order_settings,
     rollout_settings,
     server_limits,
+    subset_policy,
 )
 from .settings import RouterSettings, public_settings
 from .transport import TCP, Transport
@@ -118,7 +119,10 @@
             self.membership.is_poller,
         )
         self.backends = Backends(
-            EjectionPolicy(), environment.source, environment.metrics
+            EjectionPolicy(),
+            environment.source,
+            environment.metrics,
+            subset_policy(settings),
         )
         self._engines = EngineClient(self._http)
         self._claims = Claims(
--- a/eelgrassfork/router_settings.py
+++ b/eelgrassfork/router_settings.py
@@ -13,6 +13,7 @@
 from .order_duty import OrderSettings
 from .rollout import RolloutSettings
 from .settings import RouterSettings
+from .subsets import SubsetPolicy
 
 __all__ = (
     'drain_settings',
@@ -20,6 +21,7 @@
     'order_settings',
     'rollout_settings',
     'server_limits',
+    'subset_policy',
 )
 
 _MS: Final = 1000
@@ -96,3 +98,15 @@
         body_timeout_s=settings.body_timeout_ms / _MS,
         idle_timeout_s=settings.idle_timeout_ms / _MS,
     )
+
+
+def subset_policy(settings: RouterSettings) -> SubsetPolicy:
+    """
+    Read which servers of a large service the router uses.
+
+    :param settings: the router's settings.
+    :returns: the router's place and the size of its subsets.
+    """
+    return SubsetPolicy(
+        settings.vm, settings.failure_domain, settings.servers_per_service
+    )
--- a/eelgrassfork/settings.py
+++ b/eelgrassfork/settings.py
@@ -34,11 +34,13 @@
 _MIN_BYTES: Final = 1_024
 _MAX_BYTES: Final = 1_073_741_824
 _MIN_PEER_KEY: Final = 16
+_LEAST_SERVERS: Final = 4
 _LEAST_RATE: Final = 0.001
 _MOST_RATE: Final = 10_000
 
 _Port = Annotated[int, Meta(ge=0, le=_MAX_PORT)]
 _Ms = Annotated[int, Meta(ge=1, le=_DAY_MS)]
+_Servers = Annotated[int, Meta(ge=_LEAST_SERVERS)]
 _Rate = Annotated[float, Meta(ge=_LEAST_RATE, le=_MOST_RATE)]
 _Bytes = Annotated[int, Meta(ge=_MIN_BYTES, le=_MAX_BYTES)]
 _PeerKey = Annotated[str, Meta(min_length=_MIN_PEER_KEY)]
@@ -90,6 +92,9 @@
         grows.
     :param weight_reads_per_s: orders a second that make engines read the
         weight store, of all services together.
+    :param servers_per_service: backend servers of one service that the
+        router uses, or more where there are few routers; a service with
+        fewer is used as a whole.
     :param drain_grace_ms: time in which new requests are still served
         after a drain began.
     :param drain_limit_ms: longest drain.
@@ -124,6 +129,7 @@
     engine_check_ms: _Ms = 5_000
     engine_reads_per_s: _Rate = 4
     weight_reads_per_s: _Rate = 2
+    servers_per_service: _Servers = 24
     drain_grace_ms: _Ms = 2_000
     drain_limit_ms: _Ms = 600_000
     max_header_bytes: _Bytes = 16_384
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -13,6 +13,8 @@
 
 from eelgrassfork.backends import Backends, CacheEvent
 from eelgrassfork.retries import EjectionPolicy
+from eelgrassfork.server_subsets import ServerSubsets
+from eelgrassfork.subsets import SubsetPolicy
 from eelgrassfork.vm_list import VmRecord
 from tests.metric_recorder import MetricRecorder
 
@@ -40,6 +42,10 @@
     return {state.vm: state for state in backends.servers('p/matcher')}
 
 
+def usable(backends: Backends):
+    return backends.usable('p/matcher')
+
+
 class BackendsTests(testtools.TestCase):
     @in_trio
     async def test_list_decides_who_is_known_and_leaving(self, backends):
@@ -78,6 +84,60 @@
         backends.probed('vm-1', alive=True)
         self.assertFalse(states(backends)['vm-1'].ejected)
 
+    @in_trio
+    async def test_large_service_is_used_in_part(self, backends):
+        small = [record(f'vm-{n}') for n in range(24)]
+        large = [
+            record(f'vm-{n}', failure_domain=('p/a', 'p/b')[n % 2])
+            for n in range(200)
+        ]
+        routers = [
+            record(f'r-{n}', role='router', service='') for n in range(40)
+        ]
+        backends._subsets = ServerSubsets(SubsetPolicy('r-0', 'p/a'))
+        backends.update(small)
+        backends.failed('vm-3', silent=True)
+        self.assertEqual((24, 23), (len(states(backends)), usable(backends)))
+        backends.update(large + routers)
+        before = set(states(backends))
+        self.assertEqual((24, 24), (len(before), usable(backends)))
+        self.assertNotIn('vm-3', before)
+        failed, left, draining = sorted(before)[:3]
+        backends.failed(failed, silent=True)
+        backends.draining(draining)
+        large = [
+            each._replace(state='leaving') if each.vm == left else each
+            for each in large
+        ]
+        backends.update(large + routers)
+        after = set(states(backends))
+        self.assertEqual({failed, left, draining}, before - after)
+        self.assertEqual(24, len(after))
+        # The ejected one is tried although another has its place.
+        backends.begin(min(after))
+        await trio.sleep(30)
+        polled = {target.vm for target in backends.polls_due(1, 99)}
+        self.assertEqual(after | {failed, 'vm-3'}, polled)
+        backends.probed(failed, alive=True)
+        self.assertIn(failed, states(backends))
+
+    @in_trio
+    async def test_every_router_ranks_all_servers_alike(self, backends):
+        records = [record(f'vm-{n}') for n in range(200)]
+        other = Backends(
+            EjectionPolicy(),
+            random.Random(3),
+            subset=SubsetPolicy('r-9', 'p/b'),
+        )
+        other.update(records)
+        backends.update(records)
+        for number in range(20):
+            ranked = [
+                [state.vm for state in each.ranked('p/matcher', f'{number}', 8)]
+                for each in (backends, other)
+            ]
+            self.assertEqual(ranked[0], ranked[1])
+
     @in_trio
     async def test_each_ejection_and_return_is_counted_once(self, backends):
         backends._metrics = MetricRecorder()
--- a/tests/test_chat_attempts.py
+++ b/tests/test_chat_attempts.py
@@ -5,10 +5,20 @@
 Guards against requests given up too early or sent once too often.
 """
 
+import random
+from types import SimpleNamespace
+
 import testtools
 import trio
+from trio.testing import MockClock
 
-from tests.chat_setting import with_setting
+from eelgrassfork.backends import Backends
+from eelgrassfork.chat_attempts import Attempts
+from eelgrassfork.retries import EjectionPolicy
+from eelgrassfork.routing import RouteSnapshot, choose_keyed
+from eelgrassfork.subsets import SubsetPolicy
+from eelgrassfork.vm_list import VmRecord
+from tests.chat_setting import SERVICE, with_setting
 
 ALL = (0, 1, 2)
 WHOLE_BILL = 3 + 6
@@ -101,3 +111,33 @@
         self.assertEqual('overloaded', answer.error['code'])
         self.assertLess(answer.at_s, 0.25)
         self.assertEqual(0, setting.router.accounts.bills[-1])
+
+
+class KeyedChoiceTests(testtools.TestCase):
+    def test_choice_is_among_all_servers_whatever_the_router_uses(self):
+        async def main():
+            backends = Backends(
+                EjectionPolicy(),
+                random.Random(1),
+                subset=SubsetPolicy('r-1', 'p/a', size=4),
+            )
+            backends.update(
+                VmRecord(
+                    f'vm-{n}', 'backend', 'live', 'p', SERVICE.name, 'p/a', 'r', ''
+                )
+                for n in range(40)
+            )  # fmt: skip
+            parts = SimpleNamespace(backends=backends, failure_domain='p/a')
+            attempts = Attempts(parts, None)
+            request = SimpleNamespace(service=SERVICE, identity='one')
+            servers = tuple(backends.ranked(SERVICE.name, 'one', 99))
+            self.assertEqual(40, len(servers))
+            for failures in (0, 1, 7, 8, 20, 39, 40):
+                failed = frozenset(each.vm for each in servers[:failures])
+                snapshot = RouteSnapshot(servers, 'p/a', excluded=failed)
+                self.assertEqual(
+                    choose_keyed(snapshot, 'one'),
+                    attempts._choose_keyed(request, failed),
+                )
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -71,6 +71,7 @@
             ('seed_peers', ['127.0.0.1']),
             ('heartbeat_ms', 0),
             ('weight_reads_per_s', 0),
+            ('servers_per_service', 3),
             ('engine_reads_per_s', '4'),
             ('log_format', 'xml'),
             ('peer_key', 'short'),
