Spend less memory on servers that are only listed

Cause: a router keeps a record of each of 7,200 listed servers. Change: records have slots, and cache hints begin with the first event.

--- a/eelgrassfork/backend_server.py
+++ b/eelgrassfork/backend_server.py
@@ -16,6 +16,7 @@
 __all__ = ('BackendServer', 'CacheEvent')
 
 _NEVER: Final = float('-inf')
+_HEALTHY: Final = ServerHealth()
 _MAX_CACHED_PREFIXES: Final = 1024
 
 
@@ -42,18 +43,33 @@
     :ivar draining_until: when a refusal as leaving stops to count.
     """
 
+    # A router lists thousands of servers, most of which it never uses.
+    __slots__ = (
+        'cached_prefixes',
+        'draining_until',
+        'events_after',
+        'health',
+        'in_flight',
+        'polled_at',
+        'record',
+        'reported_at',
+        'running',
+        'waiting',
+        '_prefixes',
+    )
+
     def __init__(self, record: VmRecord, now_s: float) -> None:
         self.record = record
         self.in_flight = 0
-        self.health = ServerHealth()
+        self.health = _HEALTHY
         self.draining_until = now_s
         self.running = 0
         self.waiting = 0
         self.reported_at = now_s
         self.polled_at = _NEVER
         self.events_after = 0
-        self.prefixes: OrderedDict[str, None] = OrderedDict()
         self.cached_prefixes: frozenset[str] = frozenset()
+        self._prefixes: OrderedDict[str, None] | None = None
 
     def is_leaving(self, now_s: float) -> bool:
         """
@@ -92,11 +108,15 @@
 
         :param events: events in the order of their numbers.
         """
+        prefixes = self._prefixes
+        if prefixes is None:
+            prefixes = OrderedDict()
+            self._prefixes = prefixes
         for event in events:
             self.events_after = max(self.events_after, event.number)
-            self.prefixes.pop(event.prefix, None)
+            prefixes.pop(event.prefix, None)
             if event.kind == 'stored':
-                self.prefixes[event.prefix] = None
-        while len(self.prefixes) > _MAX_CACHED_PREFIXES:
-            self.prefixes.popitem(last=False)
-        self.cached_prefixes = frozenset(self.prefixes)
+                prefixes[event.prefix] = None
+        while len(prefixes) > _MAX_CACHED_PREFIXES:
+            prefixes.popitem(last=False)
+        self.cached_prefixes = frozenset(prefixes)
