--- a/tests/bundles.py
+++ b/tests/bundles.py
@@ -6,6 +6,9 @@
 """
 
 import hashlib
+import json
+import tempfile
+from pathlib import Path
 
 from nacl.signing import SigningKey
 
@@ -21,6 +24,7 @@
     'held_bundle',
     'key_hash',
     'signed_bundle',
+    'write_sources',
 )
 
 KEY = KeyPair(SigningKey(b'1' * 32))
@@ -72,3 +76,30 @@
         CompiledParts(tuple(bodies), bodies),
         key,
     )
+
+
+def write_sources(content):
+    """
+    Write sources of a bundle to a new directory.
+
+    Organisations may list ``keys`` as callers send them.
+    """
+    directory = tempfile.mkdtemp()
+    for kind in ('fleets', 'places', 'services', 'organisations'):
+        by_name = {
+            name: _with_hashes(fields)
+            for name, fields in content.get(kind, {}).items()
+        }
+        text = json.dumps(by_name, indent=2)
+        Path(directory, f'{kind}.json').write_text(text, encoding='utf-8')
+    return directory
+
+
+def _with_hashes(fields):
+    given = dict(fields)
+    keys = given.pop('keys', None)
+    if keys is not None:
+        given['budgets_by_key_hash'] = {
+            key_hash(key): budget for key, budget in keys.items()
+        }
+    return given
--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -10,12 +10,18 @@
 import trio
 
 from eelgrassfork.bundle_store import BundleStore
-from eelgrassfork.http_client import ClientTimeouts, HttpClient
+from eelgrassfork.http_client import (
+    ClientRequest,
+    ClientTimeouts,
+    HttpClient,
+)
 from eelgrassfork.router import Router, RouterEnvironment
 from eelgrassfork.router_status import read_statuses
 from eelgrassfork.settings import Endpoint, RouterSettings
 from eelgrassfork.vm_list import VmRecord
+from standins.engine import EngineSettings, EngineStandin
 from standins.fake_platform import FakePlatform
+from standins.plain_service import PlainServiceStandin
 
 from . import bundles
 from .memory_network import MemoryNetwork
@@ -31,12 +37,15 @@
     Routers by VM; the name of a host is that of its VM.
 
     :param places_by_vm: qualified name of each router's place.
+    :param servers: backend servers by VM, each a pair of qualified names of
+        its service and place, and a model for an engine.
     """
 
-    def __init__(self, nursery, places_by_vm):
+    def __init__(self, nursery, places_by_vm, servers=()):
         self.network = MemoryNetwork()
         self.platform = FakePlatform()
         self.places_by_vm = dict(places_by_vm)
+        self.servers = dict(servers)
         self.routers = {}
         self._nursery = nursery
         self._scopes = {}
@@ -44,6 +53,7 @@
             vm: self._record(vm, number)
             for number, vm in enumerate(self.places_by_vm, 1)
         }
+        self._server_records = {}
         self.platform.set_vms(*self._records.values())
         # Short bounds, so that a host that is cut off costs little time.
         self.http = HttpClient(
@@ -54,6 +64,34 @@
             self.platform.for_client('operator'), bundles.TRUSTED
         )
 
+    async def start_servers(self):
+        """Start the backend servers and list them."""
+        for number, vm in enumerate(self.servers, 1):
+            service, place, model = self.servers[vm]
+            transport = self.network.transport(vm)
+            standin = (
+                EngineStandin(EngineSettings(model), transport)
+                if model
+                else PlainServiceStandin(transport=transport)
+            )
+            await standin.start(self._nursery, f'10.1.0.{number}', 0)
+            fleet = place.partition('/')[0]
+            self._server_records[vm] = VmRecord(
+                vm,
+                'backend',
+                'live',
+                fleet,
+                service,
+                place,
+                'region',
+                standin.address,
+                '',
+                '',
+            )
+        self.platform.set_vms(
+            *self._records.values(), *self._server_records.values()
+        )
+
     async def start(self, *vms):
         """Start routers, all of them if none is named."""
         for vm in vms or self.places_by_vm:
@@ -70,20 +108,42 @@
         self.network.kill(vm)
         del self.routers[vm]
 
+    def cut_between(self, places, others):
+        """Cut the routers of places off from those of others."""
+        for vm, place in self.places_by_vm.items():
+            for other, there in self.places_by_vm.items():
+                if place in places and there in others:
+                    self.network.cut(vm, other)
+
     def cut(self, *places):
         """Cut places off from the platform and from all others."""
-        inside = [vm for vm, at in self.places_by_vm.items() if at in places]
-        outside = [vm for vm in self.places_by_vm if vm not in inside]
-        for vm in inside:
+        hosts = {**self.places_by_vm}
+        hosts.update({vm: at for vm, (_, at, _) in self.servers.items()})
+        inside = [host for host, at in hosts.items() if at in places]
+        outside = [host for host in hosts if host not in inside]
+        for host in inside:
             for other in (*outside, 'operator'):
-                self.network.cut(vm, other)
-        self.platform.set_faults(cut=tuple(inside))
+                self.network.cut(host, other)
+        # Operators inside are known to the platform by the place.
+        self.platform.set_faults(cut=(*inside, *places))
 
     def heal(self):
         """End all cuts."""
         self.network.heal()
         self.platform.set_faults(cut=())
 
+    async def call(self, vm, method, path, key, body=b''):
+        """Call a router as a caller in its place does."""
+        address = self._records[vm].address
+        http = HttpClient(transport=self.network.transport(vm))
+        headers = (('authorization', f'Bearer {key}'),)
+        try:
+            return await http.fetch(
+                ClientRequest(address, method, path, headers, body)
+            )
+        finally:
+            await http.close()
+
     async def read_vms(self):
         """Read the VM list as an operator does."""
         vm_list = await self.store.platform.vms()
