--- a/eelgrassfork/backends.py
+++ b/eelgrassfork/backends.py
@@ -6,12 +6,14 @@
 """
 
 import random
-from collections import OrderedDict
-from collections.abc import Iterable
-from typing import Final, Literal, NamedTuple
+from collections.abc import Iterable, Sequence
+from typing import Final, NamedTuple
 
 import trio
 
+from .backend_server import BackendServer, CacheEvent
+from .metrics import Metrics, NoMetrics
+from .names import rendezvous_order
 from .retries import (
     EjectionPolicy,
     ServerHealth,
@@ -20,25 +22,15 @@
     needs_probe,
 )
 from .routing import ServerState
+from .server_subsets import ServerSubsets
+from .subsets import SubsetPolicy
 from .vm_list import VmRecord
 
-__all__ = ('Backends', 'CacheEvent', 'PollTarget')
+__all__ = ('Backends', 'CacheEvent', 'Census', 'PollTarget')
 
 _DRAINING_S: Final = 60.0
 _IN_USE_S: Final = 60.0
-_MAX_CACHED_PREFIXES: Final = 1024
-
-
-class CacheEvent(NamedTuple):
-    """
-    A prefix entered or left a server's cache.
-
-    :param number: number of the event at its server.
-    """
-
-    number: int
-    kind: Literal['stored', 'evicted']
-    prefix: str
+_NO_METRICS: Final = NoMetrics()
 
 
 class PollTarget(NamedTuple):
@@ -55,101 +47,112 @@
     events_after: int
 
 
-class _Server:
-    def __init__(self, record: VmRecord, now_s: float) -> None:
-        self.record = record
-        self.in_flight = 0
-        self.health = ServerHealth()
-        self.draining_until = now_s
-        self.running = 0
-        self.waiting = 0
-        self.reported_at = now_s
-        self.polled_at = -_IN_USE_S
-        self.events_after = 0
-        self.prefixes: OrderedDict[str, None] = OrderedDict()
-        self.cached_prefixes: frozenset[str] = frozenset()
-
-    def is_leaving(self, now_s: float) -> bool:
-        return self.record.state == 'leaving' or now_s < self.draining_until
-
-    def state(self, now_s: float) -> ServerState:
-        record = self.record
-        return ServerState(
-            record.vm,
-            record.address,
-            record.service,
-            record.failure_domain,
-            'leaving' if self.is_leaving(now_s) else 'live',
-            self.in_flight,
-            self.running,
-            self.waiting,
-            now_s - self.reported_at,
-            self.health.ejected,
-            self.cached_prefixes,
-        )
+class Census(NamedTuple):
+    """Number of servers that are listed, ejected and leaving."""
 
+    listed: int
+    ejected: int
+    leaving: int
 
-class Backends:
+
+class Backends:  # noqa: WPS214 - a small method for each event and query
     """
     State of the backend servers as this router sees it.
 
     :param policy: when a server is ejected.
     :param source: random source of jitter.
+    :param metrics: where ejections and returns are counted.
+    :param subset: which servers of a large service are used; all of them
+        where it is ``None``.
     """
 
-    def __init__(self, policy: EjectionPolicy, source: random.Random) -> None:
+    def __init__(
+        self,
+        policy: EjectionPolicy,
+        source: random.Random,
+        metrics: Metrics = _NO_METRICS,
+        subset: SubsetPolicy | None = None,
+    ) -> None:
         self._policy = policy
         self._source = source
-        self._servers_by_vm: dict[str, _Server] = {}
-        self._vms_by_service: dict[str, list[str]] = {}
+        self._metrics = metrics
+        self._servers_by_vm: dict[str, BackendServer] = {}
+        self._subsets = ServerSubsets(subset)
+        self._ejected: set[str] = set()
         self._used_at_by_service: dict[str, float] = {}
 
     def update(self, vms: Iterable[VmRecord]) -> None:
         """
         Take over the backend servers of a VM list.
 
-        :param vms: records; those of other roles are ignored.
+        :param vms: all records.
         """
         now_s = trio.current_time()
-        servers_by_vm: dict[str, _Server] = {}
-        vms_by_service: dict[str, list[str]] = {}
-        for record in vms:
+        servers_by_vm: dict[str, BackendServer] = {}
+        listed = list(vms)
+        for record in listed:
             if record.role == 'backend':
                 server = self._servers_by_vm.get(record.vm)
-                server = server or _Server(record, now_s)
+                server = server or BackendServer(record, now_s)
                 server.record = record
                 servers_by_vm[record.vm] = server
-                vms_by_service.setdefault(record.service, []).append(record.vm)
         self._servers_by_vm = servers_by_vm
-        self._vms_by_service = vms_by_service
+        self._ejected &= servers_by_vm.keys()
+        self._subsets.update(listed)
 
     def servers(self, service: str) -> list[ServerState]:
         """
-        Describe the servers of a service.
+        Describe the servers of a service that this router uses.
 
         :param service: qualified name.
-        :returns: one state per server, leaving and ejected ones included.
+        :returns: one state per server, leaving and ejected ones included
+            unless the service is so large that only some are used.
         """
         now_s = trio.current_time()
         return [
-            self._servers_by_vm[vm].state(now_s)
-            for vm in self._vms_by_service.get(service, ())
+            self._servers_by_vm[vm].state(now_s) for vm in self._in_use(service)
         ]
 
+    def ranked(
+        self, service: str, identity: str, most: int
+    ) -> list[ServerState]:
+        """
+        Describe the servers that come first for an identity.
+
+        Every router finds the same ones, whichever it uses otherwise.
+
+        :param service: qualified name.
+        :param identity: identity of a request with a key.
+        :param most: number of servers.
+        :returns: states in rendezvous order, leaving and ejected ones
+            included.
+        """
+        now_s = trio.current_time()
+        vms = rendezvous_order(identity, list(self._subsets.all_of(service)))
+        return [self._servers_by_vm[vm].state(now_s) for vm in vms[:most]]
+
     def usable(self, service: str) -> int:
         """
         Count the servers that may get requests.
 
         :param service: qualified name.
-        :returns: number of servers neither leaving nor ejected.
+        :returns: number of servers in use that are neither leaving nor
+            ejected.
+        """
+        return sum(map(self._is_usable, self._in_use(service)))
+
+    def census(self) -> Census:
+        """
+        Count the servers of all services.
+
+        :returns: numbers of servers by state.
         """
         now_s = trio.current_time()
-        return sum(
-            not server.health.ejected and not server.is_leaving(now_s)
-            for server in map(
-                self._servers_by_vm.__getitem__,
-                self._vms_by_service.get(service, ()),
-            )
+        servers = self._servers_by_vm.values()
+        return Census(
+            len(servers),
+            sum(server.health.ejected for server in servers),
+            sum(server.is_leaving(now_s) for server in servers),
         )
 
     def is_listed(self, vm: str) -> bool:
@@ -191,7 +194,7 @@
         """
         server = self._servers_by_vm.get(vm)
         if server is not None:
-            server.health = ServerHealth()
+            self._set_health(server, ServerHealth())
 
     def failed(self, vm: str, silent: bool = False) -> None:
         """
@@ -202,13 +205,14 @@
         """
         server = self._servers_by_vm.get(vm)
         if server is not None:
-            server.health = after_failure(
+            health = after_failure(
                 server.health,
                 trio.current_time(),
                 silent,
                 self._policy,
                 self._source,
             )
+            self._set_health(server, health)
 
     def probed(self, vm: str, alive: bool) -> None:
         """
@@ -219,13 +223,14 @@
         """
         server = self._servers_by_vm.get(vm)
         if server is not None:
-            server.health = after_probe(
+            health = after_probe(
                 server.health,
                 trio.current_time(),
                 alive,
                 self._policy,
                 self._source,
             )
+            self._set_health(server, health)
 
     def draining(self, vm: str) -> None:
         """
@@ -259,16 +264,8 @@
         :param events: events in the order of their numbers.
         """
         server = self._servers_by_vm.get(vm)
-        if server is None:
-            return
-        for event in events:
-            server.events_after = max(server.events_after, event.number)
-            server.prefixes.pop(event.prefix, None)
-            if event.kind == 'stored':
-                server.prefixes[event.prefix] = None
-        while len(server.prefixes) > _MAX_CACHED_PREFIXES:
-            server.prefixes.popitem(last=False)
-        server.cached_prefixes = frozenset(server.prefixes)
+        if server is not None:
+            server.take_events(events)
 
     def polls_due(self, interval_s: float, most: int) -> list[PollTarget]:
         """
@@ -280,10 +277,19 @@
             in use whose last poll is oldest.
         """
         now_s = trio.current_time()
+        vms = self._ejected.copy()
+        for service, used_at in self._used_at_by_service.items():
+            if now_s - used_at < _IN_USE_S:
+                vms.update(self._in_use(service))
+        servers = map(self._servers_by_vm.__getitem__, vms)
         due = [
-            (not needs_probe(server.health, now_s), server.polled_at, vm)
-            for vm, server in self._servers_by_vm.items()
-            if self._is_due(server, now_s, interval_s)
+            (
+                not needs_probe(server.health, now_s),
+                server.polled_at,
+                server.record.vm,
+            )
+            for server in servers
+            if _is_due(server, now_s, interval_s)
         ]
         return [
             self._target(vm, probe=not no_probe)
@@ -314,14 +320,33 @@
             states_by_vm[vm] = state
         return {'servers_by_vm': states_by_vm}
 
-    def _is_due(self, server: _Server, now_s: float, interval_s: float) -> bool:
-        if now_s - server.polled_at < interval_s:
-            return False
+    def _set_health(self, server: BackendServer, health: ServerHealth) -> None:
+        was_ejected = server.health.ejected
+        server.health = health
+        service = server.record.service
+        fleet = service.partition('/')[0]
+        if health.ejected and not was_ejected:
+            self._ejected.add(server.record.vm)
+            self._metrics.count('ejections', fleet, service)
+        elif was_ejected and not health.ejected:
+            self._ejected.discard(server.record.vm)
+            self._metrics.count('server_returns', fleet, service)
+
+    def _in_use(self, service: str) -> Sequence[str]:
+        return self._subsets.in_use(service, self._is_usable)
+
+    def _is_usable(self, vm: str) -> bool:
+        server = self._servers_by_vm[vm]
         if server.health.ejected:
-            return needs_probe(server.health, now_s)
-        used_at = self._used_at_by_service.get(server.record.service)
-        return used_at is not None and now_s - used_at < _IN_USE_S
+            return False
+        return not server.is_leaving(trio.current_time())
 
     def _target(self, vm: str, probe: bool) -> PollTarget:
         server = self._servers_by_vm[vm]
         return PollTarget(vm, server.record.address, probe, server.events_after)
+
+
+def _is_due(server: BackendServer, now_s: float, interval_s: float) -> bool:
+    if now_s - server.polled_at < interval_s:
+        return False
+    return not server.health.ejected or needs_probe(server.health, now_s)
--- a/eelgrassfork/cli.py
+++ b/eelgrassfork/cli.py
@@ -15,7 +15,6 @@
     bundle_check,
     bundle_show,
     bundle_sign,
-    bundle_status,
     bundle_submit,
 )
 from .cli_common import EXIT_CODES_TEXT, ExitCode, exit_code_of, explain
@@ -32,6 +31,8 @@
     router_dump,
     router_list,
 )
+from .cli_merge import bundle_merge
+from .cli_rollout import bundle_rollout, bundle_status
 from .errors import EelgrassError
 
 __all__ = ('COMMANDS', 'main')
@@ -40,7 +41,9 @@
     'settings': {'check': settings_check},
     'bundle': {
         'check': bundle_check,
+        'merge': bundle_merge,
         'sign': bundle_sign,
+        'rollout': bundle_rollout,
         'submit': bundle_submit,
         'show': bundle_show,
         'status': bundle_status,
--- a/eelgrassfork/router_settings.py
+++ b/eelgrassfork/router_settings.py
@@ -10,14 +10,18 @@
 from .drain import DrainSettings
 from .http_server import ServerLimits
 from .membership import MembershipSettings
+from .order_duty import OrderSettings
 from .rollout import RolloutSettings
 from .settings import RouterSettings
+from .subsets import SubsetPolicy
 
 __all__ = (
     'drain_settings',
     'member_settings',
+    'order_settings',
     'rollout_settings',
     'server_limits',
+    'subset_policy',
 )
 
 _MS: Final = 1000
@@ -49,6 +53,21 @@
     )
 
 
+def order_settings(settings: RouterSettings) -> OrderSettings:
+    """
+    Read the pace of orders to engines.
+
+    :param settings: the router's settings.
+    :returns: times in seconds, and rates.
+    """
+    return OrderSettings(
+        lease_s=settings.lease_ms / _MS,
+        check_s=settings.engine_check_ms / _MS,
+        reads_per_s=settings.engine_reads_per_s,
+        loads_per_s=settings.weight_reads_per_s,
+    )
+
+
 def rollout_settings(settings: RouterSettings) -> RolloutSettings:
     """
     Read the settings of the rollout.
@@ -79,3 +98,15 @@
         body_timeout_s=settings.body_timeout_ms / _MS,
         idle_timeout_s=settings.idle_timeout_ms / _MS,
     )
+
+
+def subset_policy(settings: RouterSettings) -> SubsetPolicy:
+    """
+    Read which servers of a large service the router uses.
+
+    :param settings: the router's settings.
+    :returns: the router's place and the size of its subsets.
+    """
+    return SubsetPolicy(
+        settings.vm, settings.failure_domain, settings.servers_per_service
+    )
