Spare the platform calls for parts that an operator has at hand

A submission read every part of the accepted bundle and asked for every part of the new one before writing it. Parts are named by their hash, so those in the signed file are not read, those of the accepted bundle are not written, and others are written with one conditional create.

--- a/eelgrassfork/bundle_stages.py
+++ b/eelgrassfork/bundle_stages.py
@@ -109,9 +109,9 @@
     :raises SubmitConflict: ``conflict`` if another bundle was accepted.
     :raises EelgrassError: if the platform does not answer.
     """
-    await put_parts(inputs.store, new)
+    await put_parts(inputs.store, new, await inputs.store.accepted(new))
     for number, places in enumerate(stages, 1):
-        accepted = await inputs.store.accepted()
+        accepted = await inputs.store.accepted(new)
         if new.signed.manifest.base != accepted.version:
             raise await explain_conflict(inputs.store, new, accepted)
         vms = await inputs.read_vms()
--- a/eelgrassfork/bundle_store.py
+++ b/eelgrassfork/bundle_store.py
@@ -56,17 +56,19 @@
     platform: ObjectStore
     trusted_keys: Mapping[str, str]
 
-    async def accepted(self) -> Accepted:
+    async def accepted(self, near: HeldBundle | None = None) -> Accepted:
         """
         Read the accepted bundle.
 
+        :param near: a bundle that has most of its parts, which are not read
+            again.
         :returns: the bundle; none if no bundle was accepted yet.
         :raises EelgrassError: if it can't be read or is refused.
         """
         stored = await self.platform.get(CURRENT_KEY)
         if stored is None:
             return Accepted(None, None)
-        return Accepted(await self.open(stored.body, None), stored.version)
+        return Accepted(await self.open(stored.body, near), stored.version)
 
     async def replaced(
         self, version: int, near: HeldBundle
@@ -130,8 +132,6 @@
     :param body: its content, the same whoever writes it.
     :raises PlatformError: if it can't be written.
     """
-    if await platform.get(key) is not None:
-        return
     try:
         await platform.put(key, body, None)
     except Conflict:
--- a/eelgrassfork/bundle_submit.py
+++ b/eelgrassfork/bundle_submit.py
@@ -88,7 +88,7 @@
             return False
         raise await explain_conflict(store, new, accepted)
     _check_shards(new.bundle, accepted)
-    await put_parts(store, new)
+    await put_parts(store, new, accepted)
     if accepted.held:
         # Whoever lost a race against the new bundle is told what changed
         # since the one that both were made from.
@@ -99,15 +99,20 @@
     return True
 
 
-async def put_parts(store: BundleStore, new: HeldBundle) -> None:
+async def put_parts(
+    store: BundleStore, new: HeldBundle, accepted: Accepted
+) -> None:
     """
     Write the parts of a bundle; they change nothing until it is accepted.
 
     :param store: where bundles stand.
     :param new: the bundle.
+    :param accepted: a bundle whose parts are there.
     :raises PlatformError: if the platform does not answer.
     """
-    for part_hash, part in new.parts_by_hash.items():
+    known = accepted.held.parts_by_hash if accepted.held else {}
+    for part_hash in new.parts_by_hash.keys() - known.keys():
+        part = new.parts_by_hash[part_hash]
         await put_once(store.platform, part_key(part_hash), part.body)
 
 
@@ -128,7 +133,7 @@
     tried = new
     joined: set[str] = set()
     for _ in range(_MAX_TRIES):
-        accepted = await store.accepted()
+        accepted = await store.accepted(tried)
         conflict = await _conflict_of(store, tried, accepted)
         if conflict is None:
             names = tuple(sorted(joined))
@@ -203,7 +208,7 @@
     try:
         await store.platform.put(CURRENT_KEY, envelope, accepted.object_version)
     except Conflict:
-        now = await store.accepted()
+        now = await store.accepted(new)
         if now.held is None or now.held.signed.envelope != envelope:
             raise await explain_conflict(store, new, now) from None
     except AnswerLost:
--- a/eelgrassfork/cli_bundle.py
+++ b/eelgrassfork/cli_bundle.py
@@ -88,7 +88,7 @@
     async def action(session: Session) -> Submitted:
         if pair is not None:
             return await submit_merged(session.bundles, held, pair)
-        accepted = await session.bundles.accepted()
+        accepted = await session.bundles.accepted(held)
         is_new = await submit(session.bundles, held, accepted)
         return Submitted(held.bundle.version, is_new)
 
--- a/eelgrassfork/cli_rollout.py
+++ b/eelgrassfork/cli_rollout.py
@@ -70,7 +70,7 @@
             wait_s,
             say,
         )
-        accepted = (await session.bundles.accepted()).held
+        accepted = (await session.bundles.accepted(held)).held
         is_new = not accepted or accepted.signed.envelope != envelope
         if is_new:
             chosen = [each.split(',') for each in stages or ()]
@@ -79,7 +79,8 @@
         if dry_run:
             say(f'version {version} passed, and is not accepted')
             return
-        await submit(session.bundles, held, await session.bundles.accepted())
+        now = await session.bundles.accepted(held)
+        await submit(session.bundles, held, now)
         say(f'version {version} is accepted')
         if watch:
             await _watch(session, key, version)
