Rotate and revoke operators' keys through the signed bundle

Trusted keys stood only in the settings of routers, so a rotation or the loss of a key meant new settings everywhere, with old and new ones side by side for the time between. A manifest now lists grants (trust in a key, signed by one trusted before) and revoked keys. A router takes a bundle only if a key signed it that is trusted after it, and only if it forgets no revocation of the bundle held, so the list shrinks, or is extended by keys trusted before. A bundle that was fetched slowly is verified again before it is held.

A private key stands only in its file.

--- a/eelgrassfork/bundle_fetch.py
+++ b/eelgrassfork/bundle_fetch.py
@@ -34,6 +34,7 @@
     'ask_peer',
     'ask_ready_peers',
     'has_live_peer',
+    'has_ready_peer',
     'offer_to_peers',
     'parts_from_anywhere',
     'parts_from_peer',
@@ -224,6 +225,16 @@
     return bool(_live_peers(sources, failure_domain))
 
 
+def has_ready_peer(sources: BundleSources) -> bool:
+    """
+    Tell whether any peer that may have a bundle in force was heard.
+
+    :param sources: where peers are found.
+    :returns: whether one is not just starting.
+    """
+    return any(each.state != _STARTING for each in sources.members.peers())
+
+
 def _live_peers(sources: BundleSources, failure_domain: str) -> list[Peer]:
     return [
         peer
--- a/eelgrassfork/bundle_holder.py
+++ b/eelgrassfork/bundle_holder.py
@@ -91,13 +91,7 @@
 
         :returns: whether a bundle at least as new is held now.
         """
-        envelopes_by_vm = await ask_ready_peers(self._sources)
-        signed_by_vm: dict[str, SignedManifest] = {}
-        for vm, envelope in envelopes_by_vm.items():
-            try:
-                signed_by_vm[vm] = self.verify(envelope)
-            except BundleError as error:
-                self.note_problem(vm, error)
+        signed_by_vm = _credible(await self._ask_ready_peers())
         versions = [each.manifest.version for each in signed_by_vm.values()]
         # A lower version is not taken in place of the highest, even if the
         # parts of that one can't be had now.
@@ -108,6 +102,30 @@
                     return True
         return False
 
+    async def drop_if_revoked(self) -> None:
+        """
+        Drop the bundle if a ready peer's bundle revokes the key that signed
+        it, and take that of the peers.
+
+        Only for a start: settings may still list a revoked key, and nothing
+        else tells a new process of the revocation. Of two bundles that
+        revoke each other's keys none is taken; the settings have to decide.
+        """
+        held = self.held
+        if held is None:
+            return
+        peers = await self._ask_ready_peers()
+        accusers = [
+            each for each in peers.values() if _revokes(each, held.signed)
+        ]
+        if not accusers:
+            return
+        self.held = None
+        message = f'key {held.signed.key_id!r} is revoked'
+        self.note_problem('a start', BundleError('bad_manifest', message))
+        if not any(_revokes(held.signed, each) for each in accusers):
+            await self.take_from_peers()
+
     async def fetch_from_peer(self, vm: str, version: int) -> None:
         """
         Take a bundle that a peer has told of; a failure is only noted.
@@ -153,13 +171,14 @@
 
     def verify(self, envelope: bytes) -> SignedManifest:
         """
-        Verify and decode a signed manifest.
+        Verify and decode a signed manifest that may follow the one held.
 
         :param envelope: as received from anyone.
         :returns: the manifest.
         :raises BundleError: ``bad_manifest``.
         """
-        return open_manifest(envelope, self._trusted_keys)
+        state = self.held.signed.key_state if self.held else None
+        return open_manifest(envelope, self._trusted_keys, state)
 
     def is_wanted(self, version: int) -> bool:
         """
@@ -182,6 +201,16 @@
             _log.warning('rollout: {}', problem)
         self.problem = problem
 
+    async def _ask_ready_peers(self) -> dict[str, SignedManifest]:
+        signed_by_vm: dict[str, SignedManifest] = {}
+        envelopes_by_vm = await ask_ready_peers(self._sources)
+        for vm, envelope in envelopes_by_vm.items():
+            try:
+                signed_by_vm[vm] = open_manifest(envelope, self._trusted_keys)
+            except BundleError as error:
+                self.note_problem(vm, error)
+        return signed_by_vm
+
     async def _took_from_peer(self, vm: str, signed: SignedManifest) -> bool:
         try:
             await self._take(signed, parts_from_peer(self._sources, vm))
@@ -194,8 +223,25 @@
         if signed.manifest.version <= self.version:
             return
         held = await gather(signed, self.held, fetch)
-        # Another source may have brought a newer one in the meantime.
+        # Another source may have brought a newer one in the meantime, or one
+        # that revokes the key of this one.
         if held.bundle.version > self.version:
-            self.held = held
+            self.held = held._replace(signed=self.verify(signed.envelope))
             self.problem = ''
             self._on_newer()
+
+
+def _revokes(one: SignedManifest, other: SignedManifest) -> bool:
+    return other.key_id in one.key_state.revoked
+
+
+def _credible(
+    signed_by_vm: Mapping[str, SignedManifest],
+) -> dict[str, SignedManifest]:
+    """Leave out bundles whose key another one revokes."""
+    every = signed_by_vm.values()
+    return {
+        vm: signed
+        for vm, signed in signed_by_vm.items()
+        if not any(_revokes(other, signed) for other in every)
+    }
--- a/eelgrassfork/bundle_merge_files.py
+++ b/eelgrassfork/bundle_merge_files.py
@@ -26,6 +26,8 @@
     parse_document,
     read_document,
 )
+from .key_files import KEYS_FILE, keys_text, read_key_lists
+from .key_list import KeyList
 from .options import OptionsError, Problem
 from .source_check import ALIASES_FILE, Sources
 
@@ -99,6 +101,9 @@
     }
     if merger.sources.aliases != NO_ALIASES:
         texts[ALIASES_FILE] = _aliases_text(merger.sources.aliases)
+    keys = read_key_lists(directories)
+    if keys != KeyList():
+        texts[KEYS_FILE] = keys_text(keys)
     with tempfile.TemporaryDirectory() as directory:
         for file, text in texts.items():
             Path(directory, file).write_text(text, encoding='utf-8')
@@ -137,7 +142,11 @@
 
 
 def _present_texts(out: str) -> dict[str, str]:
-    files = (*(f'{kind}.json' for kind in RECORD_TYPES), ALIASES_FILE)
+    files = (
+        *(f'{kind}.json' for kind in RECORD_TYPES),
+        ALIASES_FILE,
+        KEYS_FILE,
+    )
     return {
         name: Path(out, name).read_text(encoding='utf-8')
         for name in files
--- a/eelgrassfork/bundle_submit.py
+++ b/eelgrassfork/bundle_submit.py
@@ -10,7 +10,14 @@
 
 import trio
 
-from .bundle import CURRENT_KEY, Manifest, SignedManifest, part_key
+from .bundle import (
+    CURRENT_KEY,
+    BundleError,
+    Manifest,
+    SignedManifest,
+    open_manifest,
+    part_key,
+)
 from .bundle_conflict import (
     SubmitConflict,
     changed_names,
@@ -27,6 +34,7 @@
 from .bundle_types import Bundle
 from .errors import EelgrassError
 from .held_bundle import HeldBundle
+from .key_list import join_key_lists
 from .options import OptionsError
 from .platform_types import AnswerLost, Conflict
 from .signed_file import seal_bundle
@@ -77,7 +85,8 @@
     :param accepted: the accepted bundle, read just before.
     :returns: false if it had been accepted before.
     :raises SubmitConflict: ``conflict``, naming what differs and who wrote.
-    :raises SubmitRefused: ``shards_changed``.
+    :raises SubmitRefused: ``shards_changed``, or ``keys_refused`` if routers
+        would not take it.
     :raises PlatformError: if the platform does not answer; after
         :class:`AnswerLost` the bundle may be accepted.
     """
@@ -87,6 +96,7 @@
         if await _was_accepted(store, new.signed):
             return False
         raise await explain_conflict(store, new, accepted)
+    _check_keys(store, new, accepted)
     _check_shards(new.bundle, accepted)
     await put_parts(store, new, accepted)
     if accepted.held:
@@ -142,7 +152,7 @@
             raise conflict
         joined.update(changed_names(conflict.comparison.theirs.values()))
         tried = _join(new, conflict, accepted.held, key)
-        if tried.signed.manifest.parts == accepted.held.signed.manifest.parts:
+        if _content(tried) == _content(accepted.held):
             return Submitted(accepted.version, is_new=False)
         await trio.sleep(random.uniform(0, _MAX_PAUSE_S))
     raise SubmitConflict('conflict', 'other operators were faster each time')
@@ -175,10 +185,29 @@
         raise SubmitConflict('conflict', message) from None
     base = accepted.bundle.version
     version = max(base + 1, new.bundle.version)
-    manifest = Manifest(version, (), base, new.signed.manifest.author)
+    mine = new.signed.manifest
+    keys = join_key_lists((accepted.signed.manifest.keys, mine.keys))
+    manifest = Manifest(version, (), base, mine.author, keys)
     return seal_bundle(manifest, compile_parts(sources), key)
 
 
+def _content(held: HeldBundle) -> tuple[object, ...]:
+    manifest = held.signed.manifest
+    return manifest.parts, manifest.keys
+
+
+def _check_keys(
+    store: BundleStore, new: HeldBundle, accepted: Accepted
+) -> None:
+    if accepted.held is None:
+        return
+    state = accepted.held.signed.key_state
+    try:
+        open_manifest(new.signed.envelope, store.trusted_keys, state)
+    except BundleError as error:
+        raise SubmitRefused('keys_refused', error.message) from None
+
+
 def _check_shards(new: Bundle, accepted: Accepted) -> None:
     # A budget whose shard moved would start again with a whole new ledger
     # entry, beside the one that was spent.
--- a/eelgrassfork/cli.py
+++ b/eelgrassfork/cli.py
@@ -18,12 +18,7 @@
     bundle_submit,
 )
 from .cli_common import EXIT_CODES_TEXT, ExitCode, exit_code_of, explain
-from .cli_files import (
-    keys_list,
-    keys_make,
-    organisation_create,
-    settings_check,
-)
+from .cli_files import organisation_create, settings_check
 from .cli_fleet import (
     budget_show,
     budget_top_up,
@@ -31,6 +26,13 @@
     router_dump,
     router_list,
 )
+from .cli_keys import (
+    keys_grant,
+    keys_list,
+    keys_make,
+    keys_revoke,
+    keys_rotate,
+)
 from .cli_merge import bundle_merge
 from .cli_rollout import bundle_rollout, bundle_status
 from .errors import EelgrassError
@@ -48,7 +50,13 @@
         'show': bundle_show,
         'status': bundle_status,
     },
-    'keys': {'make': keys_make, 'list': keys_list},
+    'keys': {
+        'make': keys_make,
+        'list': keys_list,
+        'grant': keys_grant,
+        'rotate': keys_rotate,
+        'revoke': keys_revoke,
+    },
     'organisation': {'create': organisation_create},
     'budget': {'top-up': budget_top_up, 'show': budget_show},
     'router': {
--- a/eelgrassfork/cli_bundle.py
+++ b/eelgrassfork/cli_bundle.py
@@ -14,6 +14,7 @@
 from .bundle_types import Fleet, Place, Service
 from .cli_common import Session, run_session, say, say_json
 from .held_bundle import HeldBundle
+from .key_files import read_key_lists
 from .manifest import Manifest
 from .settings import load_settings
 from .signed_file import read_signed_file, write_signed_file
@@ -34,6 +35,7 @@
     :param directories: source directories, one for each fleet.
     """
     sources = read_sources(directories)
+    read_key_lists(directories)
     parts = compile_parts(sources)
     for kind, entries in sources.entries_by_kind.items():
         say(f'{len(entries)} {kind}')
@@ -65,8 +67,14 @@
     parts = compile_parts(read_sources(directories))
     pair = load_key(key)
     version = max(base, above) + 1
-    name = author or getpass.getuser()
-    write_signed_file(out, Manifest(version, (), base, name), parts, pair)
+    manifest = Manifest(
+        version,
+        (),
+        base,
+        author or getpass.getuser(),
+        read_key_lists(directories),
+    )
+    write_signed_file(out, manifest, parts, pair)
     say(f'{out}: version {version}, signed by {pair.key_id}')
 
 
@@ -128,6 +136,8 @@
         'signed_by': held.signed.key_id,
         'author': held.signed.manifest.author,
         'base': held.signed.manifest.base,
+        'trusted_key_ids': sorted(held.signed.key_state.keys),
+        'revoked_key_ids': sorted(held.signed.key_state.revoked),
         'parts': len(held.parts_by_hash),
         'fleets': _fields_by_name(bundle.fleets_by_name),
         'places': _fields_by_name(bundle.places_by_name),
--- a/eelgrassfork/cli_files.py
+++ b/eelgrassfork/cli_files.py
@@ -2,7 +2,7 @@
 eelgrassfork.cli_files
 ~~~~~~~~~~~~~~~~~~~~~~
 
-Commands on files: settings, keys and organisations in the sources.
+Commands on files: settings, and organisations in the sources.
 """
 
 import hashlib
@@ -12,10 +12,9 @@
 from .cli_common import say
 from .options import OptionsError, Problem
 from .settings import load_settings
-from .signing import SigningError, load_key, make_key
 from .source_edit import NewOrganisation, add_organisation
 
-__all__ = ('keys_list', 'keys_make', 'organisation_create', 'settings_check')
+__all__ = ('organisation_create', 'settings_check')
 
 _CALLER_KEY_BYTES: Final = 24
 
@@ -40,30 +39,6 @@
         raise OptionsError(*problems)
 
 
-def keys_make(file: str) -> None:
-    """
-    Make an operator's key; the private half is only in the file.
-
-    :param file: new file for the key.
-    """
-    pair = make_key(file)
-    say('add this to trusted_keys in the settings of all routers:')
-    say(f'"{pair.key_id}": "{pair.public_key}",')
-
-
-def keys_list(*files: str) -> None:
-    """
-    List identifiers and public halves of operators' keys.
-
-    :param files: key files.
-    """
-    if not files:
-        raise SigningError('key_file', 'no key file is given')
-    for file in files:
-        pair = load_key(file)
-        say(f'{pair.key_id}  {pair.public_key}  {file}')
-
-
 def organisation_create(
     name: str,
     *,
--- /dev/null
+++ b/eelgrassfork/cli_keys.py
@@ -0,0 +1,133 @@
+"""
+eelgrassfork.cli_keys
+~~~~~~~~~~~~~~~~~~~~~
+
+Commands on operators' keys: make, list, grant, rotate and revoke.
+"""
+
+import re
+from collections.abc import Iterator, Mapping
+from typing import Final
+
+from .cli_common import Session, run_session, say
+from .held_bundle import HeldBundle
+from .key_files import add_grant, add_revocation
+from .key_list import new_grant
+from .settings import load_settings
+from .signing import SigningError, key_id_of, load_key, make_key
+
+__all__ = (
+    'keys_grant',
+    'keys_list',
+    'keys_make',
+    'keys_revoke',
+    'keys_rotate',
+)
+
+_KEY_ID: Final = re.compile('[0-9a-f]{16}')
+
+
+def keys_make(file: str) -> None:
+    """
+    Make an operator's key; the private half is only in the file.
+
+    :param file: new file for the key.
+    """
+    pair = make_key(file)
+    say('add this to trusted_keys in the settings of all routers, or let')
+    say('the holder of a trusted key run: keys grant')
+    say(f'"{pair.key_id}": "{pair.public_key}",')
+
+
+def keys_list(*files: str, settings: str = '') -> None:
+    """
+    List identifiers and public halves of keys.
+
+    :param files: key files.
+    :param settings: settings file of any router of the fleet; lists also the
+        keys that the settings and the accepted bundle name.
+    """
+    if not files and not settings:
+        raise SigningError('key_file', 'no key file is given')
+    for file in files:
+        pair = load_key(file)
+        say(f'{pair.key_id}  {pair.public_key}  {file}')
+    if settings:
+        trusted = load_settings(settings).trusted_keys
+        accepted = run_session(settings, _accepted)
+        for line in _key_lines(trusted, accepted):
+            say(line)
+
+
+def keys_grant(public_key: str, *, key: str, sources: str) -> None:
+    """
+    Let the next bundle grant trust to a key.
+
+    :param public_key: the key in base64, as keys make and keys list tell it.
+    :param key: key file of an operator who is trusted.
+    :param sources: directory of the sources.
+    """
+    grant = new_grant(public_key, load_key(key))
+    add_grant(sources, grant)
+    key_id = key_id_of(public_key)
+    say(f'{key_id} is granted trust by {grant.by}, from the next bundle on')
+
+
+def keys_rotate(file: str, *, key: str, sources: str) -> None:
+    """
+    Make a key that takes the place of another.
+
+    Sign the next bundle with the new key; once that is in force everywhere,
+    revoke the old key in the one after it.
+
+    :param file: new file for the new key.
+    :param key: key file of the old key.
+    :param sources: directory of the sources.
+    """
+    old = load_key(key)
+    new = make_key(file)
+    add_grant(sources, new_grant(new.public_key, old))
+    say(f'{new.key_id} is granted trust by {old.key_id}')
+    say(f'next: bundle sign with --key {file}, and bundle submit')
+    say(f'then: keys revoke {old.key_id}, and sign and submit again')
+
+
+def keys_revoke(key_id: str, *, sources: str) -> None:
+    """
+    Let the next bundle revoke a key, for good.
+
+    :param key_id: identifier of the key.
+    :param sources: directory of the sources.
+    """
+    if not _KEY_ID.fullmatch(key_id):
+        raise SigningError('bad_key', f'{key_id!r} is no key identifier')
+    add_revocation(sources, key_id)
+    say(f'{key_id} is revoked, from the next bundle on')
+    say('remove it from trusted_keys in the settings of all routers too')
+
+
+async def _accepted(session: Session) -> HeldBundle | None:
+    accepted = await session.bundles.accepted()
+    return accepted.held
+
+
+def _key_lines(
+    settings_keys: Mapping[str, str], accepted: HeldBundle | None
+) -> Iterator[str]:
+    keys: Mapping[str, str] = settings_keys
+    revoked: frozenset[str] = frozenset()
+    givers: dict[str, str] = {}
+    if accepted:
+        keys, revoked = accepted.signed.key_state
+        givers = {
+            key_id_of(grant.public_key): grant.by
+            for grant in accepted.signed.manifest.keys.grants
+        }
+    for key_id in sorted(keys):
+        origin = 'in the settings'
+        if key_id not in settings_keys:
+            origin = f'granted by {givers[key_id]}'
+        yield f'{key_id}  {keys[key_id]}  trusted, {origin}'
+    for refused in sorted(revoked):
+        also = ', still in the settings' if refused in settings_keys else ''
+        yield f'{refused}  revoked{also}'
--- a/eelgrassfork/manifest.py
+++ b/eelgrassfork/manifest.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from .errors import EelgrassError
+from .key_list import KeyList, KeyListError, KeyState, next_state
 from .signing import KeyPair, SigningError, verify
 
 __all__ = (
@@ -38,20 +39,29 @@
         ``index`` names further parts.
     :param base: version that its sources were made from.
     :param author: name of the person, as given by that person.
+    :param keys: which keys may sign the next bundle.
     """
 
     version: int
     parts: tuple[str, ...]
     base: int = 0
     author: str = ''
+    keys: KeyList = KeyList()
 
 
 class SignedManifest(NamedTuple):
-    """A manifest whose signature was verified, and its encoded form."""
+    """
+    A manifest whose signature was verified.
+
+    :param envelope: its encoded form.
+    :param key_id: the key that signed it.
+    :param key_state: keys that are trusted after it.
+    """
 
     manifest: Manifest
     envelope: bytes
     key_id: str
+    key_state: KeyState
 
 
 class _ManifestBody(TypedDict):
@@ -59,6 +69,7 @@
     parts: tuple[str, ...]
     base: NotRequired[int]
     author: NotRequired[str]
+    keys: NotRequired[KeyList]
 
 
 class _Envelope(TypedDict):
@@ -74,7 +85,11 @@
     :param manifest: what to sign.
     :param key: the operator's key.
     :returns: the envelope, as stored at the platform.
+    :raises BundleError: ``bad_manifest`` if it revokes this key.
     """
+    if key.key_id in manifest.keys.revoked:
+        message = f'key {key.key_id!r} can not revoke itself'
+        raise BundleError('bad_manifest', message)
     body = msgspec.msgpack.encode(manifest._asdict())
     return msgspec.msgpack.encode(
         {
@@ -86,23 +101,30 @@
 
 
 def open_manifest(
-    envelope: bytes, trusted_keys: Mapping[str, str]
+    envelope: bytes,
+    trusted_keys: Mapping[str, str],
+    held: KeyState | None = None,
 ) -> SignedManifest:
     """
     Verify and decode a signed manifest.
 
     :param envelope: as received from anyone.
-    :param trusted_keys: public keys in base64 by key identifier.
+    :param trusted_keys: keys of the settings in base64 by identifier.
+    :param held: keys after the bundle that it would replace, if there is one.
     :returns: the manifest.
-    :raises BundleError: ``bad_manifest`` if it is malformed, not signed, or
-        not signed by a trusted key.
+    :raises BundleError: ``bad_manifest`` if it is malformed, not signed, not
+        signed by a trusted key, or forgets that a key is revoked.
     """
     try:
         signed = msgspec.msgpack.decode(envelope, type=_Envelope)
         body = signed['manifest']
-        verify(trusted_keys, signed['key_id'], body, signed['signature'])
         decoded = msgspec.msgpack.decode(body, type=_ManifestBody)
-    except (msgspec.DecodeError, SigningError) as error:
+        # Grants are signed by themselves, and a revocation only takes trust
+        # away, so both may be read before the signature is checked.
+        listed = decoded.get('keys', KeyList())
+        state = next_state(trusted_keys, held, listed)
+        verify(state.keys, signed['key_id'], body, signed['signature'])
+    except (msgspec.DecodeError, KeyListError, SigningError) as error:
         raise BundleError('bad_manifest', str(error)) from None
     version = decoded['version']
     if version < 1:
@@ -112,7 +134,8 @@
         decoded['parts'],
         decoded.get('base', version - 1),
         decoded.get('author', ''),
+        listed,
     )
     if not 0 <= manifest.base < version:
         raise BundleError('bad_manifest', 'the base is not below the version')
-    return SignedManifest(manifest, envelope, signed['key_id'])
+    return SignedManifest(manifest, envelope, signed['key_id'], state)
--- a/eelgrassfork/rollout.py
+++ b/eelgrassfork/rollout.py
@@ -19,19 +19,21 @@
     BundleSources,
     Payload,
     has_live_peer,
+    has_ready_peer,
     offer_to_peers,
 )
 from .bundle_holder import BundleHolder
 from .bundle_trial import BundleTrial
 from .bundle_types import Bundle
 from .errors import EelgrassError
-from .held_bundle import answer_fetch
+from .held_bundle import HeldBundle, answer_fetch
 
 __all__ = ('Rollout', 'RolloutSettings')
 
 _log = logbook.Logger('rollout')
 
 _TICK_S: Final = 1
+_PEER_POLL_S: Final = 0.05
 _FIRST_BACKOFF_S: Final = 0.5
 _MAX_DOUBLINGS: Final = 2
 _BACKOFF_JITTER: Final = 0.5
@@ -168,6 +170,7 @@
             'held_version': self.held_version,
             'in_force_for_s': round(age, 1) if self.current else None,
             'signed_by': held.signed.key_id if held else None,
+            **_key_ids(held),
             'ready': self.is_ready(),
             'catching_up': self._catching_up,
             'last_problem': self._holder.problem,
@@ -193,15 +196,27 @@
 
     async def _start_up(self) -> None:
         failures = 0
-        while not await self._holder.read_platform():
-            await trio.sleep(self._settings.settle_s)
-            if await self._holder.take_from_peers():
-                break
+        while not await self._took_first():
             failures += 1
             await trio.sleep(_backoff_s(failures))
         self._started = True
         self._signal_change()
 
+    async def _took_first(self) -> bool:
+        if await self._holder.read_platform():
+            await self._wait_for_ready_peer()
+        else:
+            await trio.sleep(self._settings.settle_s)
+            if not await self._holder.take_from_peers():
+                return False
+        await self._holder.drop_if_revoked()
+        return self._holder.held is not None
+
+    async def _wait_for_ready_peer(self) -> None:
+        with trio.move_on_after(self._settings.settle_s):
+            while not has_ready_peer(self._sources):
+                await trio.sleep(_PEER_POLL_S)
+
     def _should_watch(self) -> bool:
         # A router that hears no peer of its failure domain would learn of a
         # new version from nobody.
@@ -275,6 +290,16 @@
         self._changed = trio.Event()
 
 
+def _key_ids(held: HeldBundle | None) -> dict[str, list[str]]:
+    if held is None:
+        return {}
+    state = held.signed.key_state
+    return {
+        'trusted_key_ids': sorted(state.keys),
+        'revoked_key_ids': sorted(state.revoked),
+    }
+
+
 def _backoff_s(failures: int) -> float:
     doublings = min(failures, _MAX_DOUBLINGS)
     longest = _FIRST_BACKOFF_S * float(2**doublings)
--- a/eelgrassfork/signing.py
+++ b/eelgrassfork/signing.py
@@ -26,11 +26,14 @@
     'key_id_of',
     'load_key',
     'make_key',
+    'sign_grant',
     'verify',
+    'verify_grant',
 )
 
 # Keeps a signature over a bundle from being valid for anything else.
 _CONTEXT: Final = b'eelgrassfork bundle manifest 1\n'
+_GRANT_CONTEXT: Final = b'eelgrassfork key grant 1\n'
 _KEY_BYTES: Final = 32
 _KEY_ID_DIGITS: Final = 16
 _OWNER_ONLY: Final = 0o600
@@ -70,7 +73,17 @@
         :param message: encoded manifest.
         :returns: the signature, 64 bytes.
         """
-        return self._private.sign(_CONTEXT + message).signature
+        return self.sign_in(_CONTEXT, message)
+
+    def sign_in(self, context: bytes, message: bytes) -> bytes:
+        """
+        Sign a message that is valid in one context only.
+
+        :param context: what the message is for.
+        :param message: the message.
+        :returns: the signature, 64 bytes.
+        """
+        return self._private.sign(context + message).signature
 
 
 def make_key(path: str) -> KeyPair:
@@ -155,13 +168,57 @@
     :param signature: what :meth:`KeyPair.sign` returned.
     :raises SigningError: ``untrusted_key`` or ``bad_signature``.
     """
+    _verify(trusted_keys, key_id, _CONTEXT + message, signature)
+
+
+def sign_grant(key: KeyPair, public_key: str) -> str:
+    """
+    Sign a grant of trust.
+
+    :param key: the key that grants it.
+    :param public_key: the key that gets it, in base64.
+    :returns: the signature in base64.
+    :raises SigningError: ``bad_key`` if it is no key.
+    """
+    signature = key.sign_in(_GRANT_CONTEXT, _decode_public(public_key))
+    return base64.b64encode(signature).decode()
+
+
+def verify_grant(
+    trusted_keys: Mapping[str, str],
+    key_id: str,
+    public_key: str,
+    signature: str,
+) -> None:
+    """
+    Check a grant of trust.
+
+    :param trusted_keys: public keys in base64 by key identifier.
+    :param key_id: the key said to have granted it.
+    :param public_key: the key that gets it, in base64.
+    :param signature: what :func:`sign_grant` returned.
+    :raises SigningError: ``untrusted_key``, ``bad_key`` or
+        ``bad_signature``.
+    """
+    message = _GRANT_CONTEXT + _decode_public(public_key)
+    try:
+        decoded = base64.b64decode(signature, validate=True)
+    except (binascii.Error, ValueError):
+        raise SigningError('bad_signature', 'not base64') from None
+    _verify(trusted_keys, key_id, message, decoded)
+
+
+def _verify(
+    trusted_keys: Mapping[str, str],
+    key_id: str,
+    message: bytes,
+    signature: bytes,
+) -> None:
     public_key = trusted_keys.get(key_id)
     if public_key is None:
         raise SigningError('untrusted_key', f'key {key_id!r} is not trusted')
     try:
-        VerifyKey(_decode_public(public_key)).verify(
-            _CONTEXT + message, signature
-        )
+        VerifyKey(_decode_public(public_key)).verify(message, signature)
     except (BadSignatureError, ValueError):
         message_text = f'the signature is not by key {key_id!r}'
         raise SigningError('bad_signature', message_text) from None
--- a/tests/test_bundle_submit.py
+++ b/tests/test_bundle_submit.py
@@ -13,6 +13,7 @@
 from eelgrassfork.bundle_store import BundleStore
 from eelgrassfork.errors import EelgrassError
 from eelgrassfork.held_bundle import HeldBundle
+from eelgrassfork.key_list import KeyList
 from eelgrassfork.platform_types import AnswerLost
 from standins.fake_platform import FakePlatform
 
@@ -50,7 +51,16 @@
     )
 
 
-class SubmitTests(testtools.TestCase):
+class SubmitTestCase(testtools.TestCase):
+    async def refused(self, submission):
+        try:
+            await submission
+        except EelgrassError as error:
+            return error
+        self.fail('the submission was accepted')
+
+
+class SubmitTests(SubmitTestCase):
     def test_accepted_bundle_can_be_read_back(self):
         async def main(platform):
             self.assertTrue(await submit(platform, signed(1, 'a')))
@@ -115,13 +125,6 @@
 
         run(main)
 
-    async def refused(self, submission):
-        try:
-            await submission
-        except EelgrassError as error:
-            return error
-        self.fail('the submission was accepted')
-
 
 def organisations(**fields_by_name):
     given = {
@@ -135,7 +138,7 @@
     return {'fleets': {'pazlen': {}}, 'organisations': given}
 
 
-class RaceTests(testtools.TestCase):
+class RaceTests(SubmitTestCase):
     async def race(self, platform, ours):
         """Accept versions 1 to 3, of which ours knows only the first."""
         store = store_of(platform)
@@ -197,6 +200,30 @@
 
         run(main)
 
+    def test_revocation_is_not_lost_in_a_race(self):
+        async def main(platform):
+            store, _ = await self.race(platform, {})
+            revoked = bundles.OTHER_KEY.key_id
+            late = bundles.held_bundle(
+                2,
+                organisations(a={'priority': 1}),
+                keys=KeyList((), (revoked,)),
+            )
+            merged = await bundle_submit.submit_merged(store, late, bundles.KEY)
+            self.assertEqual((4, True), merged[:2])
+            held = (await store.accepted()).held
+            self.assertEqual({revoked}, held.signed.key_state.revoked)
+            self.assertEqual(
+                0, held.bundle.organisations_by_name['pazlen/a'].priority
+            )
+            forgetful = bundles.held_bundle(5, organisations(a={}))
+            error = await self.refused(
+                bundle_submit.submit(store, forgetful, await store.accepted())
+            )
+            self.assertEqual('keys_refused', error.code)
+
+        run(main)
+
     def test_eight_operators_at_once_lose_nothing(self):
         async def main(platform):
             await submit(platform, bundles.held_bundle(1, organisations()))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -347,6 +347,45 @@
         self.assertEqual('b2', shown['places']['pazlen/depot']['region'])
         self.assertIn('pazlen/varna', shown['places'])
 
+    def test_rotation_and_revocation_of_a_key(self):
+        sources = self.path('sources')
+        shutil.copytree(SOURCES, sources)
+        self.on_fleet(0, 'bundle', 'submit', self.sign(0))
+        new_key, told = self.path('new.key'), []
+        told.append(
+            self.expect(
+                0,
+                *('keys', 'rotate', new_key, '--key', self.key),
+                *('--sources', sources),
+            )
+        )
+        old_id = re.search('granted trust by ([0-9a-f]+)', told[0])[1]
+        rotated = self.sign(1, 'rotated', new_key, sources=sources)
+        told.append(self.on_fleet(0, 'bundle', 'submit', rotated))
+        revoke = ('keys', 'revoke', old_id, '--sources', sources)
+        told.append(self.expect(0, *revoke))
+        self.expect(2, 'keys', 'revoke', 'x', '--sources', sources)
+        revoked = self.sign(2, 'revoked', new_key, sources=sources)
+        told.append(self.on_fleet(0, 'bundle', 'submit', revoked))
+        told.append(self.on_fleet(0, 'keys', 'list', new_key))
+        self.assertIn(f'{old_id}  revoked, still in the settings', told[-1])
+        self.assertIn(f'granted by {old_id}', told[-1])
+        told.append(self.on_fleet(0, 'bundle', 'show'))
+        self.assertIn(old_id, json.loads(told[-1])['revoked_key_ids'])
+
+        by_old = ('--key', self.key, '--base', '3', '--out', self.path('x'))
+        self.expect(4, 'bundle', 'sign', sources, *by_old)
+        stolen = self.sign(3, 'stolen')
+        text = self.on_fleet(4, 'bundle', 'submit', stolen)
+        self.assertIn('revoked', text)
+        self.assertEqual(3, json.loads(told[-1])['version'])
+
+        signed = Path(revoked).read_bytes().decode('latin-1')
+        for key in (self.key, new_key):
+            secret = json.loads(Path(key).read_text())['private_key']
+            for text in (*told, signed, Path(sources, 'keys.json').read_text()):
+                self.assertNotIn(secret, text)
+
     def test_platform_down(self):
         signed = self.sign(0)
         self.world.do(self.world.platform.set_faults, down=True)
