--- a/eelgrassfork/bundle_types.py
+++ b/eelgrassfork/bundle_types.py
@@ -5,6 +5,8 @@
 Records of a compiled bundle of configuration.
 """
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Literal, NamedTuple
 
 __all__ = (
@@ -57,7 +59,8 @@
     :param name: qualified name.
     :param kind: ``model`` for engines, ``plain`` for other services.
     :param model: model name at the engines.
-    :param price_tokens: price of one plain call.
+    :param price_tokens: price of one plain call that may not be repeated;
+        others are free.
     :param idempotent_methods: methods that may be repeated.
     :param idempotent_paths: path prefixes that may be repeated with any
         method.
@@ -69,6 +72,10 @@
     :param max_tokens: largest and default completion.
     :param image_tokens: upper bound of prompt tokens of one image.
     :param checks_fencing: whether its servers refuse old fencing numbers.
+    :param version: version of the model that its engines run; empty leaves
+        it to them.
+    :param adapters: adapters that its engines have loaded besides the model.
+    :param role: role of its engines; empty leaves it to them.
     """
 
     name: str
@@ -85,6 +92,9 @@
     max_tokens: int = 4_096
     image_tokens: int = 1_536
     checks_fencing: bool = False
+    version: str = ''
+    adapters: tuple[str, ...] = ()
+    role: Literal['', 'both', 'prefill', 'decode'] = ''
 
 
 class Place(NamedTuple):
@@ -108,11 +118,25 @@
 
 
 class Bundle(NamedTuple):
-    """All configuration in force at one version; names are qualified."""
+    """
+    All configuration in force at one version; names are qualified.
+
+    Organisations and callers are decoded when they are looked up; two
+    look-ups may give equal records that are not the same object.
+
+    :param callers_by_key_hash: a key that organisations of two fleets have
+        stands as ``<fleet>/<hash>`` for each, see
+        :func:`~eelgrassfork.bundle_lookup.find_caller`.
+    :param service_aliases: name of a service by one it had before.
+    :param shared_keys: names of the organisations that have the same key,
+        by its hash.
+    """
 
     version: int
     fleets_by_name: dict[str, Fleet]
-    organisations_by_name: dict[str, Organisation]
+    organisations_by_name: Mapping[str, Organisation]
     services_by_name: dict[str, Service]
     places_by_name: dict[str, Place]
-    callers_by_key_hash: dict[str, Caller]
+    callers_by_key_hash: Mapping[str, Caller]
+    service_aliases: Mapping[str, str] = MappingProxyType({})
+    shared_keys: Mapping[str, tuple[str, ...]] = MappingProxyType({})
--- /dev/null
+++ b/eelgrassfork/chat_settlement.py
@@ -0,0 +1,232 @@
+"""
+eelgrassfork.chat_settlement
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Bills each chat request once, also those whose answer is not whole.
+"""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Literal
+
+import trio
+
+from .backends import Backends
+from .chat_meter import Usage, billable_tokens
+from .chat_metrics import count_tokens
+from .chat_records import ChatRecords
+from .chat_run import Accounts, ChatRun
+from .engine_client import EngineClient
+from .engine_types import EngineRecord
+from .metrics import Metrics
+
+__all__ = ('Ending', 'Settlement')
+
+Ending = Literal['interrupted', 'broken', 'overrun', 'gave_up']
+
+
+_Task = Callable[..., Awaitable[object]]
+
+
+class Settlement:
+    """
+    Settles the reservations of chat requests.
+
+    A whole answer is settled at once with the usage that it reports. For
+    others the engine is asked in the background. A request with an
+    idempotency key can still be fetched from its engine by a retry, so its
+    reservation stays open until the engine tells how it ended, or until
+    the engine is delisted and its record with it. A generation that an
+    earlier attempt with the key left at another engine is paid by that
+    attempt alone.
+
+    :param accounts: credit of this holder.
+    :param engines: client of the engines.
+    :param backends: which servers are still listed.
+    :param source: random source of jitter.
+    :param metrics: where billed tokens are counted.
+    """
+
+    def __init__(
+        self,
+        accounts: Accounts,
+        engines: EngineClient,
+        backends: Backends,
+        source: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self._accounts = accounts
+        self._metrics = metrics
+        self._records = ChatRecords(engines, backends, source)
+        self._scope = trio.CancelScope()
+        self._stopped = trio.Event()
+        self._nursery: trio.Nursery | None = None
+        self.open_bills = 0
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """
+        Run the background work.
+
+        :param nursery: where it runs.
+        """
+        await nursery.start(self._run)
+
+    async def close(self) -> None:
+        """Stop asking; open bills are settled with what is known."""
+        self._scope.cancel()
+        await self._stopped.wait()
+
+    def whole(self, run: ChatRun, usage: Usage) -> None:
+        """
+        Settle a request whose answer is whole, and cancel the others.
+
+        :param run: the request.
+        :param usage: what the engine reports.
+        """
+        run.whole = True
+        spent = _tokens(run, usage) if run.pays else 0
+        if run.request.key:
+            run.doubtful.extend(run.other_servers)
+        if spent and run.doubtful:
+            self._settle_later(run, self._settle_doubtful, spent)
+        else:
+            self._settle(run, spent)
+        for server in run.other_servers:
+            self._spawn(self._records.try_cancel, run, server)
+
+    def ended(self, run: ChatRun, ending: Ending) -> None:
+        """
+        Settle a request whose answer is not whole.
+
+        :param run: the request.
+        :param ending: why it is not.
+        """
+        if run.reservation is None or run.settled:
+            return
+        if not run.tried or not run.pays:
+            self._settle(run, 0)
+        elif run.request.key:
+            self._ended_keyed(run, ending in {'interrupted', 'broken'})
+        elif ending == 'gave_up':
+            self._settle(run, 0)
+            for server in run.tried:
+                self._spawn(self._records.try_cancel, run, server)
+        else:
+            self._settle_later(run, self._settle_unkeyed)
+
+    def _ended_keyed(self, run: ChatRun, lets_finish: bool) -> None:
+        run.doubtful.extend(run.other_servers)
+        for server in run.other_servers if lets_finish else run.tried:
+            self._spawn(self._records.try_cancel, run, server)
+        self._settle_later(run, self._settle_keyed, lets_finish)
+
+    async def _run(self, task_status: trio.TaskStatus[None]) -> None:
+        try:
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    self._nursery = nursery
+                    task_status.started()
+                    await trio.sleep_forever()
+        finally:
+            self._nursery = None
+            self._stopped.set()
+
+    def _settle_later(
+        self, run: ChatRun, task: _Task, *arguments: object
+    ) -> None:
+        if self._nursery is None:
+            self._settle(run, _relayed_tokens(run))
+            return
+        run.settled = True
+        self.open_bills += 1
+        self._nursery.start_soon(task, run, *arguments)
+
+    def _spawn(self, task: _Task, *arguments: object) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(task, *arguments)
+
+    async def _settle_unkeyed(self, run: ChatRun) -> None:
+        spent = _relayed_tokens(run)
+        try:
+            record = await self._records.try_cancel(run, run.billed_server)
+            if record is not None:
+                spent = _record_tokens(run, record)
+            for server in run.other_servers:
+                await self._records.try_cancel(run, server)
+        finally:
+            self._bill(run, spent)
+
+    async def _settle_keyed(self, run: ChatRun, lets_finish: bool) -> None:
+        spent = 0
+        try:
+            if not await self._is_paid_elsewhere(run):
+                spent = await self._keyed_tokens(run, lets_finish)
+        finally:
+            self._bill(run, spent)
+
+    async def _keyed_tokens(self, run: ChatRun, lets_finish: bool) -> int:
+        ask = (
+            self._records.find_own if lets_finish else self._records.cancel_own
+        )
+        billed = run.billed_server
+        record = await self._records.final(run, billed, ask)
+        tokens = 0
+        if record and (lets_finish or record.state == 'finished'):
+            tokens = _record_tokens(run, record)
+        for server in run.other_servers:
+            record = await self._records.final(
+                run, server, self._records.cancel_own
+            )
+            if record and record.state == 'finished':
+                tokens = max(tokens, _record_tokens(run, record))
+        return tokens
+
+    async def _settle_doubtful(self, run: ChatRun, spent: int) -> None:
+        try:
+            if await self._is_paid_elsewhere(run):
+                spent = 0
+        finally:
+            self._bill(run, spent)
+
+    async def _is_paid_elsewhere(self, run: ChatRun) -> bool:
+        for server in run.doubtful:
+            record = await self._records.final(
+                run, server, self._records.find_other
+            )
+            if record and record.state == 'finished':
+                return True
+        return False
+
+    def _settle(self, run: ChatRun, spent: int) -> None:
+        if not run.settled:
+            run.settled = True
+            self._settle_once(run, spent)
+
+    def _bill(self, run: ChatRun, spent: int) -> None:
+        self.open_bills -= 1
+        self._settle_once(run, spent)
+
+    def _settle_once(self, run: ChatRun, spent: int) -> None:
+        if run.reservation is None:
+            return
+        self._accounts.settle(run.reservation, spent)
+        if spent:
+            count_tokens(self._metrics, run, spent)
+
+
+def _tokens(run: ChatRun, usage: Usage) -> int:
+    reserved = run.reservation.amount if run.reservation else 0
+    return billable_tokens(usage, run.request.max_tokens, reserved)
+
+
+def _record_tokens(run: ChatRun, record: EngineRecord) -> int:
+    if record.payer != run.payer:
+        return 0
+    return _tokens(run, Usage(record.prompt_tokens, record.completion_tokens))
+
+
+def _relayed_tokens(run: ChatRun) -> int:
+    # A retry with the key pays in full for another run.
+    if run.request.key:
+        return 0
+    return _tokens(run, run.meter.usage or Usage(0, run.meter.tokens))
--- a/eelgrassfork/http_client.py
+++ b/eelgrassfork/http_client.py
@@ -12,6 +12,7 @@
 import trio
 
 from .errors import EelgrassError
+from .transport import TCP, Transport
 
 __all__ = (
     'ClientRequest',
@@ -41,7 +42,11 @@
 
 
 class ConnectFailed(HttpClientError):
-    """No connection could be opened; nothing was sent."""
+    """
+    No connection could be opened.
+
+    Nothing was sent, unless a pooled connection broke before.
+    """
 
 
 class ConnectionLost(HttpClientError):
@@ -77,7 +82,7 @@
 
 
 class _Connection:
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(self, stream: trio.abc.Stream) -> None:
         self.stream = stream
         self.protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
@@ -205,13 +210,18 @@
 
     :param timeouts: default bounds.
     :param max_idle: idle connections kept per address.
+    :param transport: how connections are opened.
     """
 
     def __init__(
-        self, timeouts: ClientTimeouts | None = None, max_idle: int = 8
+        self,
+        timeouts: ClientTimeouts | None = None,
+        max_idle: int = 8,
+        transport: Transport = TCP,
     ) -> None:
         self._timeouts = timeouts or ClientTimeouts()
         self._max_idle = max_idle
+        self._transport = transport
         self._idle_by_address: dict[str, list[_Connection]] = {}
         self._closed = False
 
@@ -227,7 +237,8 @@
         :param request: what to send.
         :param timeouts: bounds; the client's own where it is ``None``.
         :returns: the answer, to be closed by the caller.
-        :raises ConnectFailed: if no connection could be opened.
+        :raises ConnectFailed: if no connection could be opened; ``sent`` is
+            set if the request had left on a pooled connection.
         :raises ConnectionLost: if the connection broke.
         :raises ConnectionSilent: if the first byte came too late.
         """
@@ -238,7 +249,11 @@
                 return await self._exchange(connection, request, bounds)
             except ConnectionLost:
                 await trio.lowlevel.checkpoint()
-        fresh = await self._open(request.address, bounds.connect_s)
+        try:
+            fresh = await self._open(request.address, bounds.connect_s)
+        except ConnectFailed as error:
+            error.sent = connection is not None
+            raise
         return await self._exchange(fresh, request, bounds)
 
     async def fetch(
@@ -296,7 +311,7 @@
         host, _, port = address.rpartition(':')
         with trio.move_on_after(connect_s):
             try:
-                return _Connection(await trio.open_tcp_stream(host, int(port)))
+                return await self._connect(host, int(port))
             except OSError as error:
                 raise ConnectFailed(
                     'connect_failed', f'{address}: {error}', sent=False
@@ -307,6 +322,9 @@
             sent=False,
         )
 
+    async def _connect(self, host: str, port: int) -> _Connection:
+        return _Connection(await self._transport.connect(host, port))
+
     async def _exchange(
         self,
         connection: _Connection,
