--- a/bench/small_fleet.py
+++ b/bench/small_fleet.py
@@ -41,6 +41,8 @@
     :param in_flight: requests in progress for each backend server.
     :param plain_work_ms: time of one execution of the plain service.
     :param max_in_flight: requests of one organisation at one router.
+    :param model: name of the model service.
+    :param plain_service: name of the plain service.
     """
 
     places: int = 1
@@ -53,6 +55,8 @@
     in_flight: int = 64
     plain_work_ms: float = 1
     max_in_flight: int = 1_000
+    model: str = LLM
+    plain_service: str = STOCK
 
 
 def key_of(organisation: int) -> str:
@@ -167,7 +171,7 @@
     def _start_servers(self) -> None:
         size = self.size
         engine_options = (
-            *('--model', LLM),
+            *('--model', size.model),
             *('--pace', str(size.pace)),
             *('--slots', str(size.engine_slots)),
         )
@@ -234,7 +238,7 @@
         size = self.size
         model = {
             'kind': 'model',
-            'model': LLM,
+            'model': size.model,
             'in_flight_per_server': size.in_flight,
         }
         plain = {
@@ -249,11 +253,11 @@
                 f'place-{number}': {'region': 'r'}
                 for number in range(size.places)
             },
-            'services': {LLM: model, STOCK: plain},
+            'services': {size.model: model, size.plain_service: plain},
             'organisations': {
                 f'shop-{number}': {
                     'budgets_by_key_hash': {_sha256(key_of(number)): 'main'},
-                    'services': [LLM, STOCK],
+                    'services': [size.model, size.plain_service],
                     'max_in_flight': size.max_in_flight,
                 }
                 for number in range(size.organisations)
@@ -302,11 +306,12 @@
 
     def _server_record(self, number: int) -> dict[str, str]:
         is_engine = number < self.size.engines
+        service = self.size.model if is_engine else self.size.plain_service
         return {
             'vm': f'server-{number}',
             'role': 'backend',
             'fleet': FLEET,
-            'service': f'{FLEET}/{LLM if is_engine else STOCK}',
+            'service': f'{FLEET}/{service}',
             'failure_domain': f'{FLEET}/place-{number % self.size.places}',
             'region': 'r',
             'address': self.server_addresses[number],
