--- a/bench/exp_retries.py
+++ b/bench/exp_retries.py
@@ -30,6 +30,8 @@
     'failing': {'fail': True},
     'all failing': {'fail': True},
 }
+CHAT = '/v1/chat/completions'
+STOCK_PATH = '/thread-stock'
 KINDS = ('chat', 'look-up')
 POLICIES = ('ours', 'retries without budget or ejection')
 SERVERS = 5
@@ -68,7 +70,8 @@
 
     def _counting(self, number: int, arrive: Any) -> Any:
         def count(call: Any) -> None:
-            if call.path != '/v1/load' and call.path != '/v1/cache-events':
+            # Not polls, and not the cancellation of given-up attempts.
+            if call.path in {CHAT, STOCK_PATH}:
                 self.arrivals.append((trio.current_time(), number))
             arrive(call)
 
@@ -146,7 +149,7 @@
     address = world.routers[number % len(world.routers)].callers.address
     headers = world.key_headers(number % world.size.organisations)
     if kind == 'look-up':
-        target = f'/services/stock/thread-stock?sku={number}'
+        target = f'/services/stock{STOCK_PATH}?sku={number}'
         return ClientRequest(address, 'GET', target, headers)
     content = {
         'model': 'llm',
