--- a/eelgrassfork/borrowing.py
+++ b/eelgrassfork/borrowing.py
@@ -5,17 +5,14 @@
 Borrower's side of reservations on the accounts of peers.
 """
 
-import random
 from collections.abc import Callable
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
-import logbook
 import trio
 
 from .credit import Reservation
-from .credit_policy import backoff_s
-from .errors import EelgrassError
-from .lending import RESERVE_KIND, SETTLE_KIND, LendingSettings, PeerCalls
+from .lending import RESERVE_KIND, LendingSettings, PeerCalls
+from .loan_outbox import Loan, LoanOutbox
 from .membership import PeerRecord
 from .names import PayerTag, parse_payer
 from .peer_messages import Payload
@@ -24,21 +21,7 @@
 
 __all__ = ('LOANS_KIND', 'LoanClient')
 
-_log = logbook.Logger('lending')
-
 LOANS_KIND: Final = 'loans_of'
-_MOST_KEPT: Final = 4096
-_MOST_PER_CALL: Final = 500
-
-
-class _Loan(NamedTuple):
-    """``payer`` is ``None`` if the lender's answer was lost."""
-
-    vm: str
-    lender: str
-    reference: str
-    payer: PayerTag | None = None
-    spent: int = 0
 
 
 class LoanClient:
@@ -70,15 +53,9 @@
         self._is_dead = is_dead
         self._settings = settings
         self._count = 0
-        self._open_by_payer: dict[PayerTag, _Loan] = {}
-        self._unsent_by_reference: dict[str, _Loan] = {}
-        # Settlements that a dead lender never took; its reclaimer asks.
-        self._kept_by_payer: dict[PayerTag, int] = {}
+        self._open_by_payer: dict[PayerTag, Loan] = {}
         self._surveyed: set[str] = set()
-        self._sending_vms: set[str] = set()
-        self._nursery: trio.Nursery | None = None
-        self._scope = trio.CancelScope()
-        self._all_sent = trio.Event()
+        self._outbox = LoanOutbox(peers, is_dead, settings)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """
@@ -87,16 +64,11 @@
         :param nursery: where this runs.
         """
         self._peers.register(LOANS_KIND, self._serve_loans)
-        await nursery.start(self._run)
+        await self._outbox.start(nursery)
 
     async def close(self) -> None:
         """Wait until lenders know all settlements, or the caller cancels."""
-        try:
-            while self._unsent_by_reference:
-                self._all_sent = trio.Event()
-                await self._all_sent.wait()
-        finally:
-            self._scope.cancel()
+        await self._outbox.close()
 
     def is_first(self, budget: str) -> bool:
         """
@@ -132,7 +104,7 @@
         """
         loan = self._open_by_payer.pop(reservation.payer, None)
         if loan is not None:
-            self._send(loan._replace(spent=spent))
+            self._outbox.add(loan._replace(spent=spent))
 
     def loans_of(self, lender: str) -> Payload:
         """
@@ -142,18 +114,14 @@
         :returns: ``open`` payer tags, and tokens by payer tag ``settled``.
         """
         self._surveyed.add(lender)
-        settled = {
-            str(payer): spent
-            for payer, spent in self._kept_by_payer.items()
-            if payer.holder == lender
-        }
-        for loan in self._unsent_by_reference.values():
-            if loan.payer is not None and loan.lender == lender:
-                settled[str(loan.payer)] = loan.spent
+        settled = self._outbox.settled_with(lender)
         still_open = [
             str(tag) for tag in self._open_by_payer if tag.holder == lender
         ]
-        return {'open': still_open, 'settled': settled}
+        return {
+            'open': still_open,
+            'settled': {str(tag): spent for tag, spent in settled.items()},
+        }
 
     async def survey(self, lender: str, vms: list[str]) -> dict[PayerTag, int]:
         """
@@ -187,26 +155,15 @@
         """
         return {
             'open_loans': [str(payer) for payer in self._open_by_payer],
-            'unsent_settlements': len(self._unsent_by_reference),
-            'kept_settlements': len(self._kept_by_payer),
+            **self._outbox.dump(),
         }
 
-    async def _run(
-        self,
-        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        with self._scope:
-            async with trio.open_nursery() as nursery:
-                self._nursery = nursery
-                task_status.started()
-                await trio.sleep_forever()
-
     async def _ask(
         self, peer: PeerRecord, budget: str, amount: int
     ) -> Reservation | None:
         self._count += 1
         reference = f'{self._holder}/{self._count}'
-        unknown = _Loan(peer.vm, peer.holder, reference)
+        unknown = Loan(peer.vm, peer.holder, reference)
         payload = {'reference': reference, 'budget': budget, 'amount': amount}
         try:
             answer = await self._peers.call(peer.vm, RESERVE_KIND, payload)
@@ -214,15 +171,15 @@
             return None
         except PeerUnreachable as error:
             if error.sent:
-                self._send(unknown)
+                self._outbox.add(unknown)
             return None
         except trio.Cancelled:
-            self._send(unknown)
+            self._outbox.add(unknown)
             raise
         return self._take(unknown, parse_payer(answer['payer']), amount)
 
     def _take(
-        self, loan: _Loan, payer: PayerTag, amount: int
+        self, loan: Loan, payer: PayerTag, amount: int
     ) -> Reservation | None:
         if payer.holder in self._surveyed or self._is_dead(payer.holder):
             return None
@@ -231,69 +188,6 @@
         )
         return Reservation(payer, amount, loan.vm)
 
-    def _send(self, loan: _Loan) -> None:
-        if self._nursery is None:
-            raise RuntimeError('borrowing is not started')
-        self._unsent_by_reference[loan.reference] = loan
-        if loan.vm not in self._sending_vms:
-            self._sending_vms.add(loan.vm)
-            self._nursery.start_soon(self._send_until_known, loan.vm)
-
-    async def _send_until_known(self, vm: str) -> None:
-        attempt = 0
-        while self._unsent_to(vm):
-            if await self._try_send(vm, self._unsent_to(vm)):
-                attempt = 0
-                continue
-            attempt += 1
-            jitter = random.random()  # noqa: S311  Spreads out retries.
-            await trio.sleep(
-                backoff_s(
-                    attempt,
-                    self._settings.retry_s,
-                    self._settings.max_retry_s,
-                    jitter,
-                ),
-            )
-        self._sending_vms.discard(vm)
-        if not self._unsent_by_reference:
-            self._all_sent.set()
-
-    def _unsent_to(self, vm: str) -> list[_Loan]:
-        unsent = [
-            loan for loan in self._unsent_by_reference.values() if loan.vm == vm
-        ]
-        return unsent[:_MOST_PER_CALL]
-
-    async def _try_send(self, vm: str, loans: list[_Loan]) -> bool:
-        rows = [
-            (
-                loan.reference,
-                loan.payer.holder if loan.payer else '',
-                loan.spent,
-            )
-            for loan in loans
-        ]
-        try:
-            answer = await self._peers.call(vm, SETTLE_KIND, {'loans': rows})
-        except EelgrassError as error:
-            _log.debug('lending: {} is not told: {}', vm, error)
-            answer = {'refused': [loan.reference for loan in loans]}
-        refused = set(answer['refused'])
-        for loan in loans:
-            if loan.reference not in refused or self._keep_if_dead(loan):
-                self._unsent_by_reference.pop(loan.reference)
-        return not refused
-
-    def _keep_if_dead(self, loan: _Loan) -> bool:
-        if not self._is_dead(loan.lender):
-            return False
-        if loan.payer is not None:
-            self._kept_by_payer[loan.payer] = loan.spent
-        if len(self._kept_by_payer) > _MOST_KEPT:
-            self._kept_by_payer.pop(next(iter(self._kept_by_payer)))
-        return True
-
     async def _serve_loans(self, sender: str, payload: Payload) -> Payload:
         await trio.lowlevel.checkpoint()
         return self.loans_of(str(payload['lender']))
