Resolve old names of services and shared keys in requests

Aliases stood in the bundle, but requests looked services up by their newest name only, and servers that the VM list names by an old one got no work. Worse, engines listed under an old name would not have been asked for records of a dead holder, whose credit would have come back too early. Chat, plain calls and keys go through bundle_lookup now; the VM list is read with the names of the bundle in force, again when the aliases change. The hash of a plain call takes the name as the caller gave it, so an order repeated after a rename gets its first answer.

--- a/eelgrassfork/access.py
+++ b/eelgrassfork/access.py
@@ -8,6 +8,7 @@
 import hashlib
 from collections.abc import Mapping
 
+from .bundle_lookup import find_caller
 from .bundle_types import Bundle, Caller, Service
 from .claim_records import refusal
 from .errors import RequestError
@@ -26,19 +27,22 @@
     return key.strip() if scheme.lower() == 'bearer' else ''
 
 
-def authenticate(bundle: Bundle, headers_by_name: Mapping[str, str]) -> Caller:
+def authenticate(
+    bundle: Bundle, headers_by_name: Mapping[str, str], fleet: str
+) -> Caller:
     """
     Find who sent a request.
 
     :param bundle: configuration in force.
     :param headers_by_name: the request's headers by lower-case name.
+    :param fleet: the router's fleet.
     :returns: the caller.
     :raises RequestError: ``unknown_key``, naming the bundle version.
     """
     key = bearer_key(headers_by_name)
     # Only a hash is compared, so the time of the look-up tells nothing.
     digest = hashlib.sha256(key.encode('utf-8', 'surrogateescape')).hexdigest()
-    caller = bundle.callers_by_key_hash.get(digest) if key else None
+    caller = find_caller(bundle, digest, fleet) if key else None
     if caller is None:
         raise refusal(
             'unknown_key',
--- a/eelgrassfork/bundle_lookup.py
+++ b/eelgrassfork/bundle_lookup.py
@@ -7,8 +7,14 @@
 
 from .bundle_types import Bundle, Caller, Service
 from .names import BadName, qualify
+from .vm_list import VmList
 
-__all__ = ('current_name', 'find_caller', 'find_service')
+__all__ = (
+    'current_name',
+    'find_caller',
+    'find_service',
+    'with_current_names',
+)
 
 
 def current_name(bundle: Bundle, service: str) -> str:
@@ -22,6 +28,23 @@
     return bundle.service_aliases.get(service, service)
 
 
+def with_current_names(bundle: Bundle | None, vm_list: VmList) -> VmList:
+    """
+    Replace old names of services in a VM list.
+
+    :param bundle: configuration in force.
+    :param vm_list: as the platform knows it.
+    :returns: the list with the names of the bundle.
+    """
+    if bundle is None or not bundle.service_aliases:
+        return vm_list
+    vms = (
+        record._replace(service=current_name(bundle, record.service))
+        for record in vm_list.vms
+    )
+    return vm_list._replace(vms=tuple(vms))
+
+
 def find_service(bundle: Bundle, name: str, fleet: str) -> Service | None:
     """
     Find a service as a caller names it.
--- a/eelgrassfork/chat_request.py
+++ b/eelgrassfork/chat_request.py
@@ -12,11 +12,11 @@
 import msgspec
 import trio
 
+from .bundle_lookup import find_service
 from .bundle_types import Bundle, Caller, Service
 from .claim_records import refusal_outcome
 from .errors import RequestError
 from .http_server import Call
-from .names import BadName, qualify
 from .routing import prefix_hash
 
 __all__ = ('ChatRequest', 'model_name', 'parse_request')
@@ -146,19 +146,16 @@
 
 
 def _service(model: str, caller: Caller, bundle: Bundle) -> Service:
-    try:
-        name = str(qualify(model, caller.fleet))
-    except BadName:
-        name = ''
-    service = bundle.services_by_name.get(name)
+    service = find_service(bundle, model, caller.fleet)
     if service is None or service.kind != 'model':
         raise RequestError(
             'unknown_service',
             f'no model {model!r} in bundle version {bundle.version}',
         )
-    if name not in caller.organisation.services:
+    if service.name not in caller.organisation.services:
         raise RequestError(
-            'service_forbidden', f'the organisation may not call {name}'
+            'service_forbidden',
+            f'the organisation may not call {service.name}',
         )
     return service
 
--- a/eelgrassfork/front.py
+++ b/eelgrassfork/front.py
@@ -41,6 +41,7 @@
     """
     What the caller listener needs.
 
+    :param fleet: the router's fleet.
     :param bundle: query for the configuration in force.
     :param unready: why this router is not ready for new requests, or an
         empty string.
@@ -50,6 +51,7 @@
     :param issue_key: makes an idempotency key of an organisation.
     """
 
+    fleet: str
     bundle: Callable[[], Bundle | None]
     unready: Callable[[], str]
     is_draining: Callable[[], bool]
@@ -151,7 +153,7 @@
         route = self._find_route(call)
         progress.route = route.name if route else 'none'
         bundle = self._check_open(call)
-        progress.caller = authenticate(bundle, headers)
+        progress.caller = authenticate(bundle, headers, self._parts.fleet)
         if route is None:
             raise RequestError('unknown_service', 'there is no such path')
         if route.method not in {'', call.method}:
--- a/eelgrassfork/plain_request.py
+++ b/eelgrassfork/plain_request.py
@@ -15,11 +15,12 @@
 import trio
 
 from .access import check_permission
+from .bundle_lookup import find_service
 from .bundle_types import Bundle, Caller, Service
 from .claim_records import refusal, refusal_outcome
 from .errors import RequestError
 from .http_server import Call
-from .names import BadName, qualify
+from .names import qualify
 
 __all__ = (
     'PlainRequest',
@@ -90,6 +91,7 @@
 
 class _Place(NamedTuple):
     service: Service
+    named: str
     target: str
 
 
@@ -121,7 +123,7 @@
         request_id=call.request_id,
         may_repeat=may_repeat,
         key=_check_key(headers, may_repeat),
-        body_hash=_body_hash(service, call, place.target),
+        body_hash=_body_hash(place, call),
         first_attempt=refusal_outcome(headers) == 'not_run',
         deadline=_deadline(headers, service, may_repeat),
     )
@@ -162,7 +164,9 @@
         if service is not None:
             _check_path(path_there)
             check_permission(bundle, caller, service, name)
-            return _Place(service, f'{path_there or "/"}{question}{query}')
+            named = str(qualify(name, caller.fleet))
+            target = f'{path_there or "/"}{question}{query}'
+            return _Place(service, named, target)
     raise RequestError(
         'unknown_service',
         f'bundle version {bundle.version} has no plain service for {path!r}',
@@ -170,11 +174,7 @@
 
 
 def _plain_service(name: str, caller: Caller, bundle: Bundle) -> Service | None:
-    try:
-        qualified = str(qualify(name, caller.fleet))
-    except BadName:
-        return None
-    service = bundle.services_by_name.get(qualified)
+    service = find_service(bundle, name, caller.fleet)
     return service if service and service.kind == 'plain' else None
 
 
@@ -210,9 +210,11 @@
     return key
 
 
-def _body_hash(service: Service, call: Call, target: str) -> str:
+def _body_hash(place: _Place, call: Call) -> str:
+    # The name as the caller gave it: a call that is repeated after its
+    # service got another name is still the same call.
     hashed = hashlib.sha256()
-    for part in (service.name, call.method, target):
+    for part in (place.named, call.method, place.target):
         hashed.update(f'{part}\n'.encode('utf-8', 'surrogateescape'))
     hashed.update(call.body)
     return hashed.hexdigest()
--- a/eelgrassfork/record_sources.py
+++ b/eelgrassfork/record_sources.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from .bundle_lookup import current_name
 from .bundle_types import Bundle
 from .claims import Claims
 from .engine_client import EngineClient
@@ -46,7 +47,7 @@
         return [
             record.address
             for record in membership.backend_vms()
-            if record.service in models
+            if in_force and current_name(in_force, record.service) in models
         ]
 
     return addresses
--- a/eelgrassfork/rollout.py
+++ b/eelgrassfork/rollout.py
@@ -97,6 +97,7 @@
             settings.failure_domain,
             lambda: self.current,
         )
+        self._on_in_force: list[Callable[[], None]] = []
         self._changed = trio.Event()
         self._started = False
         self._catching_up = False
@@ -133,6 +134,14 @@
         """Nothing to release; the nursery owns the tasks."""
         await trio.lowlevel.checkpoint()
 
+    def on_in_force(self, command: Callable[[], None]) -> None:
+        """
+        Run a command each time a bundle comes into force.
+
+        :param command: takes the bundle from :attr:`current`.
+        """
+        self._on_in_force.append(command)
+
     def is_ready(self) -> bool:
         """
         Tell whether requests may be served.
@@ -260,6 +269,8 @@
         self.current = bundle
         self._in_force_at = trio.current_time()
         _log.info('rollout: bundle {} is in force', bundle.version)
+        for command in self._on_in_force:
+            command()
         self._signal_change()
 
     async def _watch_lateness(self) -> None:
--- a/eelgrassfork/router.py
+++ b/eelgrassfork/router.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Mapping
 from typing import Final, NamedTuple
 
 import logbook
@@ -13,6 +14,7 @@
 
 from .backends import Backends
 from .bundle_fetch import BundleSources
+from .bundle_lookup import with_current_names
 from .bundle_types import Bundle
 from .claims import Claims, ClaimsIdentity
 from .drain import Drain
@@ -146,7 +148,9 @@
             operator_handler(self._operator_parts()),
             transport=environment.transport,
         )
+        self._aliases: Mapping[str, str] = {}
         self.membership.vm_lists.on_newer(self._take_vm_list)
+        self.rollout.on_in_force(self._take_aliases)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """
@@ -247,10 +251,17 @@
         self.membership.heard(heartbeat, started_at)
         self.rollout.heard(heartbeat.bundle_version, heartbeat.vm)
 
+    def _take_aliases(self) -> None:
+        bundle = self._bundle()
+        if bundle is not None and bundle.service_aliases != self._aliases:
+            self._aliases = bundle.service_aliases
+            self._take_vm_list(self.membership.vm_lists.newest)
+
     def _take_vm_list(self, vm_list: VmList) -> None:
-        self.backends.update(vm_list.vms)
+        named = with_current_names(self._bundle(), vm_list)
+        self.backends.update(named.vms)
         self.requests.review_queue()
-        self.orders.take_vm_list(vm_list)
+        self.orders.take_vm_list(named)
         for record in vm_list.vms:
             if record.vm == self._settings.vm and record.state == 'leaving':
                 self.drain.begin('the VM is leaving')
--- a/eelgrassfork/router_requests.py
+++ b/eelgrassfork/router_requests.py
@@ -168,6 +168,7 @@
 
     def _front_parts(self, inputs: RequestInputs) -> FrontParts:
         return FrontParts(
+            fleet=inputs.failure_domain.partition('/')[0],
             bundle=inputs.bundle,
             unready=inputs.unready,
             is_draining=lambda: inputs.drain.is_begun,
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -52,6 +52,7 @@
         self.metrics = MetricRecorder()
         network = MemoryNetwork()
         parts = FrontParts(
+            fleet='pazlen',
             bundle=lambda: self.bundle,
             unready=lambda: self.unready,
             is_draining=lambda: self.draining,
--- a/tests/test_record_sources.py
+++ b/tests/test_record_sources.py
@@ -9,10 +9,16 @@
 import trio
 import trio.testing
 
+from eelgrassfork.bundle_types import Bundle, Service
 from eelgrassfork.engine_types import EngineError, EngineRecord
 from eelgrassfork.names import parse_payer
-from eelgrassfork.record_sources import claim_source, engine_source
+from eelgrassfork.record_sources import (
+    claim_source,
+    engine_addresses,
+    engine_source,
+)
 from eelgrassfork.spend_records import RecordsMissing, SpendRecord
+from eelgrassfork.vm_list import VmRecord
 
 PAYER = 'vm-a.1/pazlen/atelier/main/3'
 
@@ -78,3 +84,27 @@
         found = trio.run(claim_source(FakeClaims()), 'vm-a.1/')
         expected = SpendRecord('req-1', parse_payer(PAYER), 50)
         self.assertEqual([expected], found)
+
+    def test_engines_listed_under_an_old_name_are_asked(self):
+        service = Service('pazlen/new', 'model', 'm')
+        bundle = Bundle(
+            2,
+            {},
+            {},
+            {service.name: service},
+            {},
+            {},
+            service_aliases={'pazlen/old': 'pazlen/new'},
+        )
+
+        class Members:
+            def backend_vms(self):
+                return [
+                    VmRecord(
+                        name, 'backend', 'live', 'f', name, '', '', name, '', ''
+                    )
+                    for name in ('pazlen/old', 'pazlen/new', 'pazlen/other')
+                ]
+
+        addresses = engine_addresses(lambda: bundle, Members())
+        self.assertEqual(['pazlen/old', 'pazlen/new'], addresses())
