--- a/eelgrassfork/bundle.py
+++ b/eelgrassfork/bundle.py
@@ -2,27 +2,40 @@
 eelgrassfork.bundle
 ~~~~~~~~~~~~~~~~~~~
 
-Signed manifests and the parts they name, decoded and verified by msgspec.
+Parts of a bundle, verified and put together.
 """
 
 import hashlib
-from collections.abc import Iterable, Iterator, Mapping
-from types import MappingProxyType
-from typing import Any, Final, NamedTuple, TypedDict
+from collections.abc import Iterator, Mapping
+from typing import Any, Final, NamedTuple, TypedDict, cast
 
 import msgspec
 
+from .bundle_aliases import (
+    NO_ALIASES,
+    Aliases,
+    check_aliases,
+    read_aliases,
+    resolve,
+)
 from .bundle_types import (
     Bundle,
-    Caller,
     Fleet,
     Organisation,
     Place,
     Service,
 )
-from .errors import EelgrassError
+from .manifest import (
+    CURRENT_KEY,
+    BundleError,
+    Manifest,
+    SignedManifest,
+    open_manifest,
+    seal_manifest,
+)
 from .options import OptionsError, Problems, read_record
-from .signing import KeyPair, SigningError, verify
+from .organisation_leaves import Group, Leaf, new_group, new_leaf
+from .organisation_table import CallerTable, OrganisationTable
 
 __all__ = (
     'CURRENT_KEY',
@@ -42,8 +55,6 @@
     'seal_manifest',
 )
 
-CURRENT_KEY: Final = 'bundle/current'
-
 Record = Fleet | Organisation | Place | Service
 
 RecordType = type[Record]
@@ -55,30 +66,12 @@
     'services': Service,
 }
 
-
-class BundleError(EelgrassError):
-    """A manifest or a part is not what it has to be."""
-
-
-class Manifest(NamedTuple):
-    """
-    What a person signs.
-
-    :param version: higher than that of the bundle it replaces.
-    :param parts: SHA-256 of the parts in hexadecimal; a part of kind
-        ``index`` names further parts.
-    """
-
-    version: int
-    parts: tuple[str, ...]
-
-
-class SignedManifest(NamedTuple):
-    """A manifest whose signature was verified, and its encoded form."""
-
-    manifest: Manifest
-    envelope: bytes
-    key_id: str
+_PART_FAULTS: Final = (
+    msgspec.DecodeError,
+    OptionsError,
+    RecursionError,
+    ValueError,
+)
 
 
 class Part(NamedTuple):
@@ -88,24 +81,15 @@
     :param body: the bytes that are hashed.
     :param hashes: further parts, of an index.
     :param records: records of a part of another kind.
-    :param callers_by_key_hash: callers of the records.
+    :param leaf: organisations, which stay encoded.
+    :param aliases: of a part of kind ``aliases``.
     """
 
     body: bytes
     hashes: tuple[str, ...] = ()
     records: tuple[Record, ...] = ()
-    callers_by_key_hash: Mapping[str, Caller] = MappingProxyType({})
-
-
-class _ManifestBody(TypedDict):
-    version: int
-    parts: tuple[str, ...]
-
-
-class _Envelope(TypedDict):
-    manifest: bytes
-    key_id: str
-    signature: bytes
+    leaf: Leaf | None = None
+    aliases: Aliases = NO_ALIASES
 
 
 class _PartBody(TypedDict):
@@ -127,8 +111,10 @@
     """
     Encode a part.
 
-    :param kind: ``index`` or a key of :data:`RECORD_TYPES`.
-    :param content: hashes of an index, otherwise fields by name.
+    :param kind: ``index``, ``aliases`` or a key of :data:`RECORD_TYPES`.
+    :param content: hashes of an index, fields of
+        :class:`~eelgrassfork.bundle_aliases.Aliases`, otherwise fields by
+        name.
     :returns: the part's hash and body.
     """
     encoder = msgspec.msgpack.Encoder(order='sorted')
@@ -148,56 +134,12 @@
     if _hash(body) != part_hash:
         raise BundleError('bad_part', f'part {part_hash} has another hash')
     try:
-        decoded = msgspec.msgpack.decode(body, type=_PartBody)
-        return _read_content(body, decoded['kind'], decoded['content'])
-    except (msgspec.DecodeError, OptionsError, RecursionError) as error:
+        return _read_content(part_hash, body)
+    except _PART_FAULTS as error:
         message = f'part {part_hash}: {error}'
         raise BundleError('bad_part', message) from None
 
 
-def seal_manifest(manifest: Manifest, key: KeyPair) -> bytes:
-    """
-    Encode and sign a manifest.
-
-    :param manifest: what to sign.
-    :param key: the operator's key.
-    :returns: the envelope, as stored at the platform.
-    """
-    body = msgspec.msgpack.encode(manifest._asdict())
-    return msgspec.msgpack.encode(
-        {
-            'manifest': body,
-            'key_id': key.key_id,
-            'signature': key.sign(body),
-        },
-    )
-
-
-def open_manifest(
-    envelope: bytes, trusted_keys: Mapping[str, str]
-) -> SignedManifest:
-    """
-    Verify and decode a signed manifest.
-
-    :param envelope: as received from anyone.
-    :param trusted_keys: public keys in base64 by key identifier.
-    :returns: the manifest.
-    :raises BundleError: ``bad_manifest`` if it is malformed, not signed, or
-        not signed by a trusted key.
-    """
-    try:
-        signed = msgspec.msgpack.decode(envelope, type=_Envelope)
-        body = signed['manifest']
-        verify(trusted_keys, signed['key_id'], body, signed['signature'])
-        decoded = msgspec.msgpack.decode(body, type=_ManifestBody)
-    except (msgspec.DecodeError, SigningError) as error:
-        raise BundleError('bad_manifest', str(error)) from None
-    if decoded['version'] < 1:
-        raise BundleError('bad_manifest', 'the version is below 1')
-    manifest = Manifest(decoded['version'], decoded['parts'])
-    return SignedManifest(manifest, envelope, signed['key_id'])
-
-
 def needed_parts(
     manifest: Manifest, parts_by_hash: Mapping[str, Part]
 ) -> Iterator[str]:
@@ -229,38 +171,101 @@
     return [part for part in needed if part not in parts_by_hash]
 
 
-def assemble(manifest: Manifest, parts_by_hash: Mapping[str, Part]) -> Bundle:
+def assemble(
+    manifest: Manifest,
+    parts_by_hash: Mapping[str, Part],
+    previous: Bundle | None = None,
+) -> Bundle:
     """
     Put verified parts together.
 
     :param manifest: a verified manifest.
     :param parts_by_hash: all its parts, and maybe others.
+    :param previous: an older bundle of this process, whose index of keys is
+        used on as far as it is the same.
     :returns: the bundle.
     :raises BundleError: ``bad_bundle`` if records clash or are incomplete.
     """
-    bundle = Bundle(manifest.version, {}, {}, {}, {}, {})
+    aliases = _aliases(manifest, parts_by_hash)
+    organisations = _organisations(manifest, parts_by_hash, previous)
+    bundle = Bundle(
+        version=manifest.version,
+        fleets_by_name={},
+        organisations_by_name=organisations,
+        services_by_name={},
+        places_by_name={},
+        callers_by_key_hash=CallerTable(organisations),
+        service_aliases=aliases.services,
+        shared_keys=aliases.shared_keys,
+    )
     by_type: dict[RecordType, dict[str, Any]] = {
         Fleet: bundle.fleets_by_name,
-        Organisation: bundle.organisations_by_name,
         Place: bundle.places_by_name,
         Service: bundle.services_by_name,
     }
-    keys = 0
     for part_hash in needed_parts(manifest, parts_by_hash):
-        part = parts_by_hash[part_hash]
-        for record in part.records:
+        for record in parts_by_hash[part_hash].records:
             by_name = by_type[type(record)]
             if record.name in by_name:
                 raise BundleError('bad_bundle', f'{record.name} stands twice')
             by_name[record.name] = record
-        bundle.callers_by_key_hash.update(part.callers_by_key_hash)
-        keys += len(part.callers_by_key_hash)
-    if keys > len(bundle.callers_by_key_hash):
-        raise BundleError('bad_bundle', 'a key belongs to two organisations')
     _check_fleets(bundle)
+    _check_shared_keys(organisations, aliases)
+    problems = Problems()
+    check_aliases(aliases, bundle.services_by_name.keys(), problems)
+    if problems.found:
+        raise BundleError('bad_bundle', f'alias {problems.found[0]}')
     return bundle
 
 
+def _aliases(manifest: Manifest, parts_by_hash: Mapping[str, Part]) -> Aliases:
+    services: dict[str, str] = {}
+    shared_keys: dict[str, tuple[str, ...]] = {}
+    for part_hash in needed_parts(manifest, parts_by_hash):
+        aliases = parts_by_hash[part_hash].aliases
+        services.update(aliases.services)
+        shared_keys.update(aliases.shared_keys)
+    # One step leads to the newest name, also in bundles signed with chains.
+    newest = {old: resolve(services, old) for old in services}
+    return Aliases(newest, shared_keys)
+
+
+def _organisations(
+    manifest: Manifest,
+    parts_by_hash: Mapping[str, Part],
+    previous: Bundle | None,
+) -> OrganisationTable:
+    old = previous.organisations_by_name if previous else None
+    known = old if isinstance(old, OrganisationTable) else None
+    if len(set(manifest.parts)) < len(manifest.parts):
+        raise BundleError('bad_bundle', 'the manifest names a part twice')
+    groups_by_root = known.groups if known else {}
+    groups = {
+        root: groups_by_root.get(root) or _new_group(root, parts_by_hash)
+        for root in manifest.parts
+    }
+    table = OrganisationTable(groups, known)
+    name = table.repeated_name()
+    if name is not None:
+        raise BundleError('bad_bundle', f'{name} stands twice')
+    return table
+
+
+def _check_shared_keys(table: OrganisationTable, aliases: Aliases) -> None:
+    shared = aliases.shared_keys
+    for key_hash in table.repeated_keys | shared.keys():
+        owners = sorted(table.owners(key_hash))
+        if owners != sorted(shared.get(key_hash, ())):
+            named = ' and '.join(owners)
+            raise BundleError('bad_bundle', f'a key belongs to {named}')
+
+
+def _new_group(root: str, parts_by_hash: Mapping[str, Part]) -> Group:
+    hashes = (root, *parts_by_hash[root].hashes)
+    leaves = (parts_by_hash[part_hash].leaf for part_hash in hashes)
+    return new_group(tuple(leaf for leaf in leaves if leaf))
+
+
 def _check_fleets(bundle: Bundle) -> None:
     for name in bundle.organisations_by_name:
         if name.partition('/')[0] not in bundle.fleets_by_name:
@@ -268,27 +273,13 @@
             raise BundleError('bad_bundle', message)
 
 
-def _callers_of(records: Iterable[Record]) -> dict[str, Caller]:
-    callers = [
-        (key_hash, _caller(organisation, budget))
-        for organisation in records
-        if isinstance(organisation, Organisation)
-        for key_hash, budget in organisation.budgets_by_key_hash.items()
-    ]
-    by_key_hash = dict(callers)
-    if len(by_key_hash) < len(callers):
-        raise BundleError('bad_part', 'a key belongs to two organisations')
-    return by_key_hash
-
-
-def _caller(organisation: Organisation, budget: str) -> Caller:
-    fleet = organisation.name.partition('/')[0]
-    return Caller(fleet, organisation, f'{organisation.name}/{budget}')
-
-
-def _read_content(body: bytes, kind: str, content: Any) -> Part:
+def _read_content(part_hash: str, body: bytes) -> Part:
+    decoded = msgspec.msgpack.decode(body, type=_PartBody)
+    kind, content = decoded['kind'], decoded['content']
     if kind == 'index':
         return Part(body, msgspec.convert(content, tuple[str, ...]))
+    if kind == 'aliases':
+        return Part(body, aliases=_read_part_aliases(content))
     record_type = RECORD_TYPES.get(kind)
     if record_type is None:
         raise BundleError('bad_part', f'parts of kind {kind!r} are unknown')
@@ -299,8 +290,17 @@
         for name, fields in fields_by_name.items()
     ]
     problems.check()
-    records = tuple(record for record in read if record is not None)
-    return Part(body, (), records, _callers_of(records))
+    if record_type is Organisation:
+        leaf = new_leaf(part_hash, body, cast(list[Organisation], read))
+        return Part(body, leaf=leaf)
+    return Part(body, (), tuple(record for record in read if record))
+
+
+def _read_part_aliases(content: Any) -> Aliases:
+    problems = Problems()
+    aliases = read_aliases(content, None, problems)
+    problems.check()
+    return aliases
 
 
 def _hash(body: bytes) -> str:
--- a/eelgrassfork/cli.py
+++ b/eelgrassfork/cli.py
@@ -15,16 +15,10 @@
     bundle_check,
     bundle_show,
     bundle_sign,
-    bundle_status,
     bundle_submit,
 )
 from .cli_common import EXIT_CODES_TEXT, ExitCode, exit_code_of, explain
-from .cli_files import (
-    keys_list,
-    keys_make,
-    organisation_create,
-    settings_check,
-)
+from .cli_files import organisation_create, settings_check
 from .cli_fleet import (
     budget_show,
     budget_top_up,
@@ -32,6 +26,15 @@
     router_dump,
     router_list,
 )
+from .cli_keys import (
+    keys_grant,
+    keys_list,
+    keys_make,
+    keys_revoke,
+    keys_rotate,
+)
+from .cli_merge import bundle_merge
+from .cli_rollout import bundle_rollout, bundle_status
 from .errors import EelgrassError
 
 __all__ = ('COMMANDS', 'main')
@@ -40,12 +43,20 @@
     'settings': {'check': settings_check},
     'bundle': {
         'check': bundle_check,
+        'merge': bundle_merge,
         'sign': bundle_sign,
+        'rollout': bundle_rollout,
         'submit': bundle_submit,
         'show': bundle_show,
         'status': bundle_status,
     },
-    'keys': {'make': keys_make, 'list': keys_list},
+    'keys': {
+        'make': keys_make,
+        'list': keys_list,
+        'grant': keys_grant,
+        'rotate': keys_rotate,
+        'revoke': keys_revoke,
+    },
     'organisation': {'create': organisation_create},
     'budget': {'top-up': budget_top_up, 'show': budget_show},
     'router': {
--- a/eelgrassfork/cli_common.py
+++ b/eelgrassfork/cli_common.py
@@ -13,6 +13,7 @@
 import msgspec
 import trio
 
+from .bundle_store import BundleStore
 from .errors import EelgrassError
 from .http_client import ClientTimeouts, HttpClient, HttpClientError
 from .names import BadName
@@ -21,6 +22,7 @@
 from .platform_types import AnswerLost, PlatformError, PlatformRefused
 from .settings import RouterSettings, load_settings
 from .signing import SigningError
+from .vm_list import VmRecord
 
 __all__ = (
     'EXIT_CODES_TEXT',
@@ -63,13 +65,16 @@
 
 _EXIT_BY_CODE: Final = {
     'conflict': ExitCode.CONFLICT,
+    'merge_clash': ExitCode.CONFLICT,
     'name_taken': ExitCode.CONFLICT,
     'operation_id_reused': ExitCode.CONFLICT,
+    'out_differs': ExitCode.CONFLICT,
     'file': ExitCode.USAGE,
     'bad_amount': ExitCode.USAGE,
     'unknown_budget': ExitCode.USAGE,
     'unknown_router': ExitCode.USAGE,
     'router_unreachable': ExitCode.UNREACHABLE,
+    'routers_behind': ExitCode.UNREACHABLE,
 }
 
 # The first type that fits decides.
@@ -91,6 +96,7 @@
     :ivar settings: what names the platform and the trusted keys.
     :ivar http: connections, also to routers.
     :ivar platform: client of the platform.
+    :ivar bundles: bundles at the platform.
     """
 
     def __init__(self, settings: RouterSettings) -> None:
@@ -99,6 +105,17 @@
         self.platform = PlatformClient(
             self.http, settings.platform, _TIMEOUT_S, 'operator'
         )
+        self.bundles = BundleStore(self.platform, settings.trusted_keys)
+
+    async def read_vms(self) -> tuple[VmRecord, ...]:
+        """
+        Read the VM list.
+
+        :returns: all VMs.
+        :raises PlatformError: if the platform does not answer.
+        """
+        vm_list = await self.platform.vms()
+        return vm_list.vms
 
 
 def run_session(
--- a/eelgrassfork/credit_account.py
+++ b/eelgrassfork/credit_account.py
@@ -219,13 +219,14 @@
 
     def is_reported(self) -> bool:
         """
-        Tell whether the ledger has all settlements.
+        Tell whether the ledger has all settlements and returns.
 
         :returns: true also for an account that was never drawn on.
         """
         if self.entry is None:
-            return self.spent == 0
-        return self.settled == settled_of(self.entry)
+            return self.limit == 0
+        is_same = self.limit == self.entry['drawn']
+        return is_same and self.settled == settled_of(self.entry)
 
     def adopt(self, entry: HolderEntry | None) -> None:
         """
--- a/eelgrassfork/ledger_plan.py
+++ b/eelgrassfork/ledger_plan.py
@@ -94,7 +94,12 @@
         :param account: an account without open reservations.
         :param holder: the holder.
         """
-        self.shard = _checked(close_holder(self.shard, account.budget, holder))
+        reported = account.entry['spent'] if account.entry else 0
+        self.shard = _checked(
+            close_holder(
+                self.shard, account.budget, holder, account.spent - reported
+            ),
+        )
         self._closed.append(account)
 
     def finish(self, holder: str) -> None:
@@ -143,6 +148,7 @@
     :raises LedgerError: if the shard doesn't take the change.
     """
     plan = Plan(shard)
+    plan.is_forced = not context.is_resolved
     for account in accounts_by_budget.values():
         record = shard['budgets'].get(account.budget)
         if context.is_resolved and not _adopt(account, record, context):
@@ -184,7 +190,6 @@
     is_open = bool(account.amounts_by_number)
     if account.entry is None or record is None:
         account.closed = context.is_resolved and not is_open
-        plan.is_forced = plan.is_forced or not context.is_resolved
     elif is_open:
         account.limit -= account.free
         _put_if_changed(plan, account, account.limit, context)
--- a/eelgrassfork/ledger_writer.py
+++ b/eelgrassfork/ledger_writer.py
@@ -114,6 +114,8 @@
 
         :returns: true if there is nothing to write now.
         """
+        if self._unresolved is not None:
+            return False
         now = trio.current_time()
         return not any(
             self._has_work(account, now)
--- a/eelgrassfork/membership.py
+++ b/eelgrassfork/membership.py
@@ -46,7 +46,12 @@
 
 
 class PeerRecord(NamedTuple):
-    """A router that has answered or called."""
+    """
+    A router that has answered or called.
+
+    :param heard_s_ago: seconds since the exchange began that brought its
+        last heartbeat.
+    """
 
     vm: str
     holder: str
@@ -55,6 +60,7 @@
     state: str
     bundle_version: int
     suspect: bool
+    heard_s_ago: float = 0
 
 
 class _Heard(NamedTuple):
@@ -94,8 +100,10 @@
         self._heard_by_vm: dict[str, _Heard] = {}
         self.vm_lists = VmLists(platform)
         self.listed_at = 0
+        self._chosen_addresses: set[str] = set()
+        self._is_poller = True
         self.vm_lists.on_newer(self._deaths.learn)
-        self.vm_lists.on_newer(self._note_own)
+        self.vm_lists.on_newer(self._take_list)
 
     async def start(self, nursery: trio.Nursery, peering: _Peers) -> None:
         """
@@ -134,7 +142,7 @@
         :returns: records of VMs that are not delisted.
         """
         limit = self._settings.heartbeat_s * _SUSPECT_HEARTBEATS
-        oldest = trio.current_time() - limit
+        now = trio.current_time()
         return [
             PeerRecord(
                 vm=vm,
@@ -143,7 +151,8 @@
                 peer_address=heard.heartbeat.peer_address,
                 state=heard.heartbeat.state,
                 bundle_version=heard.heartbeat.bundle_version,
-                suspect=heard.at < oldest,
+                suspect=heard.at < now - limit,
+                heard_s_ago=round(now - heard.at, 1),
             )
             for vm, heard in self._heard_by_vm.items()
             if not self._deaths.is_delisted(vm)
@@ -184,8 +193,7 @@
 
         :returns: see :func:`is_poller`.
         """
-        own = self._own
-        return is_poller(own.vm, own.failure_domain, self.routers())
+        return self._is_poller
 
     def address_of(self, vm: str) -> str | None:
         """
@@ -213,17 +221,19 @@
             'peers': [peer._asdict() for peer in self.peers()],
         }
 
-    def _note_own(self, vm_list: VmList) -> None:
+    def _take_list(self, vm_list: VmList) -> None:
         if any(record.vm == self._own.vm for record in vm_list.vms):
             self.listed_at = vm_list.revision
+        # Once for each list: at 2,800 routers a choice takes milliseconds.
+        own = self._own
+        routers = self.routers()
+        chosen = choose_peers(own.vm, own.failure_domain, routers)
+        self._chosen_addresses = {record.peer_address for record in chosen}
+        self._is_poller = is_poller(own.vm, own.failure_domain, routers)
 
     def _peer_addresses(self) -> set[str]:
-        own = self._own
-        chosen = choose_peers(own.vm, own.failure_domain, self.routers())
-        addresses = {record.peer_address for record in chosen}
-        if not addresses:
-            addresses.update(self._settings.seeds)
-        return addresses - {own.peer_address, ''}
+        addresses = self._chosen_addresses or set(self._settings.seeds)
+        return addresses - {self._own.peer_address, ''}
 
     async def _beat_forever(self, nursery: trio.Nursery) -> None:
         while True:
--- a/eelgrassfork/router.py
+++ b/eelgrassfork/router.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Mapping
 from typing import Final, NamedTuple
 
 import logbook
@@ -13,6 +14,7 @@
 
 from .backends import Backends
 from .bundle_fetch import BundleSources
+from .bundle_lookup import with_current_names
 from .bundle_types import Bundle
 from .claims import Claims, ClaimsIdentity
 from .drain import Drain
@@ -29,11 +31,12 @@
 from .peer_messages import Heartbeat, RouterState
 from .peering import Peering, PeerSettings
 from .platform_client import PlatformClient
-from .record_sources import claim_source, engine_source
+from .record_sources import claim_source, engine_addresses, engine_source
 from .retries import EjectionPolicy
 from .rollout import Rollout
 from .router_credit import CreditInputs, RouterCredit
 from .router_metrics import MeteredParts, RouterMetrics
+from .router_operators import bundle_trial
 from .router_requests import RequestInputs, RouterRequests
 from .router_settings import (
     drain_settings,
@@ -41,6 +44,7 @@
     order_settings,
     rollout_settings,
     server_limits,
+    subset_policy,
 )
 from .settings import RouterSettings, public_settings
 from .transport import TCP, Transport
@@ -118,7 +122,10 @@
             self.membership.is_poller,
         )
         self.backends = Backends(
-            EjectionPolicy(), environment.source, environment.metrics
+            EjectionPolicy(),
+            environment.source,
+            environment.metrics,
+            subset_policy(settings),
         )
         self._engines = EngineClient(self._http)
         self._claims = Claims(
@@ -141,7 +148,9 @@
             operator_handler(self._operator_parts()),
             transport=environment.transport,
         )
+        self._aliases: Mapping[str, str] = {}
         self.membership.vm_lists.on_newer(self._take_vm_list)
+        self.rollout.on_in_force(self._take_aliases)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """
@@ -242,26 +251,21 @@
         self.membership.heard(heartbeat, started_at)
         self.rollout.heard(heartbeat.bundle_version, heartbeat.vm)
 
+    def _take_aliases(self) -> None:
+        bundle = self._bundle()
+        if bundle is not None and bundle.service_aliases != self._aliases:
+            self._aliases = bundle.service_aliases
+            self._take_vm_list(self.membership.vm_lists.newest)
+
     def _take_vm_list(self, vm_list: VmList) -> None:
-        self.backends.update(vm_list.vms)
+        named = with_current_names(self._bundle(), vm_list)
+        self.backends.update(named.vms)
         self.requests.review_queue()
-        self.orders.take_vm_list(vm_list)
+        self.orders.take_vm_list(named)
         for record in vm_list.vms:
             if record.vm == self._settings.vm and record.state == 'leaving':
                 self.drain.begin('the VM is leaving')
 
-    def _engine_addresses(self) -> list[str]:
-        bundle = self._bundle()
-        services = bundle.services_by_name if bundle else {}
-        models = {
-            name for name, each in services.items() if each.kind == 'model'
-        }
-        return [
-            record.address
-            for record in self.membership.backend_vms()
-            if record.service in models
-        ]
-
     def _credit_inputs(self) -> CreditInputs:
         settings = self._settings
         return CreditInputs(
@@ -273,7 +277,10 @@
             membership=self.membership,
             bundle=self._bundle,
             sources=(
-                engine_source(self._engines, self._engine_addresses),
+                engine_source(
+                    self._engines,
+                    engine_addresses(self._bundle, self.membership),
+                ),
                 claim_source(self._claims),
             ),
             on_fenced=lambda: self.drain.begin('its accounts were closed'),
@@ -333,6 +340,7 @@
                 **self.requests.dumps(),
             },
             drain=lambda: self.drain.begin('an operator asked for it'),
+            try_bundle=bundle_trial(self.rollout, self.membership),
         )
 
     def _metered_parts(self) -> MeteredParts:
--- a/tests/bundles.py
+++ b/tests/bundles.py
@@ -6,13 +6,26 @@
 """
 
 import hashlib
+import json
+import tempfile
+from pathlib import Path
 
 from nacl.signing import SigningKey
 
 from eelgrassfork import bundle
+from eelgrassfork.bundle_source import CompiledParts
+from eelgrassfork.signed_file import seal_bundle
 from eelgrassfork.signing import KeyPair
 
-__all__ = ('KEY', 'OTHER_KEY', 'TRUSTED', 'key_hash', 'signed_bundle')
+__all__ = (
+    'KEY',
+    'OTHER_KEY',
+    'TRUSTED',
+    'held_bundle',
+    'key_hash',
+    'signed_bundle',
+    'write_sources',
+)
 
 KEY = KeyPair(SigningKey(b'1' * 32))
 OTHER_KEY = KeyPair(SigningKey(b'2' * 32))
@@ -49,5 +62,44 @@
         add('services', {'pazlen/matcher': {'kind': 'model', 'model': 'm'}}),
         add('index', leaves),
     )
-    manifest = bundle.Manifest(version, roots)
+    manifest = bundle.Manifest(version, roots, max(version - 1, 0))
     return bundle.seal_manifest(manifest, key), bodies
+
+
+def held_bundle(version, kinds, aliases=None, key=KEY, **manifest):
+    """Sign records given by kind and name as fields."""
+    bodies = dict(bundle.new_part(kind, kinds[kind]) for kind in kinds)
+    if aliases is not None:
+        bodies.update([bundle.new_part('aliases', aliases)])
+    return seal_bundle(
+        bundle.Manifest(version, (), **{'base': version - 1, **manifest}),
+        CompiledParts(tuple(bodies), bodies),
+        key,
+    )
+
+
+def write_sources(content):
+    """
+    Write sources of a bundle to a new directory.
+
+    Organisations may list ``keys`` as callers send them.
+    """
+    directory = tempfile.mkdtemp()
+    for kind in ('fleets', 'places', 'services', 'organisations'):
+        by_name = {
+            name: _with_hashes(fields)
+            for name, fields in content.get(kind, {}).items()
+        }
+        text = json.dumps(by_name, indent=2)
+        Path(directory, f'{kind}.json').write_text(text, encoding='utf-8')
+    return directory
+
+
+def _with_hashes(fields):
+    given = dict(fields)
+    keys = given.pop('keys', None)
+    if keys is not None:
+        given['budgets_by_key_hash'] = {
+            key_hash(key): budget for key, budget in keys.items()
+        }
+    return given
