--- a/tests/fault_bundles.py
+++ b/tests/fault_bundles.py
@@ -12,22 +12,21 @@
 
 import trio
 
-from eelgrassfork import bundle
-from eelgrassfork.bundle_submit import read_accepted, submit
+from eelgrassfork.bundle_store import BundleStore
+from eelgrassfork.bundle_submit import submit
 from eelgrassfork.errors import EelgrassError
-from eelgrassfork.held_bundle import HeldBundle
 from eelgrassfork.http_client import (
     ClientRequest,
     ClientTimeouts,
     HttpClient,
     HttpClientError,
 )
+from tests.bundles import TRUSTED
 from tests.fault_scene import Scene
-from tests.fault_world import KEY, World, sealed_bundle
+from tests.fault_world import World, make_bundle
 
 __all__ = ('play_bundle', 'submit_next')
 
-TRUSTED = {KEY.key_id: KEY.public_key}
 LOOK_EVERY_S = 0.5
 SUBMIT_AFTER_S = 2
 # "Within seconds": a peer that can be reached follows in this time.
@@ -85,18 +84,11 @@
 
     :param scene: where it is played.
     """
-    envelope, bodies_by_hash = sealed_bundle(2)
-    signed = bundle.open_manifest(envelope, TRUSTED)
-    parts = {
-        part_hash: bundle.read_part(part_hash, body)
-        for part_hash, body in bodies_by_hash.items()
-    }
-    held = HeldBundle(signed, parts, bundle.assemble(signed.manifest, parts))
-    client = scene.world.client('operator')
+    held = make_bundle(2)
+    store = BundleStore(scene.world.client('operator'), TRUSTED)
     while True:
         try:
-            accepted = await read_accepted(client, TRUSTED)
-            await submit(client, held, accepted)
+            await submit(store, held, await store.accepted())
         except EelgrassError:
             # An operator repeats the command until it succeeds.
             await trio.sleep(1)
--- a/tests/fault_world.py
+++ b/tests/fault_world.py
@@ -10,21 +10,21 @@
 from typing import Any, NamedTuple
 
 import trio
-from nacl.signing import SigningKey
 
 from eelgrassfork import bundle
 from eelgrassfork.budget_admin import TopUp, apply_top_up
+from eelgrassfork.held_bundle import HeldBundle
 from eelgrassfork.http_client import ClientRequest, HttpClient, HttpClientError
 from eelgrassfork.load_reports import PollSettings
 from eelgrassfork.names import shard_of
 from eelgrassfork.platform_client import PlatformClient
 from eelgrassfork.router import Router, RouterEnvironment
 from eelgrassfork.settings import Endpoint, RouterSettings
-from eelgrassfork.signing import KeyPair
 from eelgrassfork.vm_list import VmRecord
 from standins.engine import EngineSettings, EngineStandin
 from standins.plain_service import PlainServiceStandin
 from standins.platform import PlatformStandin
+from tests.bundles import TRUSTED, held_bundle, key_hash
 from tests.fault_network import FaultNetwork
 from tests.fault_schedule import HOST, hold_tasks
 
@@ -37,7 +37,6 @@
 FIRST_BYTE_MS = 2000
 SILENCE_MS = 1000
 SHARDS = 2
-KEY = KeyPair(SigningKey(b'7' * 32))
 MODEL, DESK = 'pazlen/matcher', 'pazlen/shopdesk'
 # Each organisation has one key, named as itself, and one budget.
 ORGANISATIONS = ('subject', 'others')
@@ -90,20 +89,13 @@
     return f'adapter-{version}'
 
 
-def sealed_bundle(version: int) -> tuple[bytes, dict[str, bytes]]:
+def make_bundle(version: int) -> HeldBundle:
     """
     Sign a bundle; its engines load an adapter named after the version.
 
     :param version: version of the bundle.
-    :returns: the envelope, and the parts by hash.
+    :returns: the bundle, made from the version before.
     """
-    bodies_by_hash: dict[str, bytes] = {}
-
-    def add(kind, content):
-        part_hash, body = bundle.new_part(kind, content)
-        bodies_by_hash[part_hash] = body
-        return part_hash
-
     bounds = {'first_byte_ms': FIRST_BYTE_MS, 'silence_ms': SILENCE_MS}
     model = {
         'kind': 'model',
@@ -116,22 +108,17 @@
     desk = {'kind': 'plain', 'price_tokens': PRICE, **bounds}
     organisations = {
         f'{FLEET}/{name}': {
-            'budgets_by_key_hash': {
-                hashlib.sha256(name.encode()).hexdigest(): 'main',
-            },
+            'budgets_by_key_hash': {key_hash(name): 'main'},
             'services': [MODEL, DESK],
         }
         for name in ORGANISATIONS
     }
-    manifest = bundle.Manifest(
-        version,
-        (
-            add('fleets', {FLEET: {'ledger_shards': SHARDS}}),
-            add('services', {MODEL: model, DESK: desk}),
-            add('organisations', organisations),
-        ),
-    )
-    return bundle.seal_manifest(manifest, KEY), bodies_by_hash
+    kinds = {
+        'fleets': {FLEET: {'ledger_shards': SHARDS}},
+        'services': {MODEL: model, DESK: desk},
+        'organisations': organisations,
+    }
+    return held_bundle(version, kinds)
 
 
 class World:
@@ -385,11 +372,11 @@
         self.nursery.cancel_scope.cancel()
 
     def _put_first_bundle(self) -> None:
-        envelope, bodies_by_hash = sealed_bundle(1)
+        held = make_bundle(1)
         objects = self.platform.core.objects
-        for part_hash, body in bodies_by_hash.items():
-            objects.put(bundle.part_key(part_hash), body, None)
-        objects.put(bundle.CURRENT_KEY, envelope, None)
+        for part_hash, part in held.parts_by_hash.items():
+            objects.put(bundle.part_key(part_hash), part.body, None)
+        objects.put(bundle.CURRENT_KEY, held.signed.envelope, None)
 
     def _new_host(self, vm: str, domain: str, part: Any) -> Host:
         self._started += 1
@@ -450,7 +437,7 @@
             platform=self.platform.address,
             peer_key='peer-key-of-the-matrix',
             operator_key_hash=hashlib.sha256(b'operator').hexdigest(),
-            trusted_keys={KEY.key_id: KEY.public_key},
+            trusted_keys=TRUSTED,
             seed_peers=tuple(peers),
             heartbeat_ms=2_000,
             vm_list_ms=2_000,
