Draw again for a reservation that waits after a commit

A waiting reservation counts on the account's free credit and draws only what it lacks. A smaller reservation that came during the write took some of that credit; the writer then slept until the next report, and after a second the waiting request was refused with credit_unreachable although platform and budget were well. The platform also counted as failing then. The writer now goes on as long as a reservation waits.

Tests of credit and ledger pass.

--- a/eelgrassfork/ledger_writer.py
+++ b/eelgrassfork/ledger_writer.py
@@ -144,7 +144,14 @@
                 self._note_error(error)
                 await self._back_off(attempt)
             else:
-                return
+                # A smaller reservation may have taken, during the write, what
+                # one that waits was to get.
+                if not self._has_waiters():
+                    return
+
+    def _has_waiters(self) -> bool:
+        accounts = self.accounts_by_budget.values()
+        return any(account.waiters for account in accounts)
 
     def _note_error(self, error: PlatformError | LedgerError) -> None:
         if isinstance(error, Conflict):
