Store the new parts of a bundle beside its manifest

A router that heard of an accepted bundle fetched its parts with two more rounds of reads. If the platform failed in these milliseconds, no router had the bundle whole and nobody could pass it on, so it came into force only when the platform was back. bundle/current now holds the parts that the replaced bundle lacks beside the signed manifest, up to 64 KB; they are checked by their hashes like parts from anywhere. Peers are still offered the manifest alone.

tests: 700 passed. tests/test_manifest.py fails without the change.

--- a/eelgrassfork/bundle_fetch.py
+++ b/eelgrassfork/bundle_fetch.py
@@ -36,6 +36,7 @@
     'has_live_peer',
     'has_ready_peer',
     'offer_to_peers',
+    'parts_at_hand',
     'parts_from_anywhere',
     'parts_from_peer',
 )
@@ -188,6 +189,28 @@
     return fetch
 
 
+def parts_at_hand(
+    bodies_by_hash: Mapping[str, bytes], others: FetchParts
+) -> FetchParts:
+    """
+    Make a source of parts that came with a manifest.
+
+    :param bodies_by_hash: the parts, not verified.
+    :param others: source of further ones.
+    :returns: the source.
+    """
+
+    async def fetch(hashes: list[str]) -> Mapping[str, bytes]:
+        found = {
+            part_hash: bodies_by_hash[part_hash]
+            for part_hash in hashes
+            if part_hash in bodies_by_hash
+        }
+        return found or await others(hashes)
+
+    return fetch
+
+
 async def offer_to_peers(
     sources: BundleSources, failure_domain: str, held: HeldBundle, wait_s: float
 ) -> None:
--- a/eelgrassfork/bundle_holder.py
+++ b/eelgrassfork/bundle_holder.py
@@ -15,11 +15,13 @@
     BundleSources,
     ask_peer,
     ask_ready_peers,
+    parts_at_hand,
     parts_from_anywhere,
     parts_from_peer,
 )
 from .errors import EelgrassError
 from .held_bundle import FetchParts, FetchRequest, HeldBundle, gather
+from .manifest import split_parts
 from .names import vm_of_holder
 
 __all__ = ('BundleHolder',)
@@ -74,16 +76,18 @@
             return False
         return True
 
-    async def take_accepted(self, envelope: bytes) -> None:
+    async def take_accepted(self, stored: bytes) -> None:
         """
         Take a bundle that the platform has accepted.
 
-        :param envelope: signed manifest as stored there.
+        :param stored: signed manifest and maybe parts, as stored there.
         :raises EelgrassError: if it is refused or its parts can't be had.
         """
+        envelope, joined = split_parts(stored)
         signed = self.verify(envelope)
         version = signed.manifest.version
-        await self._take(signed, parts_from_anywhere(self._sources, version))
+        others = parts_from_anywhere(self._sources, version)
+        await self._take(signed, parts_at_hand(joined, others))
 
     async def take_from_peers(self) -> bool:
         """
--- a/eelgrassfork/bundle_store.py
+++ b/eelgrassfork/bundle_store.py
@@ -9,7 +9,9 @@
 from typing import NamedTuple, Protocol
 
 from .bundle import CURRENT_KEY, BundleError, open_manifest, part_key
+from .bundle_fetch import parts_at_hand
 from .held_bundle import HeldBundle, gather
+from .manifest import split_parts
 from .platform_types import AnswerLost, Conflict, StoredObject
 
 __all__ = (
@@ -68,7 +70,9 @@
         stored = await self.platform.get(CURRENT_KEY)
         if stored is None:
             return Accepted(None, None)
-        return Accepted(await self.open(stored.body, near), stored.version)
+        envelope, bodies = split_parts(stored.body)
+        held = await self.open(envelope, near, bodies)
+        return Accepted(held, stored.version)
 
     async def replaced(
         self, version: int, near: HeldBundle
@@ -91,18 +95,23 @@
             return None
 
     async def open(
-        self, envelope: bytes, near: HeldBundle | None
+        self,
+        envelope: bytes,
+        near: HeldBundle | None,
+        bodies_by_hash: Mapping[str, bytes] | None = None,
     ) -> HeldBundle:
         """
         Verify a manifest and read its parts.
 
         :param envelope: signed manifest.
         :param near: a bundle whose parts are at hand.
+        :param bodies_by_hash: further parts at hand, not verified.
         :returns: the bundle.
         :raises EelgrassError: if it can't be read or is refused.
         """
         signed = open_manifest(envelope, self.trusted_keys)
-        return await gather(signed, near, self._fetch)
+        fetch = parts_at_hand(bodies_by_hash or {}, self._fetch)
+        return await gather(signed, near, fetch)
 
     async def _fetch(self, hashes: list[str]) -> dict[str, bytes]:
         found = [await self.platform.get(part_key(each)) for each in hashes]
--- a/eelgrassfork/bundle_submit.py
+++ b/eelgrassfork/bundle_submit.py
@@ -35,6 +35,7 @@
 from .errors import EelgrassError
 from .held_bundle import HeldBundle
 from .key_list import join_key_lists
+from .manifest import join_parts, split_parts
 from .options import OptionsError
 from .platform_types import AnswerLost, Conflict
 from .signed_file import seal_bundle
@@ -120,10 +121,8 @@
     :param accepted: a bundle whose parts are there.
     :raises PlatformError: if the platform does not answer.
     """
-    known = accepted.held.parts_by_hash if accepted.held else {}
-    for part_hash in new.parts_by_hash.keys() - known.keys():
-        part = new.parts_by_hash[part_hash]
-        await put_once(store.platform, part_key(part_hash), part.body)
+    for part_hash, body in _new_bodies(new, accepted).items():
+        await put_once(store.platform, part_key(part_hash), body)
 
 
 async def submit_merged(
@@ -223,6 +222,15 @@
             raise SubmitRefused('shards_changed', message)
 
 
+def _new_bodies(new: HeldBundle, accepted: Accepted) -> dict[str, bytes]:
+    known = accepted.held.parts_by_hash if accepted.held else {}
+    return {
+        part_hash: part.body
+        for part_hash, part in new.parts_by_hash.items()
+        if part_hash not in known
+    }
+
+
 async def _was_accepted(store: BundleStore, signed: SignedManifest) -> bool:
     # Its answer was lost, and others have followed since.
     key = history_key(signed.manifest.version)
@@ -234,13 +242,14 @@
     store: BundleStore, new: HeldBundle, accepted: Accepted
 ) -> None:
     envelope = new.signed.envelope
+    stored = join_parts(envelope, _new_bodies(new, accepted))
     try:
-        await store.platform.put(CURRENT_KEY, envelope, accepted.object_version)
+        await store.platform.put(CURRENT_KEY, stored, accepted.object_version)
     except Conflict:
         now = await store.accepted(new)
         if now.held is None or now.held.signed.envelope != envelope:
             raise await explain_conflict(store, new, now) from None
     except AnswerLost:
-        stored = await store.platform.get(CURRENT_KEY)
-        if stored is None or stored.body != envelope:
+        found = await store.platform.get(CURRENT_KEY)
+        if found is None or split_parts(found.body)[0] != envelope:
             raise
--- a/eelgrassfork/manifest.py
+++ b/eelgrassfork/manifest.py
@@ -19,12 +19,17 @@
     'BundleError',
     'Manifest',
     'SignedManifest',
+    'join_parts',
     'open_manifest',
     'seal_manifest',
+    'split_parts',
 )
 
 CURRENT_KEY: Final = 'bundle/current'
 
+# A change of one organisation of the target takes about 15 KB.
+_MAX_JOINED_BYTES: Final = 65_536
+
 
 class BundleError(EelgrassError):
     """A manifest or a part is not what it has to be."""
@@ -78,6 +83,10 @@
     signature: bytes
 
 
+class _JoinedEnvelope(_Envelope):
+    parts: NotRequired[dict[str, bytes]]
+
+
 def seal_manifest(manifest: Manifest, key: KeyPair) -> bytes:
     """
     Encode and sign a manifest.
@@ -139,3 +148,39 @@
     if not 0 <= manifest.base < version:
         raise BundleError('bad_manifest', 'the base is not below the version')
     return SignedManifest(manifest, envelope, signed['key_id'], state)
+
+
+def join_parts(envelope: bytes, bodies_by_hash: Mapping[str, bytes]) -> bytes:
+    """
+    Put new parts beside a manifest, for the platform to hand out as one.
+
+    Whoever hears of the bundle then has it whole, even if the platform fails
+    at that moment. Parts are checked by their hashes, so they need not be
+    signed.
+
+    :param envelope: the signed manifest.
+    :param bodies_by_hash: its parts that routers lack.
+    :returns: what to store; the envelope alone if the parts are too many.
+    """
+    size = sum(len(body) for body in bodies_by_hash.values())
+    if not bodies_by_hash or size > _MAX_JOINED_BYTES:
+        return envelope
+    signed = msgspec.msgpack.decode(envelope, type=_Envelope)
+    return msgspec.msgpack.encode({**signed, 'parts': dict(bodies_by_hash)})
+
+
+def split_parts(stored: bytes) -> tuple[bytes, Mapping[str, bytes]]:
+    """
+    Undo :func:`join_parts`.
+
+    :param stored: as stored at the platform.
+    :returns: the signed manifest, and parts that came with it; they are not
+        verified.
+    """
+    try:
+        joined = msgspec.msgpack.decode(stored, type=_JoinedEnvelope)
+    except msgspec.DecodeError:
+        # Refused with its reason by open_manifest.
+        return stored, {}
+    bodies = joined.pop('parts', {})
+    return msgspec.msgpack.encode(joined), bodies
--- /dev/null
+++ b/tests/test_manifest.py
@@ -0,0 +1,81 @@
+"""
+tests.test_manifest
+~~~~~~~~~~~~~~~~~~~
+
+Guards against bundles that the platform's failure keeps from every router.
+"""
+
+import msgspec
+import testtools
+import trio
+
+from eelgrassfork import bundle_submit
+from eelgrassfork.bundle_store import BundleStore
+from eelgrassfork.manifest import join_parts, split_parts
+
+from . import bundles
+from .test_rollout import run_net
+
+
+class JoinedPartsTests(testtools.TestCase):
+    def test_what_is_joined_is_split_again(self):
+        envelope, bodies = bundles.signed_bundle(3)
+        stored = join_parts(envelope, bodies)
+        self.assertEqual((envelope, bodies), split_parts(stored))
+        self.assertEqual((envelope, {}), split_parts(envelope))
+        self.assertEqual(envelope, join_parts(envelope, {}))
+        for garbage in (b'', b'x', msgspec.msgpack.encode({'parts': 3})):
+            self.assertEqual((garbage, {}), split_parts(garbage))
+
+    def test_many_parts_stay_apart(self):
+        envelope, _ = bundles.signed_bundle(3)
+        for size, is_joined in ((65_536, True), (65_537, False)):
+            stored = join_parts(envelope, {'a': bytes(size)})
+            self.assertEqual(is_joined, stored != envelope)
+
+
+class FailingPlatformTests(testtools.TestCase):
+    async def accept(self, net, version, names):
+        store = BundleStore(net.platform, bundles.TRUSTED)
+        kinds = {
+            'fleets': {'pazlen': {}},
+            'organisations': {
+                f'pazlen/{name}': {'budgets_by_key_hash': {}, 'services': []}
+                for name in names
+            },
+        }
+        held = bundles.held_bundle(version, kinds)
+        await bundle_submit.submit(store, held, await store.accepted(held))
+
+    @run_net
+    async def test_bundle_accepted_just_before(self, net, nursery):
+        net.platform.set_faults(delay_s=0.005)
+        await self.accept(net, 1, ['a'])
+        for number in range(4):
+            await net.add(nursery, f'vm-{number}', watches=number < 2)
+        await trio.sleep(5)
+        await self.accept(net, 2, ['a', 'b'])
+        await trio.sleep(0.001)
+        net.platform.set_faults(down=True)
+        await trio.sleep(3)
+        self.assertEqual([2] * 4, net.versions())
+        # Peers were offered the manifest alone and asked for the parts.
+        held = net.routers['vm-3'].rollout._holder.held
+        self.assertEqual(
+            (held.signed.envelope, {}), split_parts(held.signed.envelope)
+        )
+
+    @run_net
+    async def test_altered_parts_are_refused(self, net, nursery):
+        await self.accept(net, 1, ['a'])
+        router = await net.add(nursery, 'vm-1', watches=True)
+        await trio.sleep(5)
+        envelope, bodies = bundles.signed_bundle(2, ('a', 'b'))
+        altered = {part_hash: b'other' for part_hash in bodies}
+        await net.put_current(join_parts(envelope, altered))
+        await trio.sleep(5)
+        self.assertEqual(1, router.rollout.version)
+        await net.put_parts(bodies)
+        await net.put_current(join_parts(envelope, {}))
+        await trio.sleep(5)
+        self.assertEqual(2, router.rollout.version)
