--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -41,6 +41,17 @@
 FALLBACK_POLL_S = 30
 OFFERS_A_CHANGE = 6
 POLLS_PER_S = 16
+SUBSET = 24
+# What a router does with each new VM list.
+TAKING_A_LIST = (
+    'decode_from_peer',
+    'learn_deaths',
+    'pick_routers',
+    'choose_peers',
+    'is_poller',
+    'update_backends',
+    'order_servers',
+)
 RECLAIM_SCAN_S = 10
 SCANNERS = 2
 CREDIT_WRITES_PER_S = 200
@@ -123,20 +134,12 @@
         for way in ('sent', 'received')
     )
     wire = 2 * rate * (size + HEADERS_AN_EXCHANGE) / 1000
-    choose = slopes.value('vms.choose_peers', vms=vms) / HEARTBEAT_S
-    poller = slopes.value('vms.is_poller', vms=vms)
-    poller += slopes.value('vms.pick_routers', vms=vms)
     duty = 'membership'
     yield _line(duty, 'heartbeats', beats, 'ms/s a node')
     yield _line(duty, 'heartbeats', wire, 'KB/s a node')
-    yield _line(duty, 'choosing peers', choose, 'ms/s a node')
-    yield _line(duty, 'choosing pollers', poller / POLL_S, 'ms/s a node')
     revisions = VM_CHANGES_A_DAY / DAY_S
     peer_bytes = slopes.value('vms.size_from_peer', vms=vms)
-    take = sum(
-        slopes.value(f'vms.{step}', vms=vms)
-        for step in ('decode_from_peer', 'learn_deaths', 'update_backends')
-    )
+    take = sum(slopes.value(f'vms.{step}', vms=vms) for step in TAKING_A_LIST)
     yield _line(duty, 'VM list revisions', 1 / revisions, 's between two')
     yield _line(duty, 'VM list', peer_bytes / 1000, 'KB')
     passed = 2 * peer_bytes * revisions / 1000
@@ -190,7 +193,7 @@
     wire = POLLS_PER_S * (size + HEADERS_AN_EXCHANGE) / 1000
     yield _line(duty, 'load reports', cpu, 'ms/s a node')
     yield _line(duty, 'load reports', wire, 'KB/s a node')
-    age = REPLICAS / POLLS_PER_S
+    age = MODELS * SUBSET / POLLS_PER_S
     yield _line(duty, 'age of a report when renewed', age, 's')
     polls = NODES * POLLS_PER_S / REPLICAS
     yield _line(duty, 'load reports', polls, 'calls/s an engine')
--- a/bench/slope_routing.py
+++ b/bench/slope_routing.py
@@ -18,9 +18,10 @@
 from eelgrassfork.limits import Admission, AdmissionRequest, LimitExceeded
 from eelgrassfork.retries import EjectionPolicy
 from eelgrassfork.routing import RoutePolicy, RouteSnapshot, choose
+from eelgrassfork.subsets import SubsetPolicy
 
 from .measure import cpu_ms, fit, row
-from .target import DOMAINS, make_vm_list
+from .target import DOMAINS, MODELS, NODES, REPLICAS, make_vm_list
 
 __all__ = ('measure',)
 
@@ -62,9 +63,12 @@
 
 
 def _backends(source: random.Random, servers: int) -> Backends:
-    backends = Backends(EjectionPolicy(), source)
-    # The service is one of four models.
-    vm_list = make_vm_list(source, 0, servers * 4)
+    # The service is one of four models; routers are as many as at the target.
+    routers = round(servers * MODELS * NODES / REPLICAS)
+    vm_list = make_vm_list(source, routers, servers * MODELS)
+    own = vm_list.vms[0]
+    policy = SubsetPolicy(own.vm, own.failure_domain)
+    backends = Backends(EjectionPolicy(), source, subset=policy)
     backends.update(vm_list.vms)
     for server in backends.servers(SERVICE):
         backends.reported(server.vm, source.randrange(16), source.randrange(3))
--- a/bench/slope_vms.py
+++ b/bench/slope_vms.py
@@ -18,6 +18,8 @@
 from eelgrassfork.peer_choice import choose_peers, is_poller
 from eelgrassfork.platform_types import parse_vms
 from eelgrassfork.retries import EjectionPolicy
+from eelgrassfork.server_subsets import ServerSubsets
+from eelgrassfork.subsets import SubsetPolicy
 from eelgrassfork.vm_list import VmList
 
 from .measure import cpu_ms, fit, row
@@ -64,6 +66,7 @@
     as_msgpack = msgspec.msgpack.encode({'vm_list': vm_list})
     known = [record for record in vm_list.vms if record.role == 'router']
     own = known[0]
+    policy = SubsetPolicy(own.vm, own.failure_domain)
     actions: dict[str, Callable[[], object]] = {
         'parse_platform': lambda: parse_vms(as_json),
         'encode_for_peer': lambda: msgspec.msgpack.encode({'vm_list': vm_list}),
@@ -75,6 +78,7 @@
         'pick_routers': lambda: [
             record for record in vm_list.vms if record.role == 'router'
         ],
+        'order_servers': lambda: _in_use(policy, vm_list),
     }
     figures = {
         (f'{name}', 'ms'): cpu_ms(action) for name, action in actions.items()
@@ -86,6 +90,12 @@
     return figures
 
 
+def _in_use(policy: SubsetPolicy, vm_list: VmList) -> object:
+    subsets = ServerSubsets(policy)
+    subsets.update(vm_list.vms)
+    return subsets.in_use('pazlen/model-0', lambda vm: True)
+
+
 def _decode(body: bytes) -> VmList:
     return msgspec.convert(msgspec.msgpack.decode(body)['vm_list'], VmList)
 
