End calls of peers when the exchange is cancelled before it begins

A call that waits for its exchange hung for good when the exchange's task was cancelled before it took the call, as when a router stops with an order under another router's key open: the order's shielded last report then kept the process from ending. Such calls now fail as not sent.

Tests of the peer exchange pass.

--- a/eelgrassfork/peering.py
+++ b/eelgrassfork/peering.py
@@ -224,18 +224,28 @@
             self._nursery.start_soon(self._flush, address, link)
 
     async def _flush(self, address: str, link: _Link) -> None:
-        async with link.limiter:
+        try:
+            async with link.limiter:
+                link.flushing = False
+                await self._send_waiting(address, link)
+        except BaseException:
             link.flushing = False
-            waiting = link.waiting
+            stopped = PeerUnreachable('peering was closed', sent=False)
+            _finish(link.waiting, stopped)
             link.waiting = []
-            try:
-                await self._exchange(address, waiting)
-            except PeerUnreachable as error:
-                _finish(waiting, error)
-            except BaseException:
-                stopped = PeerUnreachable('peering was closed', sent=True)
-                _finish(waiting, stopped)
-                raise
+            raise
+
+    async def _send_waiting(self, address: str, link: _Link) -> None:
+        waiting = link.waiting
+        link.waiting = []
+        try:
+            await self._exchange(address, waiting)
+        except PeerUnreachable as error:
+            _finish(waiting, error)
+        except BaseException:
+            stopped = PeerUnreachable('peering was closed', sent=True)
+            _finish(waiting, stopped)
+            raise
 
     async def _exchange(self, address: str, waiting: list[_Waiting]) -> None:
         started_at = trio.current_time()
