--- a/eelgrassfork/errors.py
+++ b/eelgrassfork/errors.py
@@ -35,6 +35,7 @@
     'budget_exhausted': CodeSpec(402),
     'service_forbidden': CodeSpec(403),
     'unknown_service': CodeSpec(404),
+    'unknown_route': CodeSpec(404),
     'request_timeout': CodeSpec(408),
     'request_in_progress': CodeSpec(409, retry_after_s=1),
     'outcome_unknown': CodeSpec(409),
--- /dev/null
+++ b/eelgrassfork/gateway/credit.py
@@ -0,0 +1,252 @@
+"""
+eelgrassfork.gateway.credit
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Credit that one router holds, and how much of it; no input or output.
+"""
+
+from collections.abc import Mapping
+from typing import Final, NamedTuple
+
+from .ledger import Ledger, Transfer, remaining
+
+__all__ = ('CreditPolicy', 'HeldCredit', 'plan_transfer')
+
+
+class CreditPolicy(NamedTuple):
+    """
+    How much credit a router holds.
+
+    :param hold_s: use of so many seconds, so that requests are served while
+        the store can't be reached.
+    :param first_part: part of an organisation's credit that all routers
+        hold together before their use is known.
+    :param most_part: most of the credit left that all routers draw together
+        in advance.
+    :param rate_half_life_s: age at which use counts half for its rate.
+    :param surplus: a multiple of the target above which credit is returned.
+    :param flush_part: part of an organisation's credit, over all routers,
+        that may be used before it is recorded as spent.
+    """
+
+    hold_s: float = 9
+    first_part: float = 0.2
+    most_part: float = 0.5
+    rate_half_life_s: float = 6
+    surplus: float = 3
+    flush_part: float = 0.03
+
+
+_LN_2: Final = 0.693
+
+
+class _Account:
+    def __init__(self) -> None:
+        self.free = 0
+        self.reserved = 0
+        self.unflushed = 0
+        self.rate: float = 0
+        self.largest = 0
+        self.rated_at: float = 0
+
+
+class HeldCredit:
+    """
+    Credit of this router by organisation, in tokens.
+
+    :param half_life_s: age at which use counts half for its rate.
+    """
+
+    def __init__(self, half_life_s: float) -> None:
+        self._half_life_s = half_life_s
+        self._accounts_by_organisation: dict[str, _Account] = {}
+
+    def free(self, organisation: str) -> int:
+        """
+        Read what is neither spent nor reserved.
+
+        :param organisation: whose credit.
+        :returns: tokens.
+        """
+        return self._account(organisation).free
+
+    def free_by_organisation(self) -> dict[str, int]:
+        """
+        Read all free credit.
+
+        :returns: tokens by organisation.
+        """
+        return {
+            name: account.free
+            for name, account in self._accounts_by_organisation.items()
+        }
+
+    def rate(self, organisation: str, now_s: float) -> float:
+        """
+        Estimate the use of an organisation at this router.
+
+        :param organisation: whose credit.
+        :param now_s: time on the clock of trio.
+        :returns: tokens a second.
+        """
+        account = self._account(organisation)
+        return account.rate * self._decay(account, now_s)
+
+    def largest(self, organisation: str) -> int:
+        """
+        Read the largest request seen.
+
+        :param organisation: whose credit.
+        :returns: tokens at most.
+        """
+        return self._account(organisation).largest
+
+    def unflushed(self, organisation: str) -> int:
+        """
+        Read the use that the ledger does not show yet.
+
+        :param organisation: whose credit.
+        :returns: tokens.
+        """
+        return self._account(organisation).unflushed
+
+    def note_demand(self, organisation: str, amount: int, now_s: float) -> None:
+        """
+        Count a request for the rate of use.
+
+        :param organisation: whose credit.
+        :param amount: tokens that it may use.
+        :param now_s: time on the clock of trio.
+        """
+        account = self._account(organisation)
+        account.rate *= self._decay(account, now_s)
+        account.rate += amount * _LN_2 / self._half_life_s
+        account.rated_at = now_s
+        account.largest = max(account.largest, amount)
+
+    def reserve(self, organisation: str, amount: int) -> bool:
+        """
+        Set credit aside for a request.
+
+        :param organisation: whose credit.
+        :param amount: tokens that it may use at most.
+        :returns: whether there was enough.
+        """
+        account = self._account(organisation)
+        if account.free < amount:
+            return False
+        account.free -= amount
+        account.reserved += amount
+        return True
+
+    def settle(self, organisation: str, reserved: int, spent: int) -> None:
+        """
+        End a reservation.
+
+        :param organisation: whose credit.
+        :param reserved: tokens set aside.
+        :param spent: tokens used, at most as many.
+        """
+        account = self._account(organisation)
+        account.reserved -= reserved
+        account.free += reserved - spent
+        account.unflushed += spent
+
+    def add(self, organisation: str, amount: int) -> None:
+        """
+        Take over credit that was drawn or lent.
+
+        :param organisation: whose credit.
+        :param amount: tokens.
+        """
+        self._account(organisation).free += amount
+
+    def remove(self, organisation: str, amount: int) -> int:
+        """
+        Hand over free credit.
+
+        :param organisation: whose credit.
+        :param amount: most tokens to hand over.
+        :returns: tokens that are no longer held here.
+        """
+        account = self._account(organisation)
+        handed = max(0, min(amount, account.free))
+        account.free -= handed
+        return handed
+
+    def note_flushed(self, spent_by_organisation: Mapping[str, int]) -> None:
+        """
+        Note use that the ledger shows now.
+
+        :param spent_by_organisation: tokens.
+        """
+        for name, spent in spent_by_organisation.items():
+            self._account(name).unflushed -= spent
+
+    def _account(self, organisation: str) -> _Account:
+        return self._accounts_by_organisation.setdefault(
+            organisation, _Account()
+        )
+
+    def _decay(self, account: _Account, now_s: float) -> float:
+        age_s = max(0, now_s - account.rated_at)
+        return float(0.5 ** (age_s / self._half_life_s))
+
+
+def plan_transfer(
+    held: HeldCredit,
+    ledger: Ledger,
+    prepaid_by_organisation: Mapping[str, int],
+    routers: int,
+    urgent_by_organisation: Mapping[str, int],
+    policy: CreditPolicy,
+    now_s: float,
+) -> Transfer:
+    """
+    Decide what a router draws, returns and records.
+
+    :param held: what it holds.
+    :param ledger: as last known.
+    :param prepaid_by_organisation: limits in tokens.
+    :param routers: number of routers that draw.
+    :param urgent_by_organisation: tokens that waiting requests need.
+    :param policy: how much to hold.
+    :param now_s: time on the clock of trio.
+    :returns: the transfer; empty if there is nothing to do.
+    """
+    drawn: dict[str, int] = {}
+    returned: dict[str, int] = {}
+    spent: dict[str, int] = {}
+    for name, prepaid in prepaid_by_organisation.items():
+        left = remaining(ledger, name, prepaid)
+        free = held.free(name)
+        target = _target(held, name, prepaid, routers, policy, now_s)
+        advance = min(target - free, int(left * policy.most_part / routers))
+        wanted = max(urgent_by_organisation.get(name, 0) - free, 0)
+        if wanted or (advance > 0 and free < target / 2):
+            drawn[name] = min(left, max(wanted, advance))
+        elif free > policy.surplus * target and left < prepaid / 4:
+            returned[name] = free - target
+        unflushed = held.unflushed(name)
+        if unflushed > prepaid * policy.flush_part / routers:
+            spent[name] = unflushed
+    return Transfer(
+        {name: amount for name, amount in drawn.items() if amount > 0},
+        returned,
+        spent,
+    )
+
+
+def _target(
+    held: HeldCredit,
+    organisation: str,
+    prepaid: int,
+    routers: int,
+    policy: CreditPolicy,
+    now_s: float,
+) -> int:
+    first = 0
+    if not held.largest(organisation):
+        first = int(prepaid * policy.first_part / routers)
+    by_rate = int(held.rate(organisation, now_s) * policy.hold_s)
+    return max(first, by_rate, held.largest(organisation))
--- /dev/null
+++ b/eelgrassfork/gateway/follower.py
@@ -0,0 +1,266 @@
+"""
+eelgrassfork.gateway.follower
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Follows the configuration and the backend servers in the store.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+from typing import Final, NamedTuple
+
+import logbook
+import trio
+
+from ..errors import EelgrassError
+from .configuration import ConfigurationHolder
+from .records import Configuration, ServerEntry
+from .server_records import ServerRecord, ServerRecords
+from .servers import ServerSet
+from .store import Change, HistoryGone, Listing, Store, StoreError
+
+__all__ = ('Beliefs', 'Decoders', 'StoreFollower')
+
+_log = logbook.Logger('follow')
+
+_RETRY_S: Final = 0.25
+# A watch that hears nothing may be dead.  With the watches of all routers
+# renewed in turn, one of them hears of a change within this time.
+_RENEWAL_S: Final = 0.3
+_SHORTEST_WATCH_S: Final = 2.4
+_LONGEST_WATCH_S: Final = 20.0
+
+
+class Decoders(NamedTuple):
+    """
+    How stored objects are understood.
+
+    :param configuration_kind: kind of the configuration.
+    :param configuration_name: name of the newest one.
+    :param servers_kind: kind of the entries of backend servers.
+    """
+
+    configuration_kind: str
+    configuration_name: str
+    servers_kind: str
+    configuration: Callable[[bytes], Configuration]
+    server: Callable[[str, bytes], ServerEntry | None]
+
+
+class Beliefs:
+    """
+    What a router believes, from the store and from peers alike.
+
+    :param decoders: how stored objects are understood.
+    :param on_change: told when something newer was taken over.
+    """
+
+    def __init__(
+        self, decoders: Decoders, on_change: Callable[[], None]
+    ) -> None:
+        self.configuration = ConfigurationHolder()
+        self.servers = ServerSet()
+        self.records = ServerRecords()
+        self._decoders = decoders
+        self._on_change = on_change
+
+    def take_configuration(self, content: bytes, source: str) -> None:
+        """
+        Put a configuration into force if it is newer.
+
+        :param content: JSON as it is stored.
+        :param source: who said so, for the log.
+        """
+        try:
+            configuration = self._decoders.configuration(content)
+        except EelgrassError as error:
+            _log.error(
+                'refused a configuration',
+                extra={'source': source, 'why': error.message},
+            )
+            return
+        if self.configuration.take(configuration, content):
+            _log.info(
+                'put a configuration into force',
+                extra={'version': configuration.version, 'source': source},
+            )
+            self._on_change()
+
+    def take_servers(
+        self, records: Iterable[ServerRecord], source: str
+    ) -> None:
+        """
+        Take over newer records of backend servers.
+
+        :param records: what was read.
+        :param source: who said so, for the log.
+        """
+        changed = False
+        for record in records:
+            if self.records.put(record):
+                changed = True
+                self._take_server(record, source)
+        if changed:
+            self._on_change()
+
+    def _take_server(self, record: ServerRecord, source: str) -> None:
+        if record.removed:
+            changed = self.servers.vanish(record.id)
+            entry = None
+        else:
+            entry = self._decoders.server(record.id, record.content)
+            changed = entry is not None and self.servers.take(entry)
+        if not changed and entry is not None:
+            return
+        _log.info(
+            'took over an entry',
+            extra={
+                'server': record.id,
+                'revision': record.revision,
+                'removed': record.removed,
+                'usable': entry is not None and not entry.leaving,
+                'source': source,
+            },
+        )
+
+
+class StoreFollower:
+    """
+    Keeps the beliefs in step with the store.
+
+    :param store: where to read.
+    :param beliefs: what to keep in step.
+    :param decoders: names of the kinds.
+    :param routers: number of live routers.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        beliefs: Beliefs,
+        decoders: Decoders,
+        routers: Callable[[], int],
+    ) -> None:
+        self._store = store
+        self._beliefs = beliefs
+        self._decoders = decoders
+        self._routers = routers
+        self._random = random.Random()
+        self._reachable: bool | None = None
+        self.heard_at: float = float('-inf')
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """
+        Follow in the background.
+
+        :param nursery: where the tasks run.
+        """
+        nursery.start_soon(
+            self._follow,
+            self._decoders.configuration_kind,
+            self._list_configuration,
+            self._change_configuration,
+        )
+        nursery.start_soon(
+            self._follow,
+            self._decoders.servers_kind,
+            self._list_servers,
+            self._change_servers,
+        )
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the last call of the store was answered."""
+        return bool(self._reachable)
+
+    async def _follow(
+        self,
+        kind: str,
+        on_listing: Callable[[Listing], None],
+        on_changes: Callable[[list[Change]], None],
+    ) -> None:
+        revision: int | None = None
+        while True:
+            try:
+                revision = await self._step(
+                    kind, revision, on_listing, on_changes
+                )
+            except HistoryGone:
+                _log.info('lists again, as history is gone', extra={'of': kind})
+                revision = None
+            except StoreError as error:
+                self._note(False, error.code)
+                await trio.sleep(_RETRY_S * (1 + self._random.random()))
+            else:
+                self._note(True, '')
+
+    async def _step(
+        self,
+        kind: str,
+        revision: int | None,
+        on_listing: Callable[[Listing], None],
+        on_changes: Callable[[list[Change]], None],
+    ) -> int:
+        if revision is None:
+            listing = await self._store.list_all(kind)
+            self._note(True, '')
+            on_listing(listing)
+            return listing.revision
+        changes, revision = await self._store.watch(
+            kind, revision, self._watch_s()
+        )
+        self._note(True, '')
+        on_changes(changes)
+        return revision
+
+    def _watch_s(self) -> float:
+        routers = max(1, self._routers())
+        longest_s = min(_LONGEST_WATCH_S, routers * _RENEWAL_S)
+        jitter = 1 - self._random.random() / 4
+        return max(_SHORTEST_WATCH_S, longest_s) * jitter
+
+    def _note(self, reachable: bool, why: str) -> None:
+        if reachable:
+            self.heard_at = trio.current_time()
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        self._beliefs.servers.note_store(reachable)
+        if reachable:
+            _log.info('reaches the store')
+        else:
+            _log.warning('lost the store', extra={'why': why})
+
+    def _list_configuration(self, listing: Listing) -> None:
+        for stored in listing.objects:
+            if stored.name == self._decoders.configuration_name:
+                self._beliefs.take_configuration(stored.content, 'store')
+
+    def _change_configuration(self, changes: list[Change]) -> None:
+        for change in changes:
+            named = change.stored.name == self._decoders.configuration_name
+            if named and not change.deleted:
+                self._beliefs.take_configuration(change.stored.content, 'store')
+
+    def _list_servers(self, listing: Listing) -> None:
+        records = [
+            ServerRecord(stored.name, stored.revision, False, stored.content)
+            for stored in listing.objects
+        ]
+        names = [record.id for record in records]
+        records.extend(self._beliefs.records.missing_in(names))
+        self._beliefs.take_servers(records, 'store')
+
+    def _change_servers(self, changes: list[Change]) -> None:
+        self._beliefs.take_servers(
+            [
+                ServerRecord(
+                    change.stored.name,
+                    change.stored.revision,
+                    change.deleted,
+                    b'' if change.deleted else change.stored.content,
+                )
+                for change in changes
+            ],
+            'store',
+        )
--- /dev/null
+++ b/eelgrassfork/gateway/gossip.py
@@ -0,0 +1,271 @@
+"""
+eelgrassfork.gateway.gossip
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Heartbeats between routers by UDP: who lives, and what is known how newly.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+import logbook
+import msgspec
+import trio
+
+__all__ = ('Gossip', 'Heartbeat', 'Known', 'Peer')
+
+_log = logbook.Logger('gossip')
+
+_INTERVAL_S: Final = 0.25
+# Up to so many peers each heartbeat goes to all of them.
+_FAN_OUT: Final = 12
+_SAMPLE: Final = 10
+_SILENT_S: Final = 2.0
+_FORGET_S: Final = 60.0
+_DATAGRAM_BYTES: Final = 8192
+
+
+class Known(NamedTuple):
+    """A router that a heartbeat mentions, and how long ago it was heard of."""
+
+    node: str
+    ip: str
+    incarnation: int
+    age_ms: int
+
+
+class Heartbeat(NamedTuple):
+    """
+    What a router says of itself.
+
+    :param incarnation: start of its process; a later one is newer.
+    :param draining: it is about to stop.
+    :param configuration_version: 0 if it knows none.
+    :param servers_digest: of its table of backend servers.
+    :param free_by_organisation: credit that it could lend, in tokens.
+    :param others: some of the routers that it knows.
+    """
+
+    node: str
+    ip: str
+    incarnation: int
+    failure_domain: str
+    draining: bool = False
+    configuration_version: int = 0
+    servers_digest: int = 0
+    free_by_organisation: dict[str, int] = {}
+    others: tuple[Known, ...] = ()
+
+
+class Peer:
+    """
+    Another router.
+
+    :ivar heartbeat: its last one; ``None`` if others only mentioned it.
+    :ivar heard_at: when it or somebody who had heard it spoke last.
+    """
+
+    def __init__(self, node: str, ip: str, incarnation: int) -> None:
+        self.node = node
+        self.ip = ip
+        self.incarnation = incarnation
+        self.heartbeat: Heartbeat | None = None
+        self.heard_at: float = 0
+        self.spoke_at: float = 0
+
+
+class Gossip:
+    """
+    Sends and takes heartbeats.
+
+    :param ip: address of this VM.
+    :param port: UDP port, the same on every VM.
+    :param describe: makes this router's heartbeat, without ``others``.
+    :param on_heartbeat: told of each one that comes.
+    """
+
+    def __init__(
+        self,
+        ip: str,
+        port: int,
+        describe: Callable[[], Heartbeat],
+        on_heartbeat: Callable[[Heartbeat], None],
+    ) -> None:
+        self._ip = ip
+        self._port = port
+        self._describe = describe
+        self._on_heartbeat = on_heartbeat
+        self._by_node: dict[str, Peer] = {}
+        self._seed_ips: tuple[str, ...] = ()
+        self._random = random.Random()
+        self._socket = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
+        self._decoder = msgspec.msgpack.Decoder(Heartbeat)
+        self._now = trio.Event()
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """
+        Bind the socket, and send and receive in the background.
+
+        :param nursery: where the tasks run.
+        """
+        await self._socket.bind((self._ip, self._port))
+        nursery.start_soon(self._receive)
+        nursery.start_soon(self._send)
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
+
+    def add_seeds(self, ips: tuple[str, ...]) -> None:
+        """
+        Name VMs that may run routers.
+
+        :param ips: IP addresses.
+        """
+        known = {*self._seed_ips, *ips} - {self._ip}
+        self._seed_ips = tuple(sorted(known))
+
+    def hasten(self) -> None:
+        """Send the next heartbeat now."""
+        self._now.set()
+
+    def live(self) -> list[Peer]:
+        """
+        List the routers heard of lately, without this one.
+
+        :returns: peers that do not drain.
+        """
+        oldest = trio.current_time() - _SILENT_S
+        return [
+            peer
+            for peer in self._by_node.values()
+            if peer.heard_at >= oldest
+            and not (peer.heartbeat and peer.heartbeat.draining)
+        ]
+
+    def spoken(self) -> list[Peer]:
+        """
+        List the routers that spoke to this one lately.
+
+        :returns: peers with a heartbeat of their own.
+        """
+        oldest = trio.current_time() - _SILENT_S
+        return [
+            peer
+            for peer in self._by_node.values()
+            if peer.heartbeat is not None and peer.spoke_at >= oldest
+        ]
+
+    def dump(self) -> list[dict[str, object]]:
+        """
+        Describe the peers for operators.
+
+        :returns: one record a peer.
+        """
+        now_s = trio.current_time()
+        return [
+            {
+                'node': peer.node,
+                'ip': peer.ip,
+                'incarnation': peer.incarnation,
+                'heard_s_ago': round(now_s - peer.heard_at, 1),
+            }
+            for peer in self._by_node.values()
+        ]
+
+    async def _send(self) -> None:
+        while True:
+            body = msgspec.msgpack.encode(self._heartbeat())
+            for ip in self._targets():
+                await self._send_to(ip, body)
+            with trio.move_on_after(_INTERVAL_S):
+                await self._now.wait()
+            self._now = trio.Event()
+
+    async def _send_to(self, ip: str, body: bytes) -> None:
+        try:
+            await self._socket.sendto(body, (ip, self._port))
+        except OSError as error:
+            _log.debug('no heartbeat left', extra={'ip': ip, 'why': str(error)})
+
+    def _heartbeat(self) -> Heartbeat:
+        now_s = trio.current_time()
+        peers = [
+            Known(
+                peer.node,
+                peer.ip,
+                peer.incarnation,
+                int((now_s - peer.heard_at) * 1000),
+            )
+            for peer in self._by_node.values()
+            if now_s - peer.heard_at < _SILENT_S
+        ]
+        sample = self._random.sample(peers, min(_SAMPLE, len(peers)))
+        return self._describe()._replace(others=tuple(sample))
+
+    def _targets(self) -> list[str]:
+        now_s = trio.current_time()
+        for node, peer in list(self._by_node.items()):
+            if now_s - peer.heard_at > _FORGET_S:
+                self._by_node.pop(node)
+        ips = {peer.ip for peer in self._by_node.values()} | {*self._seed_ips}
+        if len(ips) <= _FAN_OUT:
+            return sorted(ips)
+        return self._random.sample(sorted(ips), _FAN_OUT // 2)
+
+    async def _receive(self) -> None:
+        while True:
+            try:
+                body, _ = await self._socket.recvfrom(_DATAGRAM_BYTES)
+            except OSError as error:
+                _log.debug('no heartbeat came', extra={'why': str(error)})
+                await trio.sleep(_INTERVAL_S)
+                continue
+            self._take(body)
+
+    def _take(self, body: bytes) -> None:
+        try:
+            heartbeat = self._decoder.decode(body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            _log.warning('dropped a bad heartbeat', extra={'why': str(error)})
+            return
+        own = self._describe()
+        now_s = trio.current_time()
+        for known in heartbeat.others:
+            if known.node != own.node:
+                self._mention(known, now_s - known.age_ms / 1000)
+        if heartbeat.node == own.node:
+            return
+        peer = self._mention(
+            Known(
+                heartbeat.node, heartbeat.ip, heartbeat.incarnation, age_ms=0
+            ),
+            now_s,
+        )
+        if heartbeat.incarnation < peer.incarnation:
+            return
+        peer.heartbeat = heartbeat
+        peer.spoke_at = now_s
+        self._on_heartbeat(heartbeat)
+
+    def _mention(self, known: Known, heard_at: float) -> Peer:
+        peer = self._by_node.get(known.node)
+        if peer is None:
+            peer = Peer(known.node, known.ip, known.incarnation)
+            self._by_node[known.node] = peer
+            _log.info(
+                'found a router',
+                extra={
+                    'node': known.node,
+                    'ip': known.ip,
+                    'incarnation': known.incarnation,
+                },
+            )
+        if known.incarnation > peer.incarnation:
+            peer.ip = known.ip
+            peer.incarnation = known.incarnation
+            peer.heartbeat = None
+        if known.incarnation == peer.incarnation:
+            peer.heard_at = max(peer.heard_at, heard_at)
+        return peer
--- /dev/null
+++ b/eelgrassfork/gateway/node.py
@@ -0,0 +1,341 @@
+"""
+eelgrassfork.gateway.node
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Wires the parts of one router that forwards requests as they are.
+"""
+
+import time
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+import logbook
+import msgspec
+import trio
+
+from ..errors import RequestError
+from ..http_client import HttpClient
+from ..http_server import Call, HttpServer, ServerLimits
+from ..loop_watch import LoopWatch
+from .credit_keeper import CreditKeeper, CreditWorld
+from .follower import Beliefs, Decoders, StoreFollower
+from .forwarder import Forwarder, ForwarderParts, Translation
+from .gossip import Gossip, Heartbeat
+from .node_settings import NodeSettings
+from .peer_exchange import PeerExchange
+from .records import AnswerHead, CallerBounds, Headers
+from .registry import Registry
+from .repeat_budget import RepeatPolicy
+from .sending import Sender, SenderParts, Target
+from .store import Store
+from .telemetry import Telemetry
+
+__all__ = ('GatewayNode', 'NodeAdapter')
+
+_log = logbook.Logger('node')
+
+_TIDY_S: Final = 0.5
+# The balancer asks once a second and takes a VM out after two misses.
+_LAST_CALLERS_S: Final = 2.6
+# Answers that are not over this long before SIGKILL are cut off in order.
+_END_MARGIN_S: Final = 0.4
+_RETURN_CREDIT_S: Final = 0.6
+_POLL_S: Final = 0.05
+# Servers close idle connections without a notice that can be told from a
+# lost request.
+_SERVER_IDLE_S: Final = 2.0
+_SERVER_IDLE_CONNECTIONS: Final = 16
+_TEXT: Final = (('content-type', 'text/plain; charset=utf-8'),)
+_JSON: Final = (('content-type', 'application/json'),)
+
+
+class NodeAdapter(NamedTuple):
+    """
+    Everything that depends on the platform.
+
+    :param make_store: makes the client of the store.
+    :param decoders: how stored objects are understood.
+    :param translation: how requests look on the wire.
+    :param encode_target: writes what a server is told.
+    :param decode_answer: understands the head of a server's answer.
+    :param metrics_port: where metrics are read.
+    """
+
+    make_store: Callable[[HttpClient, Callable[[str], None]], Store]
+    decoders: Decoders
+    translation: Translation
+    encode_target: Callable[[Target], Headers]
+    decode_answer: Callable[[int, Headers], AnswerHead]
+    metrics_port: int
+
+
+class GatewayNode:
+    """
+    One router process.
+
+    :param settings: where it listens, and what it talks to.
+    :param adapter: everything that depends on the platform.
+    """
+
+    def __init__(self, settings: NodeSettings, adapter: NodeAdapter) -> None:
+        self._settings = settings
+        self._adapter = adapter
+        self._incarnation = time.time_ns() // 1_000_000
+        self.telemetry = Telemetry()
+        self._http = HttpClient()
+        self._servers_http = HttpClient(
+            max_idle=_SERVER_IDLE_CONNECTIONS, max_idle_s=_SERVER_IDLE_S
+        )
+        self._store = adapter.make_store(self._http, self._count_store_call)
+        self._beliefs = Beliefs(adapter.decoders, self._beliefs_changed)
+        self._gossip = Gossip(
+            settings.ip,
+            settings.first_internal_port,
+            self._heartbeat,
+            self._heard,
+        )
+        self._exchange = PeerExchange(
+            self._http,
+            self._gossip,
+            self._beliefs,
+            _port(settings.peer_address),
+        )
+        self._follower = StoreFollower(
+            self._store, self._beliefs, adapter.decoders, self._routers
+        )
+        self._registry = Registry(
+            self._store, self._gossip, settings, self._incarnation
+        )
+        self._credit = self._make_credit()
+        self._exchange.held = lambda: self._credit.held
+        self._forwarder = self._make_forwarder()
+        self._loop_watch = LoopWatch()
+        self._callers = HttpServer(self._forwarder.handle)
+        self._peers = HttpServer(self._exchange.serve)
+        self._ready = HttpServer(self._answer_ready)
+        self._metrics = HttpServer(self._answer_metrics)
+        self._draining = False
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """
+        Listen and work in the background.
+
+        :param nursery: where the tasks run.
+        :raises OSError: if an address can't be bound.
+        """
+        settings = self._settings
+        await _listen(self._peers, nursery, settings.peer_address)
+        await _listen(self._ready, nursery, settings.ready_address)
+        await _listen(self._callers, nursery, settings.caller_address)
+        await self._metrics.start(
+            nursery, settings.ip, self._adapter.metrics_port
+        )
+        self._gossip.add_seeds(
+            tuple(seed.rpartition(':')[0] for seed in settings.seeds)
+        )
+        await self._gossip.start(nursery)
+        await self._follower.start(nursery)
+        nursery.start_soon(self._exchange.run)
+        nursery.start_soon(self._registry.run)
+        nursery.start_soon(self._credit.run)
+        nursery.start_soon(self._tidy)
+        nursery.start_soon(self._loop_watch.run)
+        _log.info(
+            'started',
+            extra={
+                'node': settings.node,
+                'incarnation': self._incarnation,
+                'callers': settings.caller_address,
+            },
+        )
+
+    async def drain(self) -> None:
+        """Stop taking requests, finish those in progress, return credit."""
+        began_at = trio.current_time()
+        end_at = began_at + self._settings.bounds.grace_s - _END_MARGIN_S
+        self._draining = True
+        self._gossip.hasten()
+        _log.info(
+            'drains', extra={'in_progress': self._forwarder.in_progress}
+        )
+        await trio.sleep(_LAST_CALLERS_S)
+        self._forwarder.draining = True
+        self._callers.stop_accepting()
+        while self._forwarder.in_progress:
+            if trio.current_time() > end_at - _RETURN_CREDIT_S:
+                break
+            await trio.sleep(_POLL_S)
+        await self._credit.close(
+            max(0.05, min(_RETURN_CREDIT_S, end_at - trio.current_time()))
+        )
+        _log.info(
+            'stopped',
+            extra={
+                'cut_off': self._forwarder.in_progress,
+                'after_s': round(trio.current_time() - began_at, 2),
+            },
+        )
+
+    def reload(self, settings: NodeSettings, why: str) -> None:
+        """
+        Take over changed bounds.
+
+        :param settings: as they are now; addresses stay as at the start.
+        :param why: what caused it, for the log.
+        """
+        self._settings = settings
+        _log.info('took over settings', extra={'why': why})
+
+    async def close(self) -> None:
+        """Close listeners and connections."""
+        for server in (self._callers, self._peers, self._ready, self._metrics):
+            await server.close()
+        self._gossip.close()
+        await self._http.close()
+        await self._servers_http.close()
+
+    def dump(self) -> dict[str, object]:
+        """
+        Describe the state for operators.
+
+        :returns: what every part knows.
+        """
+        return {
+            'node': self._settings.node,
+            'incarnation': self._incarnation,
+            'draining': self._draining,
+            'in_progress': self._forwarder.in_progress,
+            'configuration_version': self._beliefs.configuration.version,
+            'store_reachable': self._follower.reachable,
+            'servers': self._beliefs.servers.dump(),
+            'peers': self._gossip.dump(),
+            'credit': self._credit.dump(),
+        }
+
+    def _make_credit(self) -> CreditKeeper:
+        world = CreditWorld(
+            self._prepaid,
+            self._routers,
+            self._exchange.borrow,
+            self._exchange.peers_free,
+        )
+        return CreditKeeper(
+            self._store, self._settings.node, self._incarnation, world
+        )
+
+    def _make_forwarder(self) -> Forwarder:
+        bounds = self._settings.bounds
+        sender = Sender(
+            SenderParts(
+                self._servers_http,
+                self._beliefs,
+                self.telemetry,
+                self._settings.failure_domain,
+                self._adapter.encode_target,
+                self._adapter.decode_answer,
+                RepeatPolicy(
+                    bounds.retry_ratio,
+                    bounds.retry_window_s,
+                    bounds.retry_slack,
+                ),
+                self._routers,
+            ),
+        )
+        return Forwarder(
+            ForwarderParts(
+                self._beliefs,
+                self._credit,
+                sender,
+                self.telemetry,
+                self._adapter.translation,
+            ),
+        )
+
+    def _prepaid(self) -> dict[str, int]:
+        configuration = self._beliefs.configuration.current
+        if configuration is None:
+            return {}
+        return {
+            name: organisation.prepaid_tokens
+            for name, organisation in (
+                configuration.organisations_by_name.items()
+            )
+            if organisation.prepaid_tokens is not None
+        }
+
+    def _routers(self) -> int:
+        return len(self._gossip.live()) + 1
+
+    def _heartbeat(self) -> Heartbeat:
+        return Heartbeat(
+            self._settings.node,
+            self._settings.ip,
+            self._incarnation,
+            self._settings.failure_domain,
+            self._draining,
+            self._beliefs.configuration.version,
+            self._beliefs.records.digest,
+            self._credit.held.free_by_organisation(),
+        )
+
+    def _heard(self, heartbeat: Heartbeat) -> None:
+        newer = (
+            heartbeat.configuration_version
+            > self._beliefs.configuration.version
+        )
+        if newer or heartbeat.servers_digest != self._beliefs.records.digest:
+            self._exchange.look()
+
+    def _beliefs_changed(self) -> None:
+        self._gossip.hasten()
+        configuration = self._beliefs.configuration.current
+        if configuration is not None:
+            self.telemetry.configuration_version.set(configuration.version)
+            self._callers.set_limits(_server_limits(configuration.bounds))
+
+    def _count_store_call(self, outcome: str) -> None:
+        self.telemetry.store_calls.labels(outcome).inc()
+
+    async def _tidy(self) -> None:
+        while True:
+            await trio.sleep(_TIDY_S)
+            self._beliefs.servers.forget_gone()
+
+    @property
+    def _is_ready(self) -> bool:
+        return bool(self._beliefs.configuration.version) and not self._draining
+
+    async def _answer_ready(self, call: Call) -> None:
+        if self._is_ready:
+            await call.respond(200, b'ready\n', _TEXT)
+        else:
+            await call.respond(503, b'not ready\n', _TEXT)
+
+    async def _answer_metrics(self, call: Call) -> None:
+        if call.path == '/metrics':
+            self.telemetry.connections_opened.set(self._servers_http.opened)
+            await call.respond(200, self.telemetry.text(), _TEXT)
+        elif call.path == '/state':
+            await call.respond(200, msgspec.json.encode(self.dump()), _JSON)
+        else:
+            raise RequestError('unknown_route', 'try /metrics or /state')
+
+
+async def _listen(
+    server: HttpServer, nursery: trio.Nursery, address: str
+) -> None:
+    host, _, port = address.rpartition(':')
+    await server.start(nursery, host, int(port))
+
+
+def _port(address: str) -> int:
+    return int(address.rpartition(':')[2])
+
+
+def _server_limits(bounds: CallerBounds) -> ServerLimits:
+    return ServerLimits(
+        max_header_bytes=bounds.max_header_bytes,
+        max_body_bytes=bounds.max_body_bytes,
+        header_timeout_s=bounds.header_timeout_s,
+        idle_timeout_s=bounds.idle_timeout_s,
+    )
--- /dev/null
+++ b/eelgrassfork/gateway/peer_exchange.py
@@ -0,0 +1,226 @@
+"""
+eelgrassfork.gateway.peer_exchange
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Newer beliefs and credit that routers ask of one another.
+"""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+import logbook
+import msgspec
+import trio
+
+from ..errors import EelgrassError, RequestError
+from ..http_client import ClientRequest, ClientTimeouts, HttpClient
+from ..http_server import Call
+from .credit import HeldCredit
+from .follower import Beliefs
+from .gossip import Gossip, Peer
+from .server_records import ServerRecord
+
+__all__ = ('CreditRequest', 'PeerExchange')
+
+_log = logbook.Logger('peers')
+
+_CONFIGURATION: Final = '/peer/v1/configuration'
+_SERVERS: Final = '/peer/v1/servers'
+_CREDIT: Final = '/peer/v1/credit'
+_TIMEOUTS: Final = ClientTimeouts(connect_s=0.3, first_byte_s=0.5, silence_s=1)
+# Most news also come by the router's own watch in this time.
+_WATCH_LEAD_S: Final = 0.06
+_OK: Final = 200
+_RETRY_S: Final = 0.2
+_MAX_LENDERS: Final = 6
+_BODY: Final = (('content-type', 'application/msgpack'),)
+
+
+class CreditRequest(NamedTuple):
+    """A request for credit, in tokens."""
+
+    organisation: str
+    amount: int
+
+
+class PeerExchange:
+    """
+    Pulls what peers know better, and serves what this router knows.
+
+    :param client: HTTP client.
+    :param gossip: who lives and what they know.
+    :param beliefs: what this router believes.
+    :param port: port of the routers' HTTP listeners.
+    :param held: credit of this router; set once it is known.
+    """
+
+    def __init__(
+        self, client: HttpClient, gossip: Gossip, beliefs: Beliefs, port: int
+    ) -> None:
+        self._client = client
+        self._gossip = gossip
+        self._beliefs = beliefs
+        self._port = port
+        self._news = trio.Event()
+        self.held: Callable[[], HeldCredit | None] = lambda: None
+
+    async def run(self) -> None:
+        """Pull newer beliefs for as long as the task runs."""
+        while True:
+            await self._news.wait()
+            await trio.sleep(_WATCH_LEAD_S)
+            self._news = trio.Event()
+            if not await self._catch_up():
+                await trio.sleep(_RETRY_S)
+
+    def look(self) -> None:
+        """Compare with the peers' heartbeats soon."""
+        self._news.set()
+
+    async def borrow(self, organisation: str, amount: int) -> int:
+        """
+        Ask peers for credit, the one with most of it first.
+
+        :param organisation: whose credit.
+        :param amount: tokens needed.
+        :returns: tokens that were lent, maybe too few.
+        """
+        lent = 0
+        for peer in self._lenders(organisation)[:_MAX_LENDERS]:
+            lent += await self._borrow_from(peer, organisation, amount - lent)
+            if lent >= amount:
+                break
+        return lent
+
+    def peers_free(self, organisation: str) -> int:
+        """
+        Sum up the credit that peers said they had.
+
+        :param organisation: whose credit.
+        :returns: tokens.
+        """
+        return sum(
+            _free(peer, organisation) for peer in self._gossip.spoken()
+        )
+
+    async def serve(self, call: Call) -> None:
+        """
+        Answer a peer.
+
+        :param call: its call.
+        :raises RequestError: ``unknown_service`` for another path.
+        """
+        answers_by_path: dict[str, Callable[[Call], bytes]] = {
+            _CONFIGURATION: self._configuration,
+            _SERVERS: self._servers,
+            _CREDIT: self._lend,
+        }
+        answer = answers_by_path.get(call.path)
+        if answer is None:
+            raise RequestError('unknown_service', 'no such path')
+        await call.respond(200, answer(call), _BODY)
+
+    def _configuration(self, call: Call) -> bytes:
+        return self._beliefs.configuration.content
+
+    def _servers(self, call: Call) -> bytes:
+        return msgspec.msgpack.encode(self._beliefs.records.export())
+
+    def _lend(self, call: Call) -> bytes:
+        try:
+            wanted = msgspec.msgpack.decode(call.body, type=CreditRequest)
+        except msgspec.DecodeError as error:
+            raise RequestError('invalid_request', str(error)) from None
+        held = self.held()
+        lent = 0
+        if held is not None:
+            lent = held.remove(wanted.organisation, wanted.amount)
+        _log.info(
+            'lent credit',
+            extra={
+                'organisation': wanted.organisation,
+                'wanted': wanted.amount,
+                'lent': lent,
+            },
+        )
+        return msgspec.msgpack.encode(lent)
+
+    async def _borrow_from(
+        self, peer: Peer, organisation: str, amount: int
+    ) -> int:
+        body = msgspec.msgpack.encode(CreditRequest(organisation, amount))
+        request = ClientRequest(
+            f'{peer.ip}:{self._port}', 'POST', _CREDIT, _BODY, body, once=True
+        )
+        try:
+            _, answer = await self._client.fetch(request, _TIMEOUTS)
+            return msgspec.msgpack.decode(answer, type=int)
+        except (EelgrassError, msgspec.DecodeError) as error:
+            # What the peer may have lent is lost until it is counted as used.
+            _log.warning(
+                'could not borrow credit',
+                extra={'peer': peer.node, 'why': str(error)},
+            )
+            return 0
+
+    def _lenders(self, organisation: str) -> list[Peer]:
+        peers = [
+            peer
+            for peer in self._gossip.spoken()
+            if _free(peer, organisation) > 0
+        ]
+        peers.sort(key=lambda peer: _free(peer, organisation), reverse=True)
+        return peers
+
+    async def _catch_up(self) -> bool:
+        done = True
+        newest = max(
+            self._gossip.spoken(),
+            key=_configuration_version,
+            default=None,
+        )
+        known = self._beliefs.configuration.version
+        if newest is not None and _configuration_version(newest) > known:
+            done = await self._pull(newest, _CONFIGURATION)
+        digest = self._beliefs.records.digest
+        for peer in self._gossip.spoken():
+            if peer.heartbeat and peer.heartbeat.servers_digest != digest:
+                done = await self._pull(peer, _SERVERS) and done
+                break
+        return done
+
+    async def _pull(self, peer: Peer, path: str) -> bool:
+        request = ClientRequest(f'{peer.ip}:{self._port}', 'GET', path)
+        try:
+            answer, body = await self._client.fetch(request, _TIMEOUTS)
+            if answer.status != _OK:
+                raise EelgrassError('refused', f'HTTP {answer.status}')
+        except EelgrassError as error:
+            _log.warning(
+                'could not catch up with a peer',
+                extra={'peer': peer.node, 'path': path, 'why': error.code},
+            )
+            return False
+        if path == _CONFIGURATION:
+            self._beliefs.take_configuration(body, peer.node)
+            return True
+        try:
+            records = msgspec.msgpack.decode(body, type=list[ServerRecord])
+        except msgspec.DecodeError as error:
+            _log.warning(
+                'a peer sent bad records',
+                extra={'peer': peer.node, 'why': str(error)},
+            )
+            return False
+        self._beliefs.take_servers(records, peer.node)
+        return True
+
+
+def _free(peer: Peer, organisation: str) -> int:
+    if peer.heartbeat is None:
+        return 0
+    return peer.heartbeat.free_by_organisation.get(organisation, 0)
+
+
+def _configuration_version(peer: Peer) -> int:
+    return peer.heartbeat.configuration_version if peer.heartbeat else 0
--- /dev/null
+++ b/eelgrassfork/gateway/telemetry.py
@@ -0,0 +1,112 @@
+"""
+eelgrassfork.gateway.telemetry
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Counters and latency histograms of the gateway, as text on request.
+"""
+
+from typing import Final
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+__all__ = ('Telemetry',)
+
+_PREFIX: Final = 'eelgrassfork'
+# From a fast answer of a plain service to the longest time-out of a route.
+_BUCKETS_S: Final = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.5,
+    0.75,
+    1,
+    2,
+    4,
+    8,
+    16,
+)
+
+
+class Telemetry:
+    """
+    Everything that the gateway counts.
+
+    :ivar ended: ended requests by route kind and outcome.
+    :ivar sends: requests sent to servers by service and outcome.
+    :ivar first_byte_s: time to the first byte for the caller, in seconds.
+    :ivar whole_s: time to the end of the answer, in seconds.
+    """
+
+    def __init__(self) -> None:
+        registry = CollectorRegistry()
+        self._registry = registry
+        self.ended = Counter(
+            'requests_ended',
+            'Requests by kind of route and outcome.',
+            ('kind', 'outcome'),
+            _PREFIX,
+            registry=registry,
+        )
+        self.sends = Counter(
+            'sends',
+            'Requests sent to backend servers by service and outcome.',
+            ('service', 'outcome'),
+            _PREFIX,
+            registry=registry,
+        )
+        self.store_calls = Counter(
+            'store_calls',
+            'Calls of the store by outcome.',
+            ('outcome',),
+            _PREFIX,
+            registry=registry,
+        )
+        self.first_byte_s = Histogram(
+            'first_byte_seconds',
+            'Time from the request to the first byte of its answer.',
+            ('kind',),
+            _PREFIX,
+            registry=registry,
+            buckets=_BUCKETS_S,
+        )
+        self.whole_s = Histogram(
+            'whole_answer_seconds',
+            'Time from the request to the end of its answer.',
+            ('kind',),
+            _PREFIX,
+            registry=registry,
+            buckets=_BUCKETS_S,
+        )
+        self.configuration_version = Gauge(
+            'configuration_version',
+            'Version of the configuration in force.',
+            (),
+            _PREFIX,
+            registry=registry,
+        )
+        self.connections_opened = Gauge(
+            'server_connections_opened',
+            'Connections opened to backend servers.',
+            (),
+            _PREFIX,
+            registry=registry,
+        )
+        self.log_lines_dropped = Gauge(
+            'log_lines_dropped',
+            'Log lines dropped to bound their rate.',
+            (),
+            _PREFIX,
+            registry=registry,
+        )
+
+    def text(self) -> bytes:
+        """
+        Write all metrics.
+
+        :returns: the text exposition format of Prometheus.
+        """
+        return generate_latest(self._registry)
--- a/eelgrassfork/http_client.py
+++ b/eelgrassfork/http_client.py
@@ -5,6 +5,7 @@
 HTTP/1.1 client connections by h11 over trio, with a pool per address.
 """
 
+import select
 from collections.abc import AsyncIterator
 from typing import Final, NamedTuple
 
@@ -26,7 +27,11 @@
 )
 
 _RECEIVE_BYTES: Final = 65536
+_MAX_IDLE_S: Final = 60.0
 _MAX_HEADER_BYTES: Final = 65536
+# Fits into the send buffer of a socket, so that sending can't block.
+_SMALL_REQUEST_BYTES: Final = 4096
+_BODILESS_METHODS: Final = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
 
 class HttpClientError(EelgrassError):
@@ -71,6 +76,9 @@
 
     :param fresh: use a new connection, so that a connection that broke
         while idle can't make the outcome unknown.
+    :param once: never send again on a new connection after a pooled one
+        broke.
+    :param host: ``Host`` header; the address where it is empty.
     """
 
     address: str
@@ -79,33 +87,32 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b''
     fresh: bool = False
+    once: bool = False
+    host: str = ''
 
 
 class _Connection:
     def __init__(self, stream: trio.abc.Stream) -> None:
         self.stream = stream
+        self.idle_since = trio.current_time()
+        self.sent_whole = True
         self.protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
         )
         self.reused = False
 
-    async def send_request(self, request: ClientRequest) -> None:
-        headers = [
-            ('host', request.address),
-            ('content-length', str(len(request.body))),
-            *request.headers,
-        ]
-        head = h11.Request(
-            method=request.method, target=request.target, headers=headers
-        )
-        encoded = self.protocol.send(head) or b''
-        if request.body:
-            encoded += self.protocol.send(h11.Data(data=request.body)) or b''
-        encoded += self.protocol.send(h11.EndOfMessage()) or b''
-        try:
-            await self.stream.send_all(encoded)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            raise _lost('the connection broke while sending') from None
+    async def exchange(
+        self, request: ClientRequest, first_byte_s: float
+    ) -> h11.Response:
+        encoded = self._encode(request)
+        if len(encoded) <= _SMALL_REQUEST_BYTES:
+            await self._send(encoded)
+            return await self._head(first_byte_s)
+        return await self._send_and_listen(encoded, first_byte_s)
+
+    def is_usable(self, max_idle_s: float) -> bool:
+        idle_s = trio.current_time() - self.idle_since
+        return idle_s <= max_idle_s and not _is_readable(self.stream)
 
     async def next_event(self, silence_s: float) -> object:
         while True:
@@ -121,6 +128,57 @@
         with trio.CancelScope(shield=True):
             await trio.aclose_forcefully(self.stream)
 
+    def _encode(self, request: ClientRequest) -> bytes:
+        headers = [('host', request.host or request.address), *request.headers]
+        if request.body or request.method not in _BODILESS_METHODS:
+            headers.insert(1, ('content-length', str(len(request.body))))
+        head = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        encoded = self.protocol.send(head) or b''
+        if request.body:
+            encoded += self.protocol.send(h11.Data(data=request.body)) or b''
+        return encoded + (self.protocol.send(h11.EndOfMessage()) or b'')
+
+    async def _send(self, encoded: bytes) -> None:
+        try:
+            await self.stream.send_all(encoded)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            raise _lost('the connection broke while sending') from None
+
+    async def _send_and_listen(
+        self, encoded: bytes, first_byte_s: float
+    ) -> h11.Response:
+        # A server may answer before it has read a long request.  The rest of
+        # the request is not sent then, so the connection can't be reused.
+        outcome: list[h11.Response | HttpClientError] = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send_long, encoded)
+            try:
+                outcome.append(await self._head(first_byte_s))
+            except HttpClientError as error:
+                outcome.append(error)
+            nursery.cancel_scope.cancel()
+        if isinstance(outcome[0], HttpClientError):
+            raise outcome[0]
+        return outcome[0]
+
+    async def _send_long(self, encoded: bytes) -> None:
+        self.sent_whole = False
+        try:
+            await self.stream.send_all(encoded)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        self.sent_whole = True
+
+    async def _head(self, first_byte_s: float) -> h11.Response:
+        while True:
+            event = await self.next_event(first_byte_s)
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise _lost('the connection was closed before an answer')
+
     async def _receive(self, silence_s: float) -> bytes:
         with trio.move_on_after(silence_s):
             try:
@@ -132,6 +190,15 @@
         )
 
 
+def _is_readable(stream: trio.abc.Stream) -> bool:
+    # Bytes or an end that come between two answers belong to no request.
+    if not isinstance(stream, trio.SocketStream):
+        return False
+    poll = select.poll()
+    poll.register(stream.socket.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _lost(message: str) -> ConnectionLost:
     return ConnectionLost('connection_lost', message, sent=True)
 
@@ -144,6 +211,7 @@
     read. :meth:`close` must be called in every case.
 
     :ivar status: HTTP status.
+    :ivar headers: all headers in order, names in lower case.
     :ivar headers_by_name: headers by lower-case name.
     """
 
@@ -156,10 +224,11 @@
         silence_s: float,
     ) -> None:
         self.status = head.status_code
-        self.headers_by_name = {
-            name.decode('ascii'): value.decode('latin-1')
+        self.headers = tuple(
+            (name.decode('ascii'), value.decode('latin-1'))
             for name, value in head.headers
-        }
+        )
+        self.headers_by_name = dict(self.headers)
         self._client = client
         self._connection = connection
         self._address = request.address
@@ -197,7 +266,8 @@
         """Give the connection back if the answer is whole, or close it."""
         protocol = self._connection.protocol
         done = (protocol.our_state, protocol.their_state)
-        if self._whole and done == (h11.DONE, h11.DONE):
+        clean = self._connection.sent_whole and not protocol.trailing_data[0]
+        if self._whole and clean and done == (h11.DONE, h11.DONE):
             protocol.start_next_cycle()
             await self._client.give_back(self._address, self._connection)
             return
@@ -211,6 +281,8 @@
     :param timeouts: default bounds.
     :param max_idle: idle connections kept per address.
     :param transport: how connections are opened.
+    :param max_idle_s: longest time that an idle connection is kept, in
+        seconds.
     """
 
     def __init__(
@@ -218,9 +290,12 @@
         timeouts: ClientTimeouts | None = None,
         max_idle: int = 8,
         transport: Transport = TCP,
+        max_idle_s: float = _MAX_IDLE_S,
     ) -> None:
         self._timeouts = timeouts or ClientTimeouts()
         self._max_idle = max_idle
+        self._max_idle_s = max_idle_s
+        self.opened = 0
         self._transport = transport
         self._idle_by_address: dict[str, list[_Connection]] = {}
         self._closed = False
@@ -243,11 +318,13 @@
         :raises ConnectionSilent: if the first byte came too late.
         """
         bounds = timeouts or self._timeouts
-        connection = None if request.fresh else self._take(request.address)
+        connection = await self._take(request)
         if connection is not None:
             try:
                 return await self._exchange(connection, request, bounds)
             except ConnectionLost:
+                if request.once:
+                    raise
                 await trio.lowlevel.checkpoint()
         try:
             fresh = await self._open(request.address, bounds.connect_s)
@@ -286,6 +363,7 @@
             await connection.close()
             return
         connection.reused = True
+        connection.idle_since = trio.current_time()
         idle.append(connection)
 
     async def forget(self, address: str) -> None:
@@ -303,9 +381,16 @@
         for address in list(self._idle_by_address):
             await self.forget(address)
 
-    def _take(self, address: str) -> _Connection | None:
-        idle = self._idle_by_address.get(address)
-        return idle.pop() if idle else None
+    async def _take(self, request: ClientRequest) -> _Connection | None:
+        if request.fresh:
+            return None
+        idle = self._idle_by_address.get(request.address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_usable(self._max_idle_s):
+                return connection
+            await connection.close()
+        return None
 
     async def _open(self, address: str, connect_s: float) -> _Connection:
         host, _, port = address.rpartition(':')
@@ -323,7 +408,9 @@
         )
 
     async def _connect(self, host: str, port: int) -> _Connection:
-        return _Connection(await self._transport.connect(host, port))
+        stream = await self._transport.connect(host, port)
+        self.opened += 1
+        return _Connection(stream)
 
     async def _exchange(
         self,
@@ -332,19 +419,8 @@
         bounds: ClientTimeouts,
     ) -> Response:
         try:
-            await connection.send_request(request)
-            event = await self._head(connection, bounds.first_byte_s)
+            head = await connection.exchange(request, bounds.first_byte_s)
         except BaseException:
             await connection.close()
             raise
-        return Response(self, connection, request, event, bounds.silence_s)
-
-    async def _head(
-        self, connection: _Connection, first_byte_s: float
-    ) -> h11.Response:
-        while True:
-            event = await connection.next_event(first_byte_s)
-            if isinstance(event, h11.Response):
-                return event
-            if not isinstance(event, h11.InformationalResponse):
-                raise _lost('the connection was closed before an answer')
+        return Response(self, connection, request, head, bounds.silence_s)
--- a/eelgrassfork/http_server.py
+++ b/eelgrassfork/http_server.py
@@ -48,14 +48,20 @@
     :ivar method: HTTP method in upper case.
     :ivar path: decoded path without the query.
     :ivar query_by_name: first value of each query parameter.
+    :ivar headers: all headers in order, names in lower case.
     :ivar headers_by_name: headers by lower-case name.
     :ivar body: the whole body.
     :ivar request_id: identity given to this request on arrival.
+    :ivar received_at: when its first byte was read, on the clock of trio.
     :ivar gone: set once the caller has closed the connection.
     """
 
     def __init__(
-        self, connection: '_Connection', request: h11.Request, body: bytes
+        self,
+        connection: '_Connection',
+        request: h11.Request,
+        body: bytes,
+        received_at: float,
     ) -> None:
         target = request.target.decode('ascii')
         parts = urlsplit(target)
@@ -63,12 +69,14 @@
         self.target = target
         self.path = unquote(parts.path)
         self.query_by_name = dict(parse_qsl(parts.query))
-        self.headers_by_name = {
-            name.decode('ascii'): value.decode('latin-1')
+        self.headers = tuple(
+            (name.decode('ascii'), value.decode('latin-1'))
             for name, value in request.headers
-        }
+        )
+        self.headers_by_name = dict(self.headers)
         self.body = body
         self.request_id = new_request_id()
+        self.received_at = received_at
         self.gone = trio.Event()
         self.status: int | None = None
         self._connection = connection
@@ -155,6 +163,7 @@
     def __init__(self, stream: trio.abc.Stream, limits: ServerLimits) -> None:
         self._stream = stream
         self._limits = limits
+        self._received_at = trio.current_time()
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
@@ -251,6 +260,7 @@
                 return None
         if idle.cancelled_caught:
             return None
+        self._received_at = trio.current_time()
         head = trio.move_on_after(limits.header_timeout_s)
         event: object = None
         with head:
@@ -260,7 +270,8 @@
         if not isinstance(event, h11.Request):
             return None
         self._check_header_size(event)
-        return Call(self, event, await self._read_body())
+        body = await self._read_body()
+        return Call(self, event, body, self._received_at)
 
     def _check_header_size(self, request: h11.Request) -> None:
         # h11 bounds only headers that are still incomplete.
@@ -371,6 +382,14 @@
         self.address = listening.address
         nursery.start_soon(self._run, listening)
 
+    def set_limits(self, limits: ServerLimits) -> None:
+        """
+        Change the bounds on callers, for connections accepted from now on.
+
+        :param limits: bounds on callers.
+        """
+        self._limits = limits
+
     @property
     def busy(self) -> int:
         """Number of requests in progress."""
--- /dev/null
+++ b/eelgrassfork/line_writer.py
@@ -0,0 +1,107 @@
+"""
+eelgrassfork.line_writer
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Writes log lines to a descriptor without ever waiting for its reader.
+"""
+
+import errno
+import os
+from collections import deque
+from typing import Final
+
+import trio
+
+__all__ = ('LineWriter',)
+
+_MAX_BUFFERED_BYTES: Final = 262_144
+_LINES_PER_S: Final = 300
+_BURST_LINES: Final = 600
+_FLUSH_S: Final = 0.2
+
+
+class LineWriter:
+    """
+    Text stream that drops lines beyond a rate or a full buffer.
+
+    :param descriptor: file descriptor, set to non-blocking.
+    :param lines_per_s: lines that are written on average.
+    :ivar dropped: lines that were not written.
+    """
+
+    def __init__(
+        self, descriptor: int, lines_per_s: float = _LINES_PER_S
+    ) -> None:
+        self._descriptor = descriptor
+        self._lines_per_s = lines_per_s
+        self._tokens: float = _BURST_LINES
+        self._filled_at: float | None = None
+        self._pending: deque[bytes] = deque()
+        self._pending_bytes = 0
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, text: str) -> int:
+        """
+        Take one line.
+
+        :param text: the line with its end.
+        :returns: its length.
+        """
+        if not self._may_write():
+            self.dropped += 1
+            return len(text)
+        encoded = text.encode()
+        if self._pending_bytes + len(encoded) > _MAX_BUFFERED_BYTES:
+            self.dropped += 1
+            return len(text)
+        self._pending.append(encoded)
+        self._pending_bytes += len(encoded)
+        self.flush()
+        return len(text)
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
+        while self._pending:
+            line = self._pending[0]
+            written = self._try_write(line)
+            self._pending_bytes -= written
+            if written < len(line):
+                self._pending[0] = line[written:]
+                return
+            self._pending.popleft()
+
+    async def run(self) -> None:
+        """Write what is left over for as long as the task runs."""
+        while True:
+            await trio.sleep(_FLUSH_S)
+            self.flush()
+
+    def _try_write(self, line: bytes) -> int:
+        try:
+            return os.write(self._descriptor, line)
+        except OSError as error:
+            if error.errno == errno.EAGAIN:
+                return 0
+            # Nobody reads any more; the line is lost.
+            self.dropped += 1
+            return len(line)
+
+    def _may_write(self) -> bool:
+        now_s = _now_s()
+        if self._filled_at is not None:
+            added = (now_s - self._filled_at) * self._lines_per_s
+            self._tokens = min(_BURST_LINES, self._tokens + added)
+        self._filled_at = now_s
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+def _now_s() -> float:
+    try:
+        return trio.current_time()
+    except RuntimeError:
+        # Lines before the loop starts and after it ends.
+        return 0
--- a/eelgrassfork/logs.py
+++ b/eelgrassfork/logs.py
@@ -152,11 +152,12 @@
         'request_id': _request_id.get(),
         'trace': record.formatted_exception or '',
     }
-    hidden = {
+    hidden: dict[str, Any] = {
         name: hide_secrets(text, options.secrets)
         for name, text in fields.items()
         if text
     }
+    hidden.update(record.extra)
     return _escape(msgspec.json.encode(hidden).decode())
 
 
--- /dev/null
+++ b/eelgrassfork/platform/__main__.py
@@ -0,0 +1,138 @@
+"""
+eelgrassfork.platform.__main__
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The daemon of an entry VM on the users' platform.
+"""
+
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final
+
+import logbook
+import trio
+
+from ..gateway.follower import Decoders
+from ..gateway.forwarder import Translation
+from ..gateway.node import GatewayNode, NodeAdapter
+from ..gateway.node_settings import NodeSettings
+from ..gateway.sending import Target
+from ..gateway.store import Store
+from ..http_client import HttpClient
+from ..line_writer import LineWriter
+from ..logs import LogOptions, set_up
+from . import boot_file, heads, server_entries
+from .config_decoder import decode_configuration
+from .store_client import StoreClient
+
+__all__ = ('main',)
+
+_log = logbook.Logger('daemon')
+
+_EXIT_OK: Final = 0
+_EXIT_USAGE: Final = 2
+_STDOUT: Final = 1
+_SETTINGS_POLL_S: Final = 1.0
+# The platform's deploy file names this port for metrics.
+_METRICS_PORT_OFFSET: Final = 1
+
+
+def main() -> int:
+    """
+    Run a router with the settings file of the platform.
+
+    :returns: 0 after a drain, 2 for wrong settings.
+    """
+    path = boot_file.settings_path()
+    try:
+        settings = boot_file.read_settings(path)
+    except boot_file.BootFileError as error:
+        sys.stderr.write(f'{error.message}\n')
+        return _EXIT_USAGE
+    writer = LineWriter(_STDOUT)
+    options = LogOptions('json', 'info', settings.node)
+    set_up(options, writer)  # type: ignore[arg-type]
+    trio.run(_serve, path, settings, writer)
+    return _EXIT_OK
+
+
+async def _serve(path: str, settings: NodeSettings, writer: LineWriter) -> None:
+    node = GatewayNode(settings, _adapter(settings))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(writer.run)
+        nursery.start_soon(_watch_settings, node, path)
+        await node.start(nursery)
+        await _wait_for_stop(node, path)
+        await node.drain()
+        await node.close()
+        writer.flush()
+        nursery.cancel_scope.cancel()
+
+
+def _adapter(settings: NodeSettings) -> NodeAdapter:
+    def make_store(client: HttpClient, on_call: Callable[[str], None]) -> Store:
+        return StoreClient(client, settings.store_address, on_call)
+
+    return NodeAdapter(
+        make_store=make_store,
+        decoders=Decoders(
+            'config',
+            'main',
+            server_entries.KIND,
+            decode_configuration,
+            server_entries.decode_entry,
+        ),
+        translation=Translation(
+            heads.decode_request, heads.encode_retry_after
+        ),
+        encode_target=_encode_target,
+        decode_answer=heads.decode_answer,
+        metrics_port=settings.first_internal_port + _METRICS_PORT_OFFSET,
+    )
+
+
+def _encode_target(target: Target) -> tuple[tuple[str, str], ...]:
+    return heads.encode_added(heads.Added(*target))
+
+
+async def _wait_for_stop(node: GatewayNode, path: str) -> None:
+    with trio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async for number in signals:
+            if number != signal.SIGHUP:
+                return
+            _reload(node, path, 'SIGHUP')
+
+
+async def _watch_settings(node: GatewayNode, path: str) -> None:
+    known = _changed_at(path)
+    while True:
+        await trio.sleep(_SETTINGS_POLL_S)
+        changed_at = _changed_at(path)
+        if changed_at != known:
+            known = changed_at
+            _reload(node, path, 'the file changed')
+
+
+def _changed_at(path: str) -> float:
+    try:
+        return Path(path).stat().st_mtime
+    except OSError as error:
+        _log.warning('settings are unreadable', extra={'why': str(error)})
+        return 0
+
+
+def _reload(node: GatewayNode, path: str, why: str) -> None:
+    try:
+        settings = boot_file.read_settings(path)
+    except boot_file.BootFileError as error:
+        _log.error('kept the old settings', extra={'why': error.message})
+        return
+    node.reload(settings, why)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/eelgrassfork/platform/boot_file.py
@@ -0,0 +1,179 @@
+"""
+eelgrassfork.platform.boot_file
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Settings that the platform writes for each process.
+"""
+
+import os
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final, TypeVar
+
+from ..errors import EelgrassError
+from ..gateway.node_settings import Bounds, NodeSettings, StoreRates
+
+__all__ = (
+    'PATH_VARIABLE',
+    'BootFileError',
+    'parse_settings',
+    'read_settings',
+    'settings_path',
+)
+
+PATH_VARIABLE: Final = 'EELGRASSFORK_BOOT'
+_DEFAULT_PATH: Final = '/etc/eelgrassfork/settings.conf'
+_MS_PER_S: Final = 1000
+
+_Option = TypeVar('_Option')
+
+
+class BootFileError(EelgrassError):
+    """The settings file is missing, or a field of it is missing or wrong."""
+
+
+def settings_path() -> str:
+    """
+    Find the settings file.
+
+    :returns: path named by the environment, or the default one.
+    """
+    return os.environ.get(PATH_VARIABLE) or _DEFAULT_PATH
+
+
+def read_settings(path: str) -> NodeSettings:
+    """
+    Read and check a settings file.
+
+    :param path: where it is.
+    :returns: settings of this process.
+    :raises BootFileError: if it can't be read or a field is wrong.
+    """
+    try:
+        text = Path(path).read_text()
+    except OSError as error:
+        raise BootFileError('settings_unreadable', f'{path}: {error}') from None
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> NodeSettings:
+    """
+    Check settings; unknown fields are ignored.
+
+    :param text: lines of the form ``a.b=value``.
+    :returns: settings of this process.
+    :raises BootFileError: with the name of the field that is wrong.
+    """
+    texts_by_field = dict(
+        line.strip().split('=', 1)
+        for line in text.splitlines()
+        if '=' in line and not line.lstrip().startswith('#')
+    )
+    first_port, last_port = _field(texts_by_field, 'internalPorts', _ports)
+    return NodeSettings(
+        node=_field(texts_by_field, 'node', _name),
+        failure_domain=_field(texts_by_field, 'zone', _name),
+        ip=_field(texts_by_field, 'ip', _name),
+        caller_address=_field(texts_by_field, 'listen.front', _address),
+        ready_address=_field(texts_by_field, 'listen.ready', _address),
+        peer_address=_field(texts_by_field, 'listen.control', _address),
+        first_internal_port=first_port,
+        last_internal_port=last_port,
+        seeds=_field(texts_by_field, 'seeds', _addresses, ()),
+        store_address=_field(texts_by_field, 'provider.address', _address),
+        first_start=_field(texts_by_field, 'bootstrap', _flag, False),
+        rates=_rates(texts_by_field),
+        bounds=_bounds(texts_by_field),
+    )
+
+
+def _rates(texts_by_field: dict[str, str]) -> StoreRates:
+    return StoreRates(
+        writes_per_s=_field(texts_by_field, 'provider.writesPerS', _positive),
+        reads_per_s=_field(texts_by_field, 'provider.readsPerS', _positive),
+    )
+
+
+def _bounds(texts_by_field: dict[str, str]) -> Bounds:
+    known = Bounds()
+    return Bounds(
+        drain_s=_ms(texts_by_field, 'bounds.drainMs', known.drain_s),
+        config_s=_ms(texts_by_field, 'bounds.configMs', known.config_s),
+        grace_s=_seconds(texts_by_field, 'bounds.graceS', known.grace_s),
+        catch_up_s=_seconds(texts_by_field, 'bounds.syncS', known.catch_up_s),
+        retry_ratio=_seconds(
+            texts_by_field, 'bounds.retryBudgetRatio', known.retry_ratio
+        ),
+        retry_window_s=_seconds(
+            texts_by_field, 'bounds.budgetWindowS', known.retry_window_s
+        ),
+        retry_slack=_seconds(
+            texts_by_field, 'bounds.budgetSlack', known.retry_slack
+        ),
+    )
+
+
+def _ms(texts_by_field: dict[str, str], name: str, default: float) -> float:
+    return (
+        _field(texts_by_field, name, _positive, default * _MS_PER_S) / _MS_PER_S
+    )
+
+
+def _seconds(
+    texts_by_field: dict[str, str], name: str, default: float
+) -> float:
+    return _field(texts_by_field, name, _positive, default)
+
+
+def _field(
+    texts_by_field: dict[str, str],
+    name: str,
+    parse: Callable[[str], _Option],
+    default: _Option | None = None,
+) -> _Option:
+    text = texts_by_field.get(name, '')
+    if not text:
+        if default is None:
+            raise BootFileError('settings_missing', f'{name} is missing')
+        return default
+    try:
+        return parse(text)
+    except ValueError as error:
+        raise BootFileError(
+            'settings_wrong', f'{name}={text!r}: {error}'
+        ) from None
+
+
+def _name(text: str) -> str:
+    return text
+
+
+def _address(text: str) -> str:
+    host, _, port = text.rpartition(':')
+    if not host or not port.isdecimal():
+        raise ValueError('must be IP:PORT')
+    return text
+
+
+def _addresses(text: str) -> tuple[str, ...]:
+    return tuple(_address(part) for part in text.split(',') if part)
+
+
+def _ports(text: str) -> tuple[int, int]:
+    first, _, last = text.partition(',')
+    if int(first) > int(last):
+        raise ValueError('the first port is above the last one')
+    return int(first), int(last)
+
+
+def _positive(text: str) -> float:
+    number = float(text)
+    if not 0 <= number < float('inf'):
+        raise ValueError('must be a number of 0 or more')
+    return number
+
+
+def _flag(text: str) -> bool:
+    if text not in {'true', 'false'}:
+        raise ValueError('must be true or false')
+    return text == 'true'
--- /dev/null
+++ b/eelgrassfork/platform/config_decoder.py
@@ -0,0 +1,179 @@
+"""
+eelgrassfork.platform.config_decoder
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Decodes the configuration that operators keep in the store.
+"""
+
+from typing import Final, Literal
+
+import msgspec
+
+from ..errors import EelgrassError
+from ..gateway.records import (
+    CallerBounds,
+    Configuration,
+    Engine,
+    Organisation,
+    Route,
+    Service,
+    WeightedService,
+)
+
+__all__ = ('BadConfiguration', 'decode_configuration')
+
+_MS_PER_S: Final = 1000
+_LEAST_URGENT: Final = 9
+
+
+class BadConfiguration(EelgrassError):
+    """The stored configuration can't be understood."""
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1
+
+
+class _Route(msgspec.Struct, rename='camel'):
+    name: str
+    hostname: str
+    path_prefix: str
+    kind: Literal['idempotent', 'non_idempotent', 'streaming']
+    timeout_ms: float
+    service: str = ''
+    traffic_split: list[_Split] = []
+    # Not a target of ours: the time within which an answer counts in full.
+    target_latency_ms: float = 0
+    # Counts servers, not sends.
+    max_attempts: int = 1
+    priority: int = 5
+    allow_anonymous: bool = False
+    stream_resume: bool = False
+    gap_aim_ms: float = 0
+
+
+class _Engine(msgspec.Struct, rename='camel'):
+    slots: int = 1
+    kv_capacity: int = 0
+    # Tokens in one event of a stream.
+    stride: int = 1
+
+
+class _Service(msgspec.Struct, rename='camel'):
+    name: str
+    health_path: str = '/healthz'
+    max_connections: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename='camel'):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _Tenant(msgspec.Struct, rename='camel'):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    prepaid: float | None = None
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+def decode_configuration(content: bytes) -> Configuration:
+    """
+    Translate a stored configuration.
+
+    :param content: JSON of the object.
+    :returns: the configuration in the gateway's terms.
+    :raises BadConfiguration: if a field is missing or of another type.
+    """
+    try:
+        wire = msgspec.json.decode(content, type=_Configuration)
+    except msgspec.DecodeError as error:
+        raise BadConfiguration('bad_configuration', str(error)) from None
+    tenants = wire.tenants or []
+    return Configuration(
+        version=wire.version,
+        routes_by_host=_routes_by_host(wire.routes),
+        services_by_name={
+            service.name: _service(service) for service in wire.services
+        },
+        organisations_by_name={
+            tenant.name: _organisation(tenant) for tenant in tenants
+        },
+        organisation_names_by_key={
+            key: tenant.name for tenant in tenants for key in tenant.api_keys
+        },
+        bounds=_bounds(wire.limits),
+        keys_needed=wire.tenants is not None,
+    )
+
+
+def _routes_by_host(wires: list[_Route]) -> dict[str, tuple[Route, ...]]:
+    routes_by_host: dict[str, list[Route]] = {}
+    for wire in wires:
+        host = wire.hostname.lower()
+        routes_by_host.setdefault(host, []).append(_route(wire, host))
+    return {
+        host: tuple(
+            sorted(routes, key=lambda route: len(route.prefix), reverse=True)
+        )
+        for host, routes in routes_by_host.items()
+    }
+
+
+def _route(wire: _Route, host: str) -> Route:
+    services = [
+        WeightedService(split.service, split.weight)
+        for split in wire.traffic_split
+    ]
+    return Route(
+        name=wire.name,
+        host=host,
+        prefix=wire.path_prefix,
+        kind='stream' if wire.kind == 'streaming' else wire.kind,
+        services=tuple(services or [WeightedService(wire.service, 1)]),
+        timeout_s=wire.timeout_ms / _MS_PER_S,
+        objective_s=(wire.target_latency_ms or wire.timeout_ms) / _MS_PER_S,
+        attempts=max(1, wire.max_attempts),
+        priority=wire.priority,
+        anonymous=wire.allow_anonymous,
+        resumable=wire.stream_resume,
+        longest_pause_s=wire.gap_aim_ms / _MS_PER_S,
+    )
+
+
+def _service(wire: _Service) -> Service:
+    engine = None
+    if wire.engine is not None:
+        engine = Engine(
+            wire.engine.slots, wire.engine.kv_capacity, wire.engine.stride
+        )
+    return Service(wire.name, wire.health_path, wire.max_connections, engine)
+
+
+def _organisation(wire: _Tenant) -> Organisation:
+    priority = wire.priority
+    if priority is not None:
+        priority = min(max(priority, 0), _LEAST_URGENT)
+    prepaid = None if wire.prepaid is None else int(wire.prepaid)
+    return Organisation(wire.name, priority, prepaid)
+
+
+def _bounds(wire: _Limits) -> CallerBounds:
+    return CallerBounds(
+        wire.max_header_bytes,
+        wire.max_body_bytes,
+        wire.header_timeout_ms / _MS_PER_S,
+        wire.idle_timeout_ms / _MS_PER_S,
+    )
--- /dev/null
+++ b/eelgrassfork/platform/heads.py
@@ -0,0 +1,252 @@
+"""
+eelgrassfork.platform.heads
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Decodes request and answer headers, and encodes those that routers add.
+"""
+
+import math
+from typing import Final, NamedTuple
+
+from ..errors import RequestError
+from ..gateway.records import (
+    AnswerHead,
+    ForwardHead,
+    Headers,
+    PromptPart,
+    ServerLoad,
+)
+
+__all__ = (
+    'Added',
+    'decode_answer',
+    'decode_request',
+    'encode_added',
+    'encode_retry_after',
+)
+
+_MS_PER_S: Final = 1000
+_TARGET_LIMIT: Final = 65536
+_REQUEST_ID: Final = 'x-request-id'
+_DEADLINE: Final = 'x-request-deadline'
+_KEY: Final = 'api-key'
+_ORGANISATION: Final = 'x-tenant'
+_EXPECTED_SERVER: Final = 'x-expect-replica'
+_PRIORITY: Final = 'x-request-priority'
+_LAST_EVENT_ID: Final = 'last-event-id'
+_SEAL: Final = 'x-response-seal'
+_NOT_RUN: Final = 'x-not-executed'
+_LOAD: Final = 'x-replica-load'
+_MISDIRECTED: Final = 421
+
+_PER_CONNECTION: Final = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'expect',
+    ),
+)
+# Callers may not set what routers tell servers.
+_ROUTERS_ONLY: Final = frozenset(
+    (
+        'host',
+        _DEADLINE,
+        _KEY,
+        _ORGANISATION,
+        _EXPECTED_SERVER,
+        _PRIORITY,
+        'x-expect-version',
+        'x-hold',
+        'x-pin-ms',
+        'x-kv-backup',
+        'kv-from',
+        'kv-fetch',
+    ),
+)
+# A second copy of these would let two readers see two requests.
+_SINGLE: Final = (
+    'host',
+    'content-length',
+    _REQUEST_ID,
+    _DEADLINE,
+    _KEY,
+    _LAST_EVENT_ID,
+    'x-model',
+    'x-token-counts',
+    'x-prompt-prefix',
+)
+
+
+class Added(NamedTuple):
+    """
+    What a router tells a server beside the caller's headers.
+
+    :param patience_s: how long the answer is of use, in seconds.
+    :param organisation: empty for anonymous requests.
+    :param priority: 0 to 9, 0 first.
+    :param last_event_id: where a stream goes on; empty if it starts.
+    """
+
+    server_id: str
+    patience_s: float
+    organisation: str
+    priority: int
+    last_event_id: str
+
+
+def decode_request(method: str, target: str, headers: Headers) -> ForwardHead:
+    """
+    Understand a caller's request.
+
+    :param method: HTTP method.
+    :param target: request target as sent.
+    :param headers: names in lower case.
+    :returns: the request's head.
+    :raises RequestError: ``invalid_request`` if it is ambiguous or lacks an
+        identity.
+    """
+    _check(target, headers)
+    texts_by_name = dict(headers)
+    prompt, most = _token_counts(texts_by_name.get('x-token-counts', ''))
+    host_header = texts_by_name.get('host', '')
+    return ForwardHead(
+        request_id=texts_by_name[_REQUEST_ID],
+        method=method,
+        target=target,
+        host=host_header.partition(':')[0].lower(),
+        host_header=host_header,
+        path=target.partition('?')[0],
+        key=texts_by_name.get(_KEY),
+        patience_s=_patience_s(texts_by_name.get(_DEADLINE, '')),
+        prompt_tokens=prompt,
+        max_output_tokens=most,
+        parts=_parts(texts_by_name.get('x-prompt-prefix', '')),
+        last_event_id=texts_by_name.get(_LAST_EVENT_ID, ''),
+        headers=_end_to_end(headers, _ROUTERS_ONLY | {_LAST_EVENT_ID}),
+    )
+
+
+def encode_added(added: Added) -> Headers:
+    """
+    Write the headers that a router adds.
+
+    :param added: what the server has to know.
+    :returns: names and values.
+    """
+    headers = [
+        (_DEADLINE, str(max(1, int(added.patience_s * _MS_PER_S)))),
+        (_EXPECTED_SERVER, added.server_id),
+        (_PRIORITY, str(added.priority)),
+    ]
+    if added.organisation:
+        headers.append((_ORGANISATION, added.organisation))
+    if added.last_event_id:
+        headers.append((_LAST_EVENT_ID, added.last_event_id))
+    return tuple(headers)
+
+
+def decode_answer(status: int, headers: Headers) -> AnswerHead:
+    """
+    Understand the head of a server's answer.
+
+    :param status: HTTP status.
+    :param headers: names in lower case.
+    :returns: the answer's head.
+    """
+    texts_by_name = dict(headers)
+    return AnswerHead(
+        status=status,
+        not_run=_NOT_RUN in texts_by_name or status == _MISDIRECTED,
+        sealed=bool(texts_by_name.get(_SEAL)),
+        request_id=texts_by_name.get(_REQUEST_ID, ''),
+        headers=_end_to_end(headers, frozenset((_REQUEST_ID, _LOAD))),
+        load=_load(texts_by_name.get(_LOAD, '')),
+        leaving=texts_by_name.get('connection', '').lower() == 'close',
+        idle_timeout_s=_idle_timeout_s(texts_by_name.get('keep-alive', '')),
+    )
+
+
+def encode_retry_after(seconds: float) -> Headers:
+    """
+    Write when a caller should come back.
+
+    :param seconds: delay.
+    :returns: names and values.
+    """
+    return (('retry-after', f'{seconds:.3f}'),)
+
+
+def _check(target: str, headers: Headers) -> None:
+    names = [name for name, _ in headers]
+    for single in _SINGLE:
+        if names.count(single) > 1:
+            raise RequestError('invalid_request', f'two {single} headers')
+    if 'content-length' in names and 'transfer-encoding' in names:
+        raise RequestError('invalid_request', 'two lengths of the body')
+    if _REQUEST_ID not in names:
+        raise RequestError('invalid_request', f'{_REQUEST_ID} is missing')
+    if not target.startswith('/') or len(target) > _TARGET_LIMIT:
+        raise RequestError('invalid_request', 'the target must be a path')
+
+
+def _end_to_end(headers: Headers, dropped: frozenset[str]) -> Headers:
+    listed = {
+        token.strip().lower()
+        for name, text in headers
+        if name == 'connection'
+        for token in text.split(',')
+    }
+    drop = _PER_CONNECTION | dropped | (listed - set(_SINGLE))
+    return tuple((name, text) for name, text in headers if name not in drop)
+
+
+def _token_counts(text: str) -> tuple[int, int]:
+    prompt, _, most = text.partition(',')
+    if not (prompt.isdecimal() and most.isdecimal()):
+        return 0, 0
+    return int(prompt), int(most)
+
+
+def _patience_s(text: str) -> float | None:
+    try:
+        patience_ms = float(text)
+    except ValueError:
+        return None
+    if not math.isfinite(patience_ms) or patience_ms < 0:
+        return None
+    return patience_ms / _MS_PER_S
+
+
+def _parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for item in text.split(','):
+        part_id, _, tokens = item.strip().partition(':')
+        if part_id and tokens.isdecimal():
+            parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _load(text: str) -> ServerLoad | None:
+    counts = text.split(',')
+    if len(counts) != len(ServerLoad._fields):
+        return None
+    try:
+        return ServerLoad(*(int(count) for count in counts))
+    except ValueError:
+        return None
+
+
+def _idle_timeout_s(text: str) -> float | None:
+    for item in text.split(','):
+        name, _, seconds = item.strip().partition('=')
+        if name.lower() == 'timeout' and seconds.isdecimal():
+            return float(seconds)
+    return None
--- /dev/null
+++ b/eelgrassfork/platform/server_entries.py
@@ -0,0 +1,67 @@
+"""
+eelgrassfork.platform.server_entries
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Decodes what backend servers say of themselves in the store.
+"""
+
+import re
+from typing import Annotated, Final, Literal
+
+import msgspec
+
+from ..gateway.records import ServerEntry
+
+__all__ = ('KIND', 'decode_entry')
+
+KIND: Final = 'servers'
+
+_MS_PER_S: Final = 1000
+_ADDRESS: Final = re.compile(r'\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}')
+
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Slots = Annotated[int, msgspec.Meta(ge=1)]
+# Whole numbers beyond this are no Unix time in milliseconds.
+_UnixMs = Annotated[int, msgspec.Meta(ge=0, le=10**15)]
+
+
+class _Entry(msgspec.Struct, rename='camel'):
+    service: _Name
+    address: str
+    zone: _Name
+    version: str
+    slots: _Slots
+    state: Literal['ready', 'draining']
+    sequence: _Count
+    # How much longer the server is slow, not how long it has been up.
+    cold_remaining_ms: float = 0
+    # When this incarnation started; it survives a reused id.
+    born: _UnixMs = 0
+
+
+def decode_entry(server_id: str, content: bytes) -> ServerEntry | None:
+    """
+    Translate one entry; other writers may leave entries of any form.
+
+    :param server_id: name of the object.
+    :param content: JSON of the object.
+    :returns: the entry, or ``None`` if it names no server to use.
+    """
+    try:
+        wire = msgspec.json.decode(content, type=_Entry)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    if _ADDRESS.fullmatch(wire.address) is None:
+        return None
+    return ServerEntry(
+        id=server_id,
+        service=wire.service,
+        address=wire.address,
+        failure_domain=wire.zone,
+        slots=wire.slots,
+        incarnation=wire.born,
+        sequence=wire.sequence,
+        leaving=wire.state == 'draining',
+        cold_s=max(0, wire.cold_remaining_ms) / _MS_PER_S,
+    )
