Let one router a failure domain draw credit, and keep some on standby

Cause: each router held nine seconds of use for outages of the store, all of which counted as spent after a power cut, and each drew for itself. Clocks are the median of the fleet's. Ruled out: proof by peers' memory, which a power cut of all routers takes too; reports of use every second without a bound, which prove nothing.

--- a/eelgrassfork/gateway/credit.py
+++ b/eelgrassfork/gateway/credit.py
@@ -10,16 +10,29 @@
 
 from .ledger import Ledger, Transfer, remaining
 
-__all__ = ('CreditPolicy', 'HeldCredit', 'plan_transfer')
+__all__ = (
+    'CreditPolicy',
+    'HeldCredit',
+    'Situation',
+    'plan_transfer',
+    'standby_missing',
+    'target_tokens',
+)
 
 
 class CreditPolicy(NamedTuple):
     """
     How much credit a router holds.
 
-    :param hold_s: use of so many seconds, so that requests are served while
-        the store can't be reached.
-    :param first_part: part of an organisation's credit that all routers
+    One router a failure domain, the keeper, draws credit from the ledger for
+    itself and the others.
+
+    :param hold_s: a router holds the use of so many seconds.
+    :param keeper_hold_s: the same for a keeper, whose use includes what it
+        lends; it lasts until standby credit may be used.
+    :param standby_s: use of so many seconds that a keeper puts on standby
+        for outages of the store.
+    :param first_part: part of an organisation's credit that all keepers
         hold together before their use is known.
     :param most_part: most of the credit left that all routers draw together
         in advance.
@@ -33,16 +46,36 @@
         that may be used before it is recorded as spent.
     """
 
-    hold_s: float = 9
-    first_part: float = 0.12
+    hold_s: float = 1
+    keeper_hold_s: float = 5
+    standby_s: float = 6
+    first_part: float = 0.1
     most_part: float = 0.5
     rate_half_life_s: float = 6
-    low_part: float = 0.4
-    refill_part: float = 0.8
+    low_part: float = 0.6
+    refill_part: float = 0.9
     surplus: float = 3
     flush_part: float = 0.03
 
 
+class Situation(NamedTuple):
+    """
+    What a plan depends on beside the credit held.
+
+    :param prepaid_by_organisation: limits in tokens.
+    :param urgent_by_organisation: tokens that waiting requests need.
+    :param standby_by_organisation: credit on standby, in tokens.
+    :param keepers: number of routers that draw.
+    :param is_keeper: whether this router is one of them.
+    """
+
+    prepaid_by_organisation: Mapping[str, int]
+    urgent_by_organisation: Mapping[str, int]
+    standby_by_organisation: Mapping[str, int]
+    keepers: int
+    is_keeper: bool
+
+
 _LN_2: Final = 0.693
 
 
@@ -52,7 +85,6 @@
         self.reserved = 0
         self.unflushed = 0
         self.rate: float = 0
-        self.largest = 0
         self.rated_at: float = 0
 
 
@@ -98,15 +130,6 @@
         account = self._account(organisation)
         return account.rate * self._decay(account, now_s)
 
-    def largest(self, organisation: str) -> int:
-        """
-        Read the largest request seen.
-
-        :param organisation: whose credit.
-        :returns: tokens at most.
-        """
-        return self._account(organisation).largest
-
     def unflushed(self, organisation: str) -> int:
         """
         Read the use that the ledger does not show yet.
@@ -128,7 +151,6 @@
         account.rate *= self._decay(account, now_s)
         account.rate += amount * _LN_2 / self._half_life_s
         account.rated_at = now_s
-        account.largest = max(account.largest, amount)
 
     def reserve(self, organisation: str, amount: int) -> bool:
         """
@@ -202,9 +224,7 @@
 def plan_transfer(
     held: HeldCredit,
     ledger: Ledger,
-    prepaid_by_organisation: Mapping[str, int],
-    routers: int,
-    urgent_by_organisation: Mapping[str, int],
+    situation: Situation,
     policy: CreditPolicy,
     now_s: float,
 ) -> Transfer:
@@ -213,9 +233,7 @@
 
     :param held: what it holds.
     :param ledger: as last known.
-    :param prepaid_by_organisation: limits in tokens.
-    :param routers: number of routers that draw.
-    :param urgent_by_organisation: tokens that waiting requests need.
+    :param situation: limits and needs.
     :param policy: how much to hold.
     :param now_s: time on the clock of trio.
     :returns: the transfer; empty if there is nothing to do.
@@ -223,21 +241,25 @@
     drawn: dict[str, int] = {}
     returned: dict[str, int] = {}
     spent: dict[str, int] = {}
-    is_low = any(urgent_by_organisation.values())
-    for name, prepaid in prepaid_by_organisation.items():
+    is_low = any(situation.urgent_by_organisation.values())
+    for name, prepaid in situation.prepaid_by_organisation.items():
         left = remaining(ledger, name, prepaid)
         free = held.free(name)
-        target = _target(held, name, prepaid, routers, policy, now_s)
-        most = int(left * policy.most_part / routers)
-        advance = min(target - free, most)
-        wanted = max(urgent_by_organisation.get(name, 0) - free, 0)
-        if wanted or (advance > 0 and free < target * policy.refill_part):
+        target = target_tokens(held, name, situation, policy, now_s)
+        most = int(left * policy.most_part / situation.keepers)
+        missing = target - free
+        if situation.is_keeper:
+            missing += standby_missing(held, name, situation, policy, now_s)
+        wanted = max(situation.urgent_by_organisation.get(name, 0) - free, 0)
+        advance = min(missing, most)
+        if wanted or advance > target * (1 - policy.refill_part):
             drawn[name] = min(left, max(wanted, advance))
-            is_low = is_low or free < target * policy.low_part
+            low = min(target - free, most) > target * (1 - policy.low_part)
+            is_low = is_low or low
         elif free > policy.surplus * target and left < prepaid / 4:
             returned[name] = free - target
         unflushed = held.unflushed(name)
-        if unflushed > prepaid * policy.flush_part / routers:
+        if unflushed > prepaid * policy.flush_part / situation.keepers:
             spent[name] = unflushed
     return Transfer(
         {name: amount for name, amount in drawn.items() if is_low and amount},
@@ -246,16 +268,49 @@
     )
 
 
-def _target(
+def target_tokens(
     held: HeldCredit,
     organisation: str,
-    prepaid: int,
-    routers: int,
+    situation: Situation,
     policy: CreditPolicy,
     now_s: float,
 ) -> int:
-    first = 0
-    if not held.largest(organisation):
-        first = int(prepaid * policy.first_part / routers)
-    by_rate = int(held.rate(organisation, now_s) * policy.hold_s)
-    return max(first, by_rate)
+    """
+    Compute the credit to hold for use.
+
+    :param held: what is held, and its use.
+    :param organisation: whose credit.
+    :param situation: limits and needs.
+    :param policy: how much to hold.
+    :param now_s: time on the clock of trio.
+    :returns: tokens.
+    """
+    hold_s = policy.keeper_hold_s if situation.is_keeper else policy.hold_s
+    by_rate = int(held.rate(organisation, now_s) * hold_s)
+    if by_rate or not situation.is_keeper:
+        return by_rate
+    prepaid = situation.prepaid_by_organisation.get(organisation, 0)
+    return int(prepaid * policy.first_part / situation.keepers)
+
+
+def standby_missing(
+    held: HeldCredit,
+    organisation: str,
+    situation: Situation,
+    policy: CreditPolicy,
+    now_s: float,
+) -> int:
+    """
+    Compute the credit that lacks on standby.
+
+    :param held: what is held, and its use.
+    :param organisation: whose credit.
+    :param situation: limits and needs.
+    :param policy: how much to hold.
+    :param now_s: time on the clock of trio.
+    :returns: tokens, 0 or more.
+    """
+    target = target_tokens(held, organisation, situation, policy, now_s)
+    wanted = int(target * policy.standby_s / policy.keeper_hold_s)
+    on_standby = situation.standby_by_organisation.get(organisation, 0)
+    return max(0, wanted - on_standby)
--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -2,7 +2,7 @@
 eelgrassfork.gateway.credit_keeper
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Keeps a router's credit in step with the ledger in the store and with peers.
+Reserves credit for requests, and keeps enough of it at hand.
 """
 
 from collections import Counter
@@ -14,42 +14,33 @@
 import trio
 
 from ..errors import RequestError
-from .credit import CreditPolicy, HeldCredit, plan_transfer
-from .ledger import (
-    EMPTY,
-    Ledger,
-    Operation,
-    Transfer,
-    apply_transfer,
-    decode_ledger,
-    encode_ledger,
-    has_applied,
-    remaining,
-)
-from .store import (
-    Store,
-    StoreAnswerLost,
-    StoreConflict,
-    StoredObject,
-    StoreError,
-    StoreUnavailable,
+from .credit import (
+    CreditPolicy,
+    HeldCredit,
+    Situation,
+    plan_transfer,
+    standby_missing,
+    target_tokens,
 )
+from .ledger import Transfer
+from .ledger_writer import LedgerWriter
+from .standby import RENEWAL_S, FleetTime, Standby
+from .store import Store, StoreError
 
 __all__ = ('CreditKeeper', 'CreditWorld')
 
 _log = logbook.Logger('credit')
 
-_KIND: Final = 'eelgrassfork-credit'
-_NAME: Final = 'ledger'
 _TICK_S: Final = 1.0
-_RESOLVE_S: Final = 0.5
 # A request waits for one or two answers of the store, not for its timeout.
 _DRAW_WAIT_S: Final = 0.15
 _BORROW_WAIT_S: Final = 0.1
-_CAS_TRIES: Final = 12
-# A ledger this old does not prove that nothing is left.
-_FRESH_S: Final = 1.0
 _RETRY_AFTER_S: Final = 0.3
+_WATCH_S: Final = 0.1
+_CLOCKS_WAIT_S: Final = 1.2
+_RETRY_S: Final = 0.3
+# Standby credit above this multiple of its target is freed.
+_MOST_STANDBY: Final = 2
 
 
 class CreditWorld(NamedTuple):
@@ -57,21 +48,26 @@
     What the keeper needs of the rest of the router.
 
     :param prepaid: limits in tokens by organisation.
-    :param routers: number of live routers.
-    :param borrow: asks peers for credit of an organisation; returns tokens.
+    :param keepers: number of routers that draw credit.
+    :param is_keeper: whether this router is one of them.
+    :param borrow: asks peers for credit by organisation; returns what they
+        lent.
     :param peers_free: free credit of an organisation at peers by their last
         word.
+    :param fleet_time: median of the routers' clocks.
     """
 
     prepaid: Callable[[], Mapping[str, int]]
-    routers: Callable[[], int]
-    borrow: Callable[[str, int], Awaitable[int]]
+    keepers: Callable[[], int]
+    is_keeper: Callable[[], bool]
+    borrow: Callable[[Mapping[str, int]], Awaitable[Mapping[str, int]]]
     peers_free: Callable[[str], int]
+    fleet_time: Callable[[], FleetTime]
 
 
 class CreditKeeper:
     """
-    Reserves credit for requests.
+    Credit of one router.
 
     :param store: where the ledger is.
     :param node: name of this VM.
@@ -88,32 +84,28 @@
         world: CreditWorld,
         policy: CreditPolicy | None = None,
     ) -> None:
-        self._store = store
-        self._node = node
-        self._incarnation = incarnation
         self._world = world
         self._policy = policy or CreditPolicy()
         self.held = HeldCredit(self._policy.rate_half_life_s)
-        self._ledger = EMPTY
-        self._revision: int | None = None
-        self._read_at: float = float('-inf')
-        self._number = 0
+        self._ledger = LedgerWriter(
+            store, node, incarnation, self.held, world.prepaid
+        )
+        self._standby = Standby(
+            store, node, incarnation, world.fleet_time, self._add
+        )
         self._urgent: Counter[str] = Counter()
         self._wake = trio.Event()
         self._round_done = trio.Event()
-        self._closing = False
-        self._store_fails = False
 
-    async def run(self) -> None:
-        """Keep the credit in step for as long as the task runs."""
-        while True:
-            with trio.move_on_after(_TICK_S):
-                await self._wake.wait()
-            self._wake = trio.Event()
-            await self._round()
-            done = self._round_done
-            self._round_done = trio.Event()
-            done.set()
+    async def start(self, nursery: trio.Nursery) -> None:
+        """
+        Keep credit at hand in the background.
+
+        :param nursery: where the tasks run.
+        """
+        nursery.start_soon(self._run)
+        nursery.start_soon(self._run_standby)
+        nursery.start_soon(self._watch_standby)
 
     async def reserve(self, organisation: str, amount: int) -> None:
         """
@@ -127,26 +119,16 @@
         self.held.note_demand(organisation, amount, trio.current_time())
         if self.held.reserve(organisation, amount):
             return
-        prepaid = self._world.prepaid().get(organisation, 0)
         if await self._borrow(organisation, amount):
             return
-        if not self._is_known_empty(organisation, amount, prepaid):
+        missing = amount - self.held.free(organisation)
+        if not self._ledger.is_known_empty(organisation, missing):
             await self._draw(organisation, amount)
             if self.held.reserve(organisation, amount):
                 return
             if await self._borrow(organisation, amount):
                 return
-        raise self._refusal(organisation, amount, prepaid)
-
-    async def _borrow(self, organisation: str, amount: int) -> bool:
-        # Peers are asked first: that costs the store no call.
-        missing = amount - self.held.free(organisation)
-        if self._world.peers_free(organisation) < missing:
-            return False
-        with trio.move_on_after(_BORROW_WAIT_S):
-            lent = await self._world.borrow(organisation, missing)
-            self.held.add(organisation, lent)
-        return self.held.reserve(organisation, amount)
+        raise self._refusal(organisation, amount)
 
     async def close(self, timeout_s: float) -> None:
         """
@@ -154,9 +136,16 @@
 
         :param timeout_s: longest time for it.
         """
-        self._closing = True
         with trio.move_on_after(timeout_s):
-            await self._round()
+            await self._standby.renew({}, free=True)
+            free = self.held.free_by_organisation()
+            await self._ledger.transfer(
+                lambda: Transfer(
+                    {},
+                    {name: amount for name, amount in free.items() if amount},
+                    {name: self.held.unflushed(name) for name in free},
+                ),
+            )
 
     def dump(self) -> dict[str, object]:
         """
@@ -165,192 +154,170 @@
         :returns: free tokens by organisation and what is known of the rest.
         """
         return {
+            'is_keeper': self._world.is_keeper(),
             'free_by_organisation': self.held.free_by_organisation(),
-            'ledger_revision': self._revision,
-            'ledger_age_s': round(trio.current_time() - self._read_at, 1),
-            'granted_by_organisation': self._ledger.granted_by_organisation,
-            'spent_by_organisation': self._ledger.spent_by_organisation,
+            'standby_by_organisation': self._standby.tokens_by_organisation,
+            'ledger': self._ledger.dump(),
         }
 
-    def _is_known_empty(
-        self, organisation: str, amount: int, prepaid: int
-    ) -> bool:
-        age_s = trio.current_time() - self._read_at
+    def _add(self, tokens_by_organisation: Mapping[str, int]) -> None:
+        for name, tokens in tokens_by_organisation.items():
+            self.held.add(name, tokens)
+
+    async def _borrow(self, organisation: str, amount: int) -> bool:
+        # Peers are asked first: that costs the store no call.
         missing = amount - self.held.free(organisation)
-        left = remaining(self._ledger, organisation, prepaid)
-        return age_s < _FRESH_S and left < missing
+        if self._world.peers_free(organisation) < missing:
+            return False
+        with trio.move_on_after(_BORROW_WAIT_S):
+            lent = await self._world.borrow({organisation: missing})
+            self._add(lent)
+        return self.held.reserve(organisation, amount)
 
     async def _draw(self, organisation: str, amount: int) -> None:
         self._urgent[organisation] += amount
         self._wake.set()
+        wait_s = 0 if self._ledger.is_away else _DRAW_WAIT_S
         try:
-            with trio.move_on_after(0 if self._store_fails else _DRAW_WAIT_S):
+            with trio.move_on_after(wait_s):
                 await self._round_done.wait()
         finally:
             self._urgent[organisation] -= amount
 
-    def _refusal(
-        self, organisation: str, amount: int, prepaid: int
-    ) -> RequestError:
-        spent = self._ledger.spent_by_organisation.get(organisation, 0)
-        unflushed = self.held.unflushed(organisation)
-        if amount > prepaid - spent - unflushed:
+    def _refusal(self, organisation: str, amount: int) -> RequestError:
+        if self._ledger.is_spent(organisation, amount):
             return RequestError(
                 'budget_exhausted', 'the rest of the budget is too small'
             )
-        fresh = trio.current_time() - self._read_at < _FRESH_S
-        code = 'credit_held_elsewhere' if fresh else 'credit_unreachable'
+        away = self._ledger.is_away
+        code = 'credit_unreachable' if away else 'credit_held_elsewhere'
         return RequestError(
             code, 'no credit at hand', retry_after_s=_RETRY_AFTER_S
         )
 
+    async def _run(self) -> None:
+        while True:
+            with trio.move_on_after(_TICK_S):
+                await self._wake.wait()
+            self._wake = trio.Event()
+            await self._round()
+            done = self._round_done
+            self._round_done = trio.Event()
+            done.set()
+
     async def _round(self) -> None:
+        if not self._world.is_keeper():
+            await self._refill()
+        urgent = any(amount > 0 for amount in self._urgent.values())
+        if not (urgent or self._world.is_keeper()):
+            return
         try:
-            await self._transfer()
+            await self._ledger.transfer(self._plan, reread=urgent)
         except StoreError as error:
-            self._store_fails = True
             _log.warning(
-                'could not reach the ledger',
-                extra={'error': error.code, 'revision': self._revision},
+                'could not reach the ledger', extra={'error': error.code}
             )
         except msgspec.DecodeError as error:
             _log.error('the ledger is damaged', extra={'error': str(error)})
 
-    def _needs_reading(self) -> bool:
-        if self._revision is None:
-            return True
-        wanted = any(amount > 0 for amount in self._urgent.values())
-        age_s = trio.current_time() - self._read_at
-        return wanted and age_s > _FRESH_S
+    async def _refill(self) -> None:
+        situation = self._situation()
+        now_s = trio.current_time()
+        wanted = {}
+        for name in situation.prepaid_by_organisation:
+            target = target_tokens(
+                self.held, name, situation, self._policy, now_s
+            )
+            target += max(0, self._urgent[name])
+            free = self.held.free(name)
+            if free < target * self._policy.low_part:
+                wanted[name] = target - free
+        if wanted:
+            self._add(await self._world.borrow(wanted))
 
     def _plan(self) -> Transfer:
-        if self._closing:
-            free = self.held.free_by_organisation()
-            return Transfer(
-                {},
-                {name: amount for name, amount in free.items() if amount},
-                {name: self.held.unflushed(name) for name in free},
-            )
         return plan_transfer(
             self.held,
-            self._ledger,
-            self._world.prepaid(),
-            max(1, self._world.routers()),
-            self._urgent,
+            self._ledger.ledger,
+            self._situation(),
             self._policy,
             trio.current_time(),
         )
 
-    async def _transfer(self) -> None:
-        if self._needs_reading():
-            await self._read()
-        for _ in range(_CAS_TRIES):
-            transfer = self._plan()
-            if not any(transfer):
-                return
-            if await self._write(transfer):
-                return
-        _log.warning('gave up a write of the ledger after many conflicts')
-
-    async def _write(self, transfer: Transfer) -> bool:
-        self._number += 1
-        operation = Operation(self._incarnation, self._number)
-        planned, drawn = apply_transfer(
-            self._ledger,
-            transfer,
+    def _situation(self) -> Situation:
+        return Situation(
             self._world.prepaid(),
-            self._node,
-            operation,
-        )
-        if not any(drawn.values()) and not (
-            transfer.returned_by_organisation or transfer.spent_by_organisation
-        ):
-            return True
-        returned = {
-            name: self.held.remove(name, amount)
-            for name, amount in transfer.returned_by_organisation.items()
-        }
-        try:
-            applied = await self._replace(planned, operation)
-        except StoreError:
-            # Credit of an unknown write counts as handed out.
-            raise
-        if applied:
-            self._take(transfer, drawn)
-            return True
-        self._put_back(returned)
-        return False
-
-    def _put_back(self, returned: Mapping[str, int]) -> None:
-        for name, amount in returned.items():
-            self.held.add(name, amount)
-
-    def _take(self, transfer: Transfer, drawn: Mapping[str, int]) -> None:
-        for name, amount in drawn.items():
-            self.held.add(name, amount)
-        self.held.note_flushed(transfer.spent_by_organisation)
-        _log.info(
-            'moved credit',
-            extra={
-                'drawn': dict(drawn),
-                'returned': dict(transfer.returned_by_organisation),
-                'spent': dict(transfer.spent_by_organisation),
-                'revision': self._revision,
+            {
+                name: amount
+                for name, amount in self._urgent.items()
+                if amount > 0
             },
+            self._standby.tokens_by_organisation,
+            max(1, self._world.keepers()),
+            self._world.is_keeper(),
         )
 
-    async def _replace(self, planned: Ledger, operation: Operation) -> bool:
-        content = encode_ledger(planned)
-        try:
-            stored = await self._store.replace(
-                _KIND, _NAME, content, self._revision
+    async def _run_standby(self) -> None:
+        with trio.move_on_after(_CLOCKS_WAIT_S):
+            while not self._standby.has_clocks:
+                await trio.sleep(_WATCH_S)
+        await self._recover_standby()
+        while True:
+            await trio.sleep(RENEWAL_S)
+            situation = self._situation()
+            await self._fill_standby(situation)
+            await self._standby.renew(
+                self._standby_targets(situation), not situation.is_keeper
             )
-        except StoreConflict as conflict:
-            await self._adopt(conflict.current)
-            return has_applied(self._ledger, self._node, operation)
-        except StoreAnswerLost:
-            return await self._resolve(content, operation)
-        await self._adopt(stored)
-        return True
-
-    async def _resolve(self, content: object, operation: Operation) -> bool:
-        # The lost write may still take effect while its condition holds.
-        # The same write again settles it: one of the two gets a conflict.
-        revision = self._revision
+
+    async def _recover_standby(self) -> None:
         while True:
             try:
-                stored = await self._store.replace(
-                    _KIND, _NAME, content, revision
-                )
-            except StoreConflict as conflict:
-                await self._adopt(conflict.current)
-                return has_applied(self._ledger, self._node, operation)
+                await self._standby.recover()
             except StoreError as error:
                 _log.warning(
-                    'a write of the ledger has an unknown outcome',
-                    extra={'error': error.code, 'revision': revision},
+                    'could not recover credit', extra={'why': error.code}
                 )
-                await trio.sleep(_RESOLVE_S)
+                await trio.sleep(_RETRY_S)
             else:
-                await self._adopt(stored)
-                return True
-
-    async def _read(self) -> None:
-        stored = await self._store.get(_KIND, _NAME)
-        if stored is None:
-            try:
-                stored = await self._store.create(
-                    _KIND, _NAME, encode_ledger(EMPTY)
-                )
-            except StoreConflict as conflict:
-                stored = conflict.current
-        await self._adopt(stored)
+                return
 
-    async def _adopt(self, stored: StoredObject | None) -> None:
-        if stored is None:
-            self._revision = None
+    async def _watch_standby(self) -> None:
+        while True:
+            await trio.sleep(_WATCH_S)
+            self._standby.activate_if_due()
+
+    def _standby_targets(self, situation: Situation) -> dict[str, int]:
+        # Nothing stays on standby of what the ledger can't replace.
+        targets = {}
+        for name in self._standby.tokens_by_organisation:
+            target = target_tokens(
+                self.held,
+                name,
+                situation,
+                self._policy,
+                trio.current_time(),
+            )
+            short = self.held.free(name) < target / 2
+            if not (short and self._ledger.is_known_empty(name, 1)):
+                part = self._policy.standby_s / self._policy.keeper_hold_s
+                targets[name] = int(_MOST_STANDBY * part * target)
+        return targets
+
+    async def _fill_standby(self, situation: Situation) -> None:
+        if not situation.is_keeper:
             return
-        self._ledger = decode_ledger(stored.content)
-        self._revision = stored.revision
-        self._read_at = trio.current_time()
-        self._store_fails = False
+        now_s = trio.current_time()
+        added = {}
+        for name in situation.prepaid_by_organisation:
+            missing = standby_missing(
+                self.held, name, situation, self._policy, now_s
+            )
+            target = target_tokens(
+                self.held, name, situation, self._policy, now_s
+            )
+            spare = min(missing, self.held.free(name) - target)
+            if spare > target * (1 - self._policy.refill_part):
+                added[name] = self.held.remove(name, spare)
+        if added and not await self._standby.put(added):
+            self._add(added)
--- a/eelgrassfork/gateway/gossip.py
+++ b/eelgrassfork/gateway/gossip.py
@@ -6,13 +6,18 @@
 """
 
 import random
+import time
 from collections.abc import Callable
+from statistics import median_low
 from typing import Final, NamedTuple
 
 import logbook
 import msgspec
 import trio
 
+from ..names import rendezvous_order
+from .standby import FleetTime
+
 __all__ = ('Gossip', 'Heartbeat', 'Known', 'Peer')
 
 _log = logbook.Logger('gossip')
@@ -24,6 +29,7 @@
 _SILENT_S: Final = 2.0
 _FORGET_S: Final = 60.0
 _DATAGRAM_BYTES: Final = 8192
+_MS_PER_S: Final = 1000
 
 
 class Known(NamedTuple):
@@ -44,6 +50,7 @@
     :param configuration_version: 0 if it knows none.
     :param servers_digest: of its table of backend servers.
     :param free_by_organisation: credit that it could lend, in tokens.
+    :param unix_ms: its clock.
     :param others: some of the routers that it knows.
     """
 
@@ -55,6 +62,7 @@
     configuration_version: int = 0
     servers_digest: int = 0
     free_by_organisation: dict[str, int] = {}
+    unix_ms: int = 0
     others: tuple[Known, ...] = ()
 
 
@@ -157,6 +165,43 @@
             if peer.heartbeat is not None and peer.spoke_at >= oldest
         ]
 
+    def fleet_time(self) -> FleetTime:
+        """
+        Compute the median of the routers' clocks.
+
+        :returns: fleet time now.
+        """
+        now_s = trio.current_time()
+        clocks = [_unix_ms()]
+        for peer in self.spoken():
+            if peer.heartbeat is not None:
+                age_s = now_s - peer.spoke_at
+                clocks.append(peer.heartbeat.unix_ms + int(age_s * _MS_PER_S))
+        return FleetTime(median_low(clocks), len(clocks))
+
+    def keepers(self, failure_domain: str) -> list[Peer | None]:
+        """
+        List the routers that draw credit for others, one a failure domain.
+
+        :param failure_domain: the one whose router comes first.
+        :returns: peers; ``None`` stands for this router.
+        """
+        own = self._describe()
+        nodes_by_domain: dict[str, list[str]] = {}
+        if not own.draining:
+            nodes_by_domain[own.failure_domain] = [own.node]
+        for peer in self.live():
+            if peer.heartbeat is not None:
+                domain = peer.heartbeat.failure_domain
+                nodes_by_domain.setdefault(domain, []).append(peer.node)
+        domains = sorted(
+            nodes_by_domain, key=lambda domain: domain != failure_domain
+        )
+        return [
+            self._by_node.get(_first(domain, nodes_by_domain[domain]))
+            for domain in domains
+        ]
+
     def dump(self) -> list[dict[str, object]]:
         """
         Describe the peers for operators.
@@ -196,13 +241,15 @@
                 peer.node,
                 peer.ip,
                 peer.incarnation,
-                int((now_s - peer.heard_at) * 1000),
+                int((now_s - peer.heard_at) * _MS_PER_S),
             )
             for peer in self._by_node.values()
             if now_s - peer.heard_at < _SILENT_S
         ]
         sample = self._random.sample(peers, min(_SAMPLE, len(peers)))
-        return self._describe()._replace(others=tuple(sample))
+        return self._describe()._replace(
+            others=tuple(sample), unix_ms=_unix_ms()
+        )
 
     def _targets(self) -> list[str]:
         now_s = trio.current_time()
@@ -234,7 +281,7 @@
         now_s = trio.current_time()
         for known in heartbeat.others:
             if known.node != own.node:
-                self._mention(known, now_s - known.age_ms / 1000)
+                self._mention(known, now_s - known.age_ms / _MS_PER_S)
         if heartbeat.node == own.node:
             return
         peer = self._mention(
@@ -269,3 +316,11 @@
         if known.incarnation == peer.incarnation:
             peer.heard_at = max(peer.heard_at, heard_at)
         return peer
+
+
+def _first(domain: str, nodes: list[str]) -> str:
+    return rendezvous_order(domain, nodes)[0]
+
+
+def _unix_ms() -> int:
+    return time.time_ns() // 1_000_000
--- a/eelgrassfork/gateway/ledger.py
+++ b/eelgrassfork/gateway/ledger.py
@@ -19,6 +19,7 @@
     'Ledger',
     'Operation',
     'Transfer',
+    'add_up',
     'apply_transfer',
     'decode_ledger',
     'encode_ledger',
@@ -129,6 +130,22 @@
     return ledger.operations_by_node.get(node) == operation
 
 
+def add_up(
+    first: Mapping[str, int], second: Mapping[str, int]
+) -> dict[str, int]:
+    """
+    Add tokens by organisation.
+
+    :param first: tokens by organisation.
+    :param second: tokens by organisation.
+    :returns: their sums.
+    """
+    return {
+        name: first.get(name, 0) + second.get(name, 0)
+        for name in {**first, **second}
+    }
+
+
 def apply_transfer(
     ledger: Ledger,
     transfer: Transfer,
--- /dev/null
+++ b/eelgrassfork/gateway/ledger_writer.py
@@ -0,0 +1,243 @@
+"""
+eelgrassfork.gateway.ledger_writer
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Writes transfers of one router to the ledger in the store, each once.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Final
+
+import logbook
+import trio
+
+from .credit import HeldCredit
+from .ledger import (
+    EMPTY,
+    Ledger,
+    Operation,
+    Transfer,
+    apply_transfer,
+    decode_ledger,
+    encode_ledger,
+    has_applied,
+    remaining,
+)
+from .store import (
+    Store,
+    StoreAnswerLost,
+    StoreConflict,
+    StoredObject,
+    StoreError,
+    StoreUnavailable,
+)
+
+__all__ = ('LedgerWriter',)
+
+_log = logbook.Logger('credit')
+
+_KIND: Final = 'eelgrassfork-credit'
+_NAME: Final = 'ledger'
+_RESOLVE_S: Final = 0.5
+_TRIES: Final = 12
+# A ledger this old does not prove that nothing is left.
+_FRESH_S: Final = 1.0
+
+
+class LedgerWriter:
+    """
+    Draws and returns credit.
+
+    :param store: where the ledger is.
+    :param node: name of this VM.
+    :param incarnation: of this process.
+    :param held: credit of this router, which transfers change.
+    :param prepaid: limits in tokens by organisation.
+    :ivar ledger: as last known.
+    :ivar is_away: whether the last call failed.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        node: str,
+        incarnation: int,
+        held: HeldCredit,
+        prepaid: Callable[[], Mapping[str, int]],
+    ) -> None:
+        self._store = store
+        self._node = node
+        self._incarnation = incarnation
+        self._held = held
+        self._prepaid = prepaid
+        self._revision: int | None = None
+        self._read_at: float = float('-inf')
+        self._number = 0
+        self.ledger = EMPTY
+        self.is_away = False
+
+    def is_known_empty(self, organisation: str, missing: int) -> bool:
+        """
+        Tell whether the ledger is known to hold too little.
+
+        :param organisation: whose credit.
+        :param missing: tokens needed.
+        :returns: whether drawing is in vain.
+        """
+        prepaid = self._prepaid().get(organisation, 0)
+        left = remaining(self.ledger, organisation, prepaid)
+        return self._age_s < _FRESH_S and left < missing
+
+    def is_spent(self, organisation: str, amount: int) -> bool:
+        """
+        Tell whether an organisation has used too much for a request.
+
+        :param organisation: whose credit.
+        :param amount: tokens that the request may use at most.
+        :returns: whether what is known to be used leaves too little.
+        """
+        prepaid = self._prepaid().get(organisation, 0)
+        spent = self.ledger.spent_by_organisation.get(organisation, 0)
+        return amount > prepaid - spent - self._held.unflushed(organisation)
+
+    async def transfer(
+        self, plan: Callable[[], Transfer], reread: bool = False
+    ) -> None:
+        """
+        Carry out a plan, anew after each conflict.
+
+        :param plan: makes a transfer from the ledger as last known.
+        :param reread: whether an old ledger is read again first.
+        :raises StoreError: if the store does not answer.
+        """
+        try:
+            await self._transfer(plan, reread)
+        except StoreError:
+            self.is_away = True
+            raise
+
+    def dump(self) -> dict[str, object]:
+        """
+        Describe the ledger for operators.
+
+        :returns: tokens by organisation, revision and age.
+        """
+        return {
+            'revision': self._revision,
+            'age_s': round(self._age_s, 1),
+            'granted_by_organisation': self.ledger.granted_by_organisation,
+            'spent_by_organisation': self.ledger.spent_by_organisation,
+        }
+
+    @property
+    def _age_s(self) -> float:
+        return trio.current_time() - self._read_at
+
+    async def _transfer(
+        self, plan: Callable[[], Transfer], reread: bool
+    ) -> None:
+        if self._revision is None or (reread and self._age_s > _FRESH_S):
+            await self._read()
+        for _ in range(_TRIES):
+            transfer = plan()
+            if not any(transfer) or await self._write(transfer):
+                return
+        _log.warning('gave up a write of the ledger after many conflicts')
+
+    async def _write(self, transfer: Transfer) -> bool:
+        self._number += 1
+        operation = Operation(self._incarnation, self._number)
+        planned, drawn = apply_transfer(
+            self.ledger, transfer, self._prepaid(), self._node, operation
+        )
+        returned = {
+            name: self._held.remove(name, amount)
+            for name, amount in transfer.returned_by_organisation.items()
+        }
+        try:
+            applied = await self._replace(planned, operation)
+        except StoreUnavailable:
+            self._add(returned)
+            raise
+        if applied:
+            self._add(drawn)
+            self._held.note_flushed(transfer.spent_by_organisation)
+            self._log_transfer(transfer, drawn)
+        else:
+            self._add(returned)
+        return applied
+
+    def _add(self, tokens_by_organisation: Mapping[str, int]) -> None:
+        for name, tokens in tokens_by_organisation.items():
+            self._held.add(name, tokens)
+
+    def _log_transfer(
+        self, transfer: Transfer, drawn: Mapping[str, int]
+    ) -> None:
+        _log.info(
+            'moved credit',
+            extra={
+                'drawn': dict(drawn),
+                'returned': dict(transfer.returned_by_organisation),
+                'spent': dict(transfer.spent_by_organisation),
+                'revision': self._revision,
+            },
+        )
+
+    async def _replace(self, planned: Ledger, operation: Operation) -> bool:
+        content = encode_ledger(planned)
+        try:
+            stored = await self._store.replace(
+                _KIND, _NAME, content, self._revision
+            )
+        except StoreConflict as conflict:
+            self._adopt(conflict.current)
+            return has_applied(self.ledger, self._node, operation)
+        except StoreAnswerLost as error:
+            self.is_away = True
+            _log.warning(
+                'a write of the ledger has an unknown outcome',
+                extra={'why': error.code, 'revision': self._revision},
+            )
+            return await self._resolve(content, operation)
+        self._adopt(stored)
+        return True
+
+    async def _resolve(self, content: object, operation: Operation) -> bool:
+        # The lost write may still take effect while its condition holds.
+        # The same write again settles it: one of the two gets a conflict.
+        revision = self._revision
+        while True:
+            try:
+                stored = await self._store.replace(
+                    _KIND, _NAME, content, revision
+                )
+            except StoreConflict as conflict:
+                self._adopt(conflict.current)
+                return has_applied(self.ledger, self._node, operation)
+            except StoreError as error:
+                _log.debug('still unknown', extra={'why': error.code})
+                await trio.sleep(_RESOLVE_S)
+            else:
+                self._adopt(stored)
+                return True
+
+    async def _read(self) -> None:
+        stored = await self._store.get(_KIND, _NAME)
+        if stored is None:
+            try:
+                stored = await self._store.create(
+                    _KIND, _NAME, encode_ledger(EMPTY)
+                )
+            except StoreConflict as conflict:
+                stored = conflict.current
+        self._adopt(stored)
+
+    def _adopt(self, stored: StoredObject | None) -> None:
+        if stored is None:
+            self._revision = None
+            return
+        self.ledger = decode_ledger(stored.content)
+        self._revision = stored.revision
+        self._read_at = trio.current_time()
+        self.is_away = False
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -20,7 +20,7 @@
 from .credit_keeper import CreditKeeper, CreditWorld
 from .follower import Beliefs, Decoders, StoreFollower
 from .forwarder import Forwarder, ForwarderParts, Translation
-from .gossip import Gossip, Heartbeat
+from .gossip import Gossip, Heartbeat, Peer
 from .node_settings import NodeSettings
 from .peer_exchange import PeerExchange
 from .records import AnswerHead, CallerBounds, Headers
@@ -98,7 +98,7 @@
             self._http,
             self._gossip,
             self._beliefs,
-            _port(settings.peer_address),
+            settings,
         )
         self._follower = StoreFollower(
             self._store, self._beliefs, adapter.decoders, self._routers
@@ -135,9 +135,9 @@
         )
         await self._gossip.start(nursery)
         await self._follower.start(nursery)
+        await self._credit.start(nursery)
         nursery.start_soon(self._exchange.run)
         nursery.start_soon(self._registry.run)
-        nursery.start_soon(self._credit.run)
         nursery.start_soon(self._tidy)
         nursery.start_soon(self._loop_watch.run)
         _log.info(
@@ -215,9 +215,11 @@
     def _make_credit(self) -> CreditKeeper:
         world = CreditWorld(
             self._prepaid,
-            self._routers,
+            lambda: len(self._keepers()),
+            lambda: None in self._keepers()[:1],
             self._exchange.borrow,
             self._exchange.peers_free,
+            self._gossip.fleet_time,
         )
         return CreditKeeper(
             self._store, self._settings.node, self._incarnation, world
@@ -263,6 +265,9 @@
             if organisation.prepaid_tokens is not None
         }
 
+    def _keepers(self) -> list[Peer | None]:
+        return self._gossip.keepers(self._settings.failure_domain)
+
     def _routers(self) -> int:
         return len(self._gossip.live()) + 1
 
@@ -328,10 +333,6 @@
     await server.start(nursery, host, int(port))
 
 
-def _port(address: str) -> int:
-    return int(address.rpartition(':')[2])
-
-
 def _server_limits(bounds: CallerBounds) -> ServerLimits:
     return ServerLimits(
         max_header_bytes=bounds.max_header_bytes,
--- a/eelgrassfork/gateway/peer_exchange.py
+++ b/eelgrassfork/gateway/peer_exchange.py
@@ -5,7 +5,7 @@
 Newer beliefs and credit that routers ask of one another.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final, NamedTuple
 
 import logbook
@@ -18,6 +18,8 @@
 from .credit import HeldCredit
 from .follower import Beliefs
 from .gossip import Gossip, Peer
+from .ledger import add_up
+from .node_settings import NodeSettings
 from .server_records import ServerRecord
 
 __all__ = ('CreditRequest', 'PeerExchange')
@@ -37,10 +39,15 @@
 
 
 class CreditRequest(NamedTuple):
-    """A request for credit, in tokens."""
+    """
+    A request for credit.
+
+    :param borrower: name of the VM that asks.
+    :param wanted_by_organisation: tokens.
+    """
 
-    organisation: str
-    amount: int
+    borrower: str
+    wanted_by_organisation: dict[str, int]
 
 
 class PeerExchange:
@@ -50,17 +57,23 @@
     :param client: HTTP client.
     :param gossip: who lives and what they know.
     :param beliefs: what this router believes.
-    :param port: port of the routers' HTTP listeners.
-    :param held: credit of this router; set once it is known.
+    :param settings: of this router; the port for peers is the same on all.
+    :ivar held: credit of this router, once there is any.
     """
 
     def __init__(
-        self, client: HttpClient, gossip: Gossip, beliefs: Beliefs, port: int
+        self,
+        client: HttpClient,
+        gossip: Gossip,
+        beliefs: Beliefs,
+        settings: NodeSettings,
     ) -> None:
         self._client = client
         self._gossip = gossip
         self._beliefs = beliefs
-        self._port = port
+        self._node = settings.node
+        self._failure_domain = settings.failure_domain
+        self._port = settings.peer_address.rpartition(':')[2]
         self._news = trio.Event()
         self.held: Callable[[], HeldCredit | None] = lambda: None
 
@@ -77,19 +90,23 @@
         """Compare with the peers' heartbeats soon."""
         self._news.set()
 
-    async def borrow(self, organisation: str, amount: int) -> int:
+    async def borrow(self, wanted: Mapping[str, int]) -> dict[str, int]:
         """
-        Ask peers for credit, the one with most of it first.
+        Ask peers for credit: keepers first, then those that have most.
 
-        :param organisation: whose credit.
-        :param amount: tokens needed.
+        :param wanted: tokens needed by organisation.
         :returns: tokens that were lent, maybe too few.
         """
-        lent = 0
-        for peer in self._lenders(organisation)[:_MAX_LENDERS]:
-            lent += await self._borrow_from(peer, organisation, amount - lent)
-            if lent >= amount:
+        lent: dict[str, int] = {}
+        for peer in self._lenders(wanted):
+            missing = {
+                name: amount - lent.get(name, 0)
+                for name, amount in wanted.items()
+                if amount > lent.get(name, 0)
+            }
+            if not missing:
                 break
+            lent = add_up(lent, await self._borrow_from(peer, missing))
         return lent
 
     def peers_free(self, organisation: str) -> int:
@@ -100,7 +117,7 @@
         :returns: tokens.
         """
         return sum(
-            _free(peer, organisation) for peer in self._gossip.spoken()
+            _free(peer, (organisation,)) for peer in self._gossip.spoken()
         )
 
     async def serve(self, call: Call) -> None:
@@ -128,49 +145,56 @@
 
     def _lend(self, call: Call) -> bytes:
         try:
-            wanted = msgspec.msgpack.decode(call.body, type=CreditRequest)
+            request = msgspec.msgpack.decode(call.body, type=CreditRequest)
         except msgspec.DecodeError as error:
             raise RequestError('invalid_request', str(error)) from None
         held = self.held()
-        lent = 0
+        lent: dict[str, int] = {}
         if held is not None:
-            lent = held.remove(wanted.organisation, wanted.amount)
+            for name, amount in request.wanted_by_organisation.items():
+                held.note_demand(name, amount, trio.current_time())
+                lent[name] = held.remove(name, amount)
         _log.info(
             'lent credit',
             extra={
-                'organisation': wanted.organisation,
-                'wanted': wanted.amount,
+                'to': request.borrower,
+                'wanted': request.wanted_by_organisation,
                 'lent': lent,
             },
         )
         return msgspec.msgpack.encode(lent)
 
     async def _borrow_from(
-        self, peer: Peer, organisation: str, amount: int
-    ) -> int:
-        body = msgspec.msgpack.encode(CreditRequest(organisation, amount))
+        self, peer: Peer, wanted: Mapping[str, int]
+    ) -> dict[str, int]:
+        body = msgspec.msgpack.encode(CreditRequest(self._node, dict(wanted)))
         request = ClientRequest(
             f'{peer.ip}:{self._port}', 'POST', _CREDIT, _BODY, body, once=True
         )
         try:
             _, answer = await self._client.fetch(request, _TIMEOUTS)
-            return msgspec.msgpack.decode(answer, type=int)
+            return msgspec.msgpack.decode(answer, type=dict[str, int])
         except (EelgrassError, msgspec.DecodeError) as error:
-            # What the peer may have lent is lost until it is counted as used.
+            # What the peer may have lent counts as used from now on.
             _log.warning(
                 'could not borrow credit',
                 extra={'peer': peer.node, 'why': str(error)},
             )
-            return 0
+            return {}
 
-    def _lenders(self, organisation: str) -> list[Peer]:
-        peers = [
+    def _lenders(self, wanted: Mapping[str, int]) -> list[Peer]:
+        keepers = [
+            peer
+            for peer in self._gossip.keepers(self._failure_domain)[:1]
+            if peer is not None
+        ]
+        others = [
             peer
             for peer in self._gossip.spoken()
-            if _free(peer, organisation) > 0
+            if peer not in keepers and _free(peer, wanted) > 0
         ]
-        peers.sort(key=lambda peer: _free(peer, organisation), reverse=True)
-        return peers
+        others.sort(key=lambda peer: _free(peer, wanted), reverse=True)
+        return [*keepers, *others][:_MAX_LENDERS]
 
     async def _catch_up(self) -> bool:
         done = True
@@ -216,10 +240,11 @@
         return True
 
 
-def _free(peer: Peer, organisation: str) -> int:
+def _free(peer: Peer, organisations: Iterable[str]) -> int:
     if peer.heartbeat is None:
         return 0
-    return peer.heartbeat.free_by_organisation.get(organisation, 0)
+    free = peer.heartbeat.free_by_organisation
+    return sum(free.get(name, 0) for name in organisations)
 
 
 def _configuration_version(peer: Peer) -> int:
