Add stand-ins of the store and of replicas, and tests of the whole path

Found by them: closing the socket of heartbeats ended the process with an error. Also counts the demand of other failure domains only as far as it was met, and holds less credit at first.

--- a/eelgrassfork/gateway/configuration.py
+++ b/eelgrassfork/gateway/configuration.py
@@ -38,7 +38,6 @@
         self.current: Configuration | None = None
         self.known_at: float = 0
         self.content: bytes = b''
-        self.changed = trio.Event()
 
     @property
     def version(self) -> int:
@@ -58,8 +57,6 @@
         self.current = configuration
         self.content = content
         self.known_at = trio.current_time()
-        self.changed.set()
-        self.changed = trio.Event()
         return True
 
 
--- a/eelgrassfork/gateway/credit.py
+++ b/eelgrassfork/gateway/credit.py
@@ -47,9 +47,9 @@
     """
 
     hold_s: float = 1
-    keeper_hold_s: float = 5
+    keeper_hold_s: float = 4
     standby_s: float = 8
-    first_part: float = 0.1
+    first_part: float = 0.06
     most_part: float = 0.5
     rate_half_life_s: float = 6
     low_part: float = 0.6
--- a/eelgrassfork/gateway/gossip.py
+++ b/eelgrassfork/gateway/gossip.py
@@ -249,7 +249,7 @@
     async def _send_to(self, ip: str, body: bytes) -> None:
         try:
             await self._socket.sendto(body, (ip, self._port))
-        except OSError as error:
+        except (OSError, trio.ClosedResourceError) as error:
             _log.debug('no heartbeat left', extra={'ip': ip, 'why': str(error)})
 
     def _heartbeat(self) -> Heartbeat:
@@ -283,6 +283,8 @@
         while True:
             try:
                 body, _ = await self._socket.recvfrom(_DATAGRAM_BYTES)
+            except trio.ClosedResourceError:
+                return
             except OSError as error:
                 _log.debug('no heartbeat came', extra={'why': str(error)})
                 await trio.sleep(_INTERVAL_S)
--- a/eelgrassfork/gateway/peer_exchange.py
+++ b/eelgrassfork/gateway/peer_exchange.py
@@ -43,10 +43,12 @@
     A request for credit.
 
     :param borrower: name of the VM that asks.
+    :param failure_domain: of that VM.
     :param wanted_by_organisation: tokens.
     """
 
     borrower: str
+    failure_domain: str
     wanted_by_organisation: dict[str, int]
 
 
@@ -152,8 +154,11 @@
         lent: dict[str, int] = {}
         if held is not None:
             for name, amount in request.wanted_by_organisation.items():
-                held.note_demand(name, amount, trio.current_time())
                 lent[name] = held.remove(name, amount)
+                # Others ask one lender after the other for the same credit.
+                own = request.failure_domain == self._failure_domain
+                demand = amount if own else lent[name]
+                held.note_demand(name, demand, trio.current_time())
         _log.info(
             'lent credit',
             extra={
@@ -167,7 +172,9 @@
     async def _borrow_from(
         self, peer: Peer, wanted: Mapping[str, int]
     ) -> dict[str, int]:
-        body = msgspec.msgpack.encode(CreditRequest(self._node, dict(wanted)))
+        body = msgspec.msgpack.encode(
+            CreditRequest(self._node, self._failure_domain, dict(wanted))
+        )
         request = ClientRequest(
             f'{peer.ip}:{self._port}', 'POST', _CREDIT, _BODY, body, once=True
         )
--- a/eelgrassfork/platform/__main__.py
+++ b/eelgrassfork/platform/__main__.py
@@ -27,7 +27,7 @@
 from .config_decoder import decode_configuration
 from .store_client import StoreClient
 
-__all__ = ('main',)
+__all__ = ('main', 'make_adapter')
 
 _log = logbook.Logger('daemon')
 
@@ -59,7 +59,7 @@
 
 
 async def _serve(path: str, settings: NodeSettings, writer: LineWriter) -> None:
-    node = GatewayNode(settings, _adapter(settings))
+    node = GatewayNode(settings, make_adapter(settings))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(writer.run)
         nursery.start_soon(_watch_settings, node, path)
@@ -71,7 +71,14 @@
         nursery.cancel_scope.cancel()
 
 
-def _adapter(settings: NodeSettings) -> NodeAdapter:
+def make_adapter(settings: NodeSettings) -> NodeAdapter:
+    """
+    Bind the gateway to the platform.
+
+    :param settings: of this process.
+    :returns: clients, decoders and encoders.
+    """
+
     def make_store(client: HttpClient, on_call: Callable[[str], None]) -> Store:
         return StoreClient(client, settings.store_address, on_call)
 
--- /dev/null
+++ b/standins/metadata_store.py
@@ -0,0 +1,204 @@
+"""
+standins.metadata_store
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Stand-in for the users' metadata store, over HTTP as they publish it.
+"""
+
+from typing import Any, NamedTuple
+
+import msgspec
+import trio
+
+from eelgrassfork.http_server import Call, HttpServer
+
+__all__ = ('MetadataStore', 'StoreFaults')
+
+_PAGE = 500
+_MS = 1000
+_JSON = (('content-type', 'application/json'),)
+
+
+class StoreFaults(NamedTuple):
+    """
+    Faults in force.
+
+    :param refuse: status of every answer, 0 for none.
+    :param lose: writes that are done and not answered.
+    :param silent: no call is answered.
+    :param torn: an entry of every list can't be read.
+    """
+
+    refuse: int = 0
+    lose: int = 0
+    silent: bool = False
+    torn: bool = False
+
+
+class MetadataStore:
+    """
+    Objects by kind and name, with revisions and watches.
+
+    :param page: most objects in one answer.
+    """
+
+    def __init__(self, page: int = _PAGE) -> None:
+        self._page = page
+        self._server = HttpServer(self._serve)
+        self._objects_by_key: dict[tuple[str, str], dict[str, Any]] = {}
+        self._events: list[tuple[int, str, dict[str, Any]]] = []
+        self._oldest = 0
+        self._changed = trio.Event()
+        self.revision = 1
+        self.faults = StoreFaults()
+        self.calls: list[str] = []
+
+    @property
+    def address(self) -> str:
+        """Where it listens, as ``ip:port``."""
+        return self._server.address
+
+    async def start(self, nursery: trio.Nursery, host: str, port: int) -> None:
+        """
+        Listen in the background.
+
+        :param nursery: where connections run.
+        :param host: IP address to bind.
+        :param port: port, or 0 for any free one.
+        """
+        await self._server.start(nursery, host, port)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._server.close()
+
+    def put(self, kind: str, name: str, spec: object) -> int:
+        """
+        Write as an operator or a server would.
+
+        :param kind: kind of the object.
+        :param name: its name.
+        :param spec: its content.
+        :returns: its revision.
+        """
+        self.revision += 1
+        stored = {
+            'metadata': {
+                'name': name,
+                'revision': self.revision,
+                'createdRev': self.revision,
+                'finalizers': [],
+                'deleting': False,
+            },
+            'spec': spec,
+            'status': None,
+        }
+        self._objects_by_key[kind, name] = stored
+        self._record(kind, {'object': stored, 'deleted': False})
+        return self.revision
+
+    def remove(self, kind: str, name: str) -> None:
+        """
+        Remove an object.
+
+        :param kind: kind of the object.
+        :param name: its name.
+        """
+        stored = self._objects_by_key.pop((kind, name))
+        self.revision += 1
+        self._record(kind, {'object': stored, 'deleted': True})
+
+    def compact(self) -> None:
+        """Drop the history."""
+        self._oldest = self.revision
+        self._events.clear()
+
+    def _record(self, kind: str, event: dict[str, Any]) -> None:
+        self._events.append((self.revision, kind, event))
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def _serve(self, call: Call) -> None:
+        self.calls.append(f'{call.method} {call.target}')
+        if self.faults.silent:
+            await trio.sleep_forever()
+        if self.faults.refuse:
+            await _answer(call, self.faults.refuse, {})
+            return
+        _, _, kind, *rest = call.path.split('/')
+        if call.method == 'GET':
+            await self._read(call, kind, rest)
+        else:
+            await self._write(call, kind, rest)
+
+    async def _read(self, call: Call, kind: str, rest: list[str]) -> None:
+        if rest:
+            stored = self._objects_by_key.get((kind, rest[0]))
+            await _answer(call, 200 if stored else 404, stored or {})
+        elif 'watch' in call.query_by_name:
+            await self._watch(call, kind)
+        else:
+            await _answer(call, 200, self._list(call, kind))
+
+    def _list(self, call: Call, kind: str) -> dict[str, Any]:
+        after = call.query_by_name.get('afterRevision', '')
+        names = sorted(
+            name
+            for of, name in self._objects_by_key
+            if of == kind and name > after
+        )
+        items: list[Any] = [
+            self._objects_by_key[kind, name] for name in names[: self._page]
+        ]
+        if self.faults.torn:
+            items.insert(0, {'metadata': 7})
+        return {
+            'items': items,
+            'hasMore': len(names) > self._page,
+            'currentRev': self.revision,
+        }
+
+    async def _watch(self, call: Call, kind: str) -> None:
+        after = int(call.query_by_name['watch'])
+        if after < self._oldest:
+            await _answer(call, 410, {})
+            return
+        with trio.move_on_after(int(call.query_by_name['waitMs']) / _MS):
+            while not self._since(kind, after):
+                await self._changed.wait()
+        events = self._since(kind, after)
+        await _answer(
+            call, 200, {'events': events, 'currentRev': self.revision}
+        )
+
+    def _since(self, kind: str, after: int) -> list[dict[str, Any]]:
+        return [
+            event
+            for revision, of, event in self._events
+            if of == kind and revision > after
+        ]
+
+    async def _write(self, call: Call, kind: str, rest: list[str]) -> None:
+        body = msgspec.json.decode(call.body)
+        name = rest[0] if rest else body['metadata']['name']
+        current = self._objects_by_key.get((kind, name))
+        wanted = body['metadata'].get('revision')
+        if call.method == 'POST':
+            status = 409 if current else 201
+        elif current is None:
+            status = 404
+        else:
+            known = current['metadata']['revision']
+            status = 200 if wanted in {None, known} else 409
+        if status < 300:
+            self.put(kind, name, body['spec'])
+            current = self._objects_by_key[kind, name]
+        if self.faults.lose:
+            self.faults = self.faults._replace(lose=self.faults.lose - 1)
+            await call.abort()
+            return
+        await _answer(call, status, current or {})
+
+
+async def _answer(call: Call, status: int, content: object) -> None:
+    await call.respond(status, msgspec.json.encode(content), _JSON)
--- /dev/null
+++ b/standins/replica.py
@@ -0,0 +1,116 @@
+"""
+standins.replica
+~~~~~~~~~~~~~~~~
+
+Stand-in for a backend server of the users' platform, with scripted faults.
+"""
+
+import trio
+
+from eelgrassfork.http_server import Call, HttpServer
+
+__all__ = ('Replica',)
+
+
+
+class Replica:
+    """
+    Answers requests as its script says.
+
+    A script is a list of behaviours, one a request; the last one stays:
+    ``ok``, ``error``, ``full``, ``crossed``, ``unsealed``, ``cut``, ``hang``,
+    ``stream:N`` (N events), ``torn:N`` (N events and half of one),
+    ``busy_unproven``.
+
+    :param server_id: its identity.
+    :param script: behaviours.
+    :ivar runs: request identities that it ran, in order.
+    :ivar seen: headers by lower-case name of each request.
+    """
+
+    def __init__(self, server_id: str, script: list[str]) -> None:
+        self.server_id = server_id
+        self.script = script
+        self.runs: list[str] = []
+        self.seen: list[dict[str, str]] = []
+        self.bodies: list[bytes] = []
+        self.cancelled = 0
+        self._server = HttpServer(self._serve)
+
+    @property
+    def address(self) -> str:
+        """Where it listens, as ``ip:port``."""
+        return self._server.address
+
+    async def start(self, nursery: trio.Nursery, host: str, port: int) -> None:
+        """
+        Listen in the background.
+
+        :param nursery: where connections run.
+        :param host: IP address to bind.
+        :param port: port, or 0 for any free one.
+        """
+        await self._server.start(nursery, host, port)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._server.close()
+
+    async def _serve(self, call: Call) -> None:
+        headers = call.headers_by_name
+        self.seen.append(headers)
+        self.bodies.append(call.body)
+        call.request_id = headers['x-request-id']
+        if headers.get('x-expect-replica', self.server_id) != self.server_id:
+            await call.respond(421, b'', (('x-replica-id', self.server_id),))
+            return
+        behaviour = self.script.pop(0) if len(self.script) > 1 else None
+        await self._play(call, behaviour or self.script[0])
+
+    async def _play(self, call: Call, behaviour: str) -> None:
+        sealed = (('x-response-seal', self.server_id), ('x-replica-load', '1,0,6'))
+        if behaviour == 'full':
+            await call.respond(503, b'', (('x-not-executed', '1'),))
+            return
+        self.runs.append(call.request_id)
+        name, _, count = behaviour.partition(':')
+        if name in {'stream', 'torn'}:
+            await self._stream(call, sealed, int(count), name == 'torn')
+        elif name == 'hang':
+            await self._hang(call)
+        elif name == 'cut':
+            await call.start(200, (*sealed, ('content-length', '100')))
+            await call.send(b'half')
+            await call.abort()
+        else:
+            if name == 'crossed':
+                call.request_id = 'another'
+            statuses = {'error': 500, 'busy_unproven': 503}
+            head = () if name == 'unsealed' else sealed
+            await call.respond(
+                statuses.get(name, 200), self.server_id.encode(), head
+            )
+
+    async def _hang(self, call: Call) -> None:
+        with trio.move_on_after(5):
+            await call.gone.wait()
+            self.cancelled += 1
+        await call.abort()
+
+    async def _stream(
+        self,
+        call: Call,
+        sealed: tuple[tuple[str, str], ...],
+        count: int,
+        torn: bool,
+    ) -> None:
+        last = int(call.headers_by_name.get('last-event-id', '0'))
+        await call.start(200, (*sealed, ('content-type', 'text/event-stream')))
+        for number in range(last + 1, count + 1):
+            await call.send(b'id: %d\ndata: x\n\n' % number)
+            await trio.sleep(0.005)
+        if torn:
+            await call.send(b'id: %d\nda' % (count + 1))
+            await call.abort()
+            return
+        await call.finish()
--- /dev/null
+++ b/tests/test_gateway_configuration.py
@@ -0,0 +1,96 @@
+"""
+tests.test_gateway_configuration
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against older configurations, and answers out of ignorance.
+"""
+
+import testtools
+import trio
+
+from eelgrassfork.errors import RequestError
+from eelgrassfork.gateway.configuration import (
+    ConfigurationHolder,
+    find_route,
+    permit,
+)
+from eelgrassfork.gateway.records import (
+    Configuration,
+    ForwardHead,
+    Organisation,
+    Route,
+    WeightedService,
+)
+
+
+def route(prefix, **changes):
+    return Route(
+        prefix, 'h', prefix, 'idempotent', (WeightedService('s', 1),), 1, 0.2
+    )._replace(**changes)
+
+
+def configuration(version=1, **changes):
+    return Configuration(
+        version,
+        {'h': (route('/a/b/'), route('/a/', anonymous=True, priority=3))},
+        {},
+        {'acme': Organisation('acme', 1, 100)},
+        {'key': 'acme'},
+    )._replace(**changes)
+
+
+def head(path='/a/b/x', key='key', host='h'):
+    return ForwardHead(
+        'id', 'GET', path, host, host, path, key, 1, 0, 0, (), '', ()
+    )
+
+
+class HolderTests(testtools.TestCase):
+    def test_never_goes_back(self):
+        async def main():
+            holder = ConfigurationHolder()
+            taken = [
+                holder.take(configuration(version), b'%d' % version)
+                for version in (5, 4, 5)
+            ]
+            return taken, holder.version, holder.content
+
+        self.assertEqual(([True, False, False], 5, b'5'), trio.run(main))
+
+
+class PermitTests(testtools.TestCase):
+    def code(self, known, wanted):
+        return self.assertRaises(RequestError, permit, known, wanted).code
+
+    def test_longest_prefix_wins(self):
+        self.assertEqual(
+            '/a/b/', find_route(configuration(), 'h', '/a/b/c').name
+        )
+        self.assertEqual('/a/', find_route(configuration(), 'h', '/a/c').name)
+
+    def test_prefix_ends_at_a_slash(self):
+        self.assertIsNone(find_route(configuration(), 'h', '/ab/'))
+
+    def test_ignorance_is_no_refusal(self):
+        self.assertEqual('not_ready', self.code(None, head()))
+
+    def test_refuses_unknown_routes_and_keys(self):
+        self.assertEqual(
+            'unknown_route', self.code(configuration(), head(host='other'))
+        )
+        self.assertEqual(
+            'unknown_key', self.code(configuration(), head(key='old'))
+        )
+        self.assertEqual(
+            'unknown_key', self.code(configuration(), head(key=None))
+        )
+
+    def test_anonymous_route_needs_no_key_but_knows_one(self):
+        anonymous = permit(configuration(), head('/a/x', key=None))
+        self.assertEqual('', anonymous.organisation.name)
+        self.assertEqual(3, anonymous.priority)
+        known = permit(configuration(), head('/a/x'))
+        self.assertEqual('acme', known.organisation.name)
+
+    def test_priority_of_the_organisation_comes_first(self):
+        self.assertEqual(1, permit(configuration(), head()).priority)
--- /dev/null
+++ b/tests/test_gateway_forwarder.py
@@ -0,0 +1,366 @@
+"""
+tests.test_gateway_forwarder
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against requests that run twice, and answers that are false or cut.
+"""
+
+import msgspec
+import testtools
+import trio
+
+from eelgrassfork.http_client import ClientRequest, ConnectionLost
+
+from .gateway_world import configuration, run_world
+
+
+def code_of(answer):
+    response, body = answer
+    return response.status, msgspec.json.decode(body)['error']['code']
+
+
+def parts(*tokens):
+    return ','.join(f'{index:x}:{count}' for index, count in enumerate(tokens))
+
+
+class WholeAnswerTests(testtools.TestCase):
+    def test_passes_request_and_answer_on_unchanged(self):
+        async def scenario(world, nursery):
+            response, body = await world.call(
+                '/order/x?y=%20z',
+                method='POST',
+                body=b'\x00body',
+                x_custom='kept',
+                x_hold='forged',
+                x_tenant='forged',
+                kv_from='forged',
+            )
+            return response, body, world.replicas[0]
+
+        response, body, replica = run_world(scenario, plain=[['ok']])
+        self.assertEqual((200, b'i-0'), (response.status, body))
+        self.assertEqual('i-0', response.headers_by_name['x-response-seal'])
+        self.assertEqual('r1', response.headers_by_name['x-request-id'])
+        seen = replica.seen[0]
+        self.assertEqual([b'\x00body'], replica.bodies)
+        self.assertEqual('shop.example', seen['host'])
+        self.assertEqual('acme', seen['x-tenant'])
+        self.assertEqual('i-0', seen['x-expect-replica'])
+        self.assertEqual('kept', seen['x-custom'])
+        self.assertLessEqual(int(seen['x-request-deadline']), 1500)
+        for name in ('api-key', 'x-hold', 'kv-from'):
+            self.assertNotIn(name, seen)
+
+    def test_look_up_that_failed_runs_elsewhere(self):
+        async def scenario(world, nursery):
+            answers = [await world.call('/look/x', f'r{n}') for n in range(6)]
+            return {body for _, body in answers}
+
+        self.assertEqual(
+            {b'i-1'}, run_world(scenario, plain=[['error'], ['ok']])
+        )
+
+    def test_error_of_every_server_is_passed_on(self):
+        async def scenario(world, nursery):
+            response, _ = await world.call('/look/x')
+            runs = sum(len(replica.runs) for replica in world.replicas)
+            return response.status, runs
+
+        self.assertEqual(
+            (500, 2), run_world(scenario, plain=[['error'], ['error']])
+        )
+
+    def test_order_runs_once_whatever_happens(self):
+        for behaviour in ('error', 'cut', 'crossed', 'unsealed', 'hang'):
+
+            async def scenario(world, nursery):
+                response, _ = await world.call('/order/x', method='POST')
+                runs = sum(len(replica.runs) for replica in world.replicas)
+                return response.status, runs
+
+            status, runs = run_world(
+                scenario, plain=[[behaviour], [behaviour]]
+            )
+            self.assertEqual(1, runs)
+            self.assertIn(status, {500, 502, 504})
+
+    def test_full_servers_are_told_with_a_time_to_come_back(self):
+        async def scenario(world, nursery):
+            return await world.call('/order/x', method='POST')
+
+        answer = run_world(scenario, plain=[['full']])
+        self.assertEqual((503, 'overloaded'), code_of(answer))
+        delay_s = float(answer[0].headers_by_name['retry-after'])
+        self.assertLess(delay_s, 0.5)
+
+    def test_unproven_refusal_is_no_promise(self):
+        async def scenario(world, nursery):
+            return await world.call('/order/x', method='POST')
+
+        answer = run_world(scenario, plain=[['busy_unproven']])
+        self.assertEqual((502, 'server_failed'), code_of(answer))
+        self.assertNotIn('x-response-seal', answer[0].headers_by_name)
+
+    def test_server_with_a_reused_address_does_not_run_it(self):
+        async def scenario(world, nursery):
+            replica = world.replicas[0]
+            replica.server_id = 'i-other'
+            answer = await world.call('/look/x')
+            return answer, replica.runs
+
+        answer, runs = run_world(scenario, plain=[['ok']])
+        self.assertEqual([], runs)
+        self.assertEqual(503, answer[0].status)
+
+    def test_caller_that_leaves_stops_the_work(self):
+        async def scenario(world, nursery):
+            with trio.move_on_after(0.2):
+                await world.call('/order/x', method='POST')
+            await trio.sleep(0.3)
+            return world.replicas[0].cancelled
+
+        self.assertEqual(1, run_world(scenario, plain=[['hang']]))
+
+    def test_silent_server_is_left_for_another_in_time(self):
+        async def scenario(world, nursery):
+            started_at = trio.current_time()
+            answers = [await world.call('/look/x', f'r{n}') for n in range(4)]
+            return (
+                {body for _, body in answers},
+                trio.current_time() - started_at,
+            )
+
+        bodies, seconds = run_world(scenario, plain=[['hang'], ['ok']])
+        self.assertEqual({b'i-1'}, bodies)
+        self.assertLess(seconds, 1.5)
+
+
+class StreamTests(testtools.TestCase):
+    def test_torn_stream_goes_on_at_another_server(self):
+        async def scenario(world, nursery):
+            response, body = await world.call(
+                '/match/x',
+                method='POST',
+                x_token_counts='10,40',
+                x_prompt_prefix=parts(5, 5),
+            )
+            return response.status, body, world.replicas
+
+        script = ['torn:3', 'stream:6']
+        status, body, replicas = run_world(
+            scenario, model=[script, script]
+        )
+        self.assertEqual(200, status)
+        self.assertEqual(
+            [b'id: %d' % number for number in range(1, 7)],
+            [line for line in body.splitlines() if line.startswith(b'id')],
+        )
+        resumed = [
+            seen['last-event-id']
+            for replica in replicas
+            for seen in replica.seen
+            if 'last-event-id' in seen
+        ]
+        self.assertEqual(['3'], resumed)
+
+    def test_stream_that_may_not_go_on_is_cut_visibly(self):
+        async def scenario(world, nursery):
+            try:
+                await world.call('/reply/x', method='POST')
+            except ConnectionLost:
+                return sum(len(one.runs) for one in world.replicas)
+
+        self.assertEqual(
+            1, run_world(scenario, model=[['torn:3'], ['torn:3']])
+        )
+
+    def test_credit_is_charged_for_what_was_delivered(self):
+        async def scenario(world, nursery):
+            await world.call(
+                '/match/x', method='POST', x_token_counts='100,40'
+            )
+            held = world.node._credit.held
+            with trio.move_on_after(1):
+                while not held.unflushed('acme'):
+                    await trio.sleep(0.01)
+            return held.unflushed('acme')
+
+        # Three events of four tokens each.
+        self.assertEqual(112, run_world(scenario, model=[['stream:3']]))
+
+    def test_budget_is_never_exceeded(self):
+        async def scenario(world, nursery):
+            statuses = []
+            for number in range(8):
+                response, _ = await world.call(
+                    '/match/x',
+                    f'r{number}',
+                    method='POST',
+                    x_token_counts='200,12',
+                )
+                statuses.append(response.status)
+            return statuses, len(world.replicas[0].runs)
+
+        statuses, runs = run_world(scenario, model=[['stream:3']])
+        self.assertEqual([200] * 4, statuses[:4])
+        self.assertEqual(4, runs)
+        self.assertTrue(set(statuses[4:]) <= {402, 429})
+
+    def test_top_up_is_used_at_once(self):
+        async def scenario(world, nursery):
+            await world.call('/match/x', method='POST', x_token_counts='990,1')
+            refused, _ = await world.call(
+                '/match/x', method='POST', x_token_counts='990,1'
+            )
+            wire = configuration(2)
+            wire['tenants'][0]['prepaid'] = 5000
+            world.store.put('config', 'main', wire)
+            await trio.sleep(0.3)
+            served, _ = await world.call(
+                '/match/x', method='POST', x_token_counts='990,1'
+            )
+            return refused.status in {402, 429}, served.status
+
+        self.assertEqual((True, 200), run_world(scenario, model=[['stream:1']]))
+
+
+class PermissionTests(testtools.TestCase):
+    def test_refusals_have_codes(self):
+        async def scenario(world, nursery):
+            return [
+                code_of(await world.call('/nowhere/x')),
+                code_of(await world.call('/look/x', key='old')),
+            ]
+
+        self.assertEqual(
+            [(404, 'unknown_route'), (401, 'unknown_key')],
+            run_world(scenario, plain=[['ok']]),
+        )
+
+    def test_removed_key_is_refused_at_once(self):
+        async def scenario(world, nursery):
+            before, _ = await world.call('/look/x')
+            world.store.put('config', 'main', configuration(2, tenants=[]))
+            await trio.sleep(0.2)
+            after, _ = await world.call('/look/x')
+            return before.status, after.status
+
+        self.assertEqual((200, 401), run_world(scenario, plain=[['ok']]))
+
+    def test_bad_requests_reach_no_server(self):
+        bad = (
+            (('x-request-id', 'a'), ('x-request-id', 'b'), ('api-key', 'key')),
+            (('api-key', 'key'),),
+            (('x-request-id', 'a'), ('api-key', 'key'), ('api-key', 'old')),
+        )
+
+        async def scenario(world, nursery):
+            statuses = []
+            for headers in bad:
+                request = ClientRequest(
+                    world.settings.caller_address,
+                    'GET',
+                    '/look/x',
+                    headers,
+                    host='shop.example',
+                )
+                response, _ = await world.client.fetch(request)
+                statuses.append(response.status)
+            return statuses, len(world.replicas[0].seen)
+
+        self.assertEqual(
+            ([400] * 3, 0), run_world(scenario, plain=[['ok']])
+        )
+
+
+class LifeTests(testtools.TestCase):
+    def test_draining_server_gets_nothing_more(self):
+        async def scenario(world, nursery):
+            world.register(
+                world.replicas[0], 'plain', state='draining', sequence=2
+            )
+            await trio.sleep(0.2)
+            answers = [await world.call('/look/x', f'r{n}') for n in range(4)]
+            return {body for _, body in answers}
+
+        self.assertEqual(
+            {b'i-1'}, run_world(scenario, plain=[['ok'], ['ok']])
+        )
+
+    def test_stop_finishes_what_runs_and_returns_credit(self):
+        async def scenario(world, nursery):
+            statuses = []
+
+            async def one():
+                response, _ = await world.call(
+                    '/match/x', method='POST', x_token_counts='100,400'
+                )
+                statuses.append(response.status)
+
+            nursery.start_soon(one)
+            await trio.sleep(0.05)
+            ready = ClientRequest(
+                world.settings.ready_address, 'GET', '/readyz'
+            )
+            before, _ = await world.client.fetch(ready)
+            async with trio.open_nursery() as stopping:
+                stopping.start_soon(world.node.drain)
+                await trio.sleep(0.1)
+                after, _ = await world.client.fetch(ready)
+            ledger = world.store._objects_by_key[
+                'eelgrassfork-credit', 'ledger'
+            ]
+            return (
+                statuses,
+                before.status,
+                after.status,
+                ledger['spec']['granted']['acme'],
+            )
+
+        self.assertEqual(
+            ([200], 200, 503, 500), run_world(scenario, model=[['stream:100']])
+        )
+
+    def test_serves_on_while_the_store_is_away(self):
+        async def scenario(world, nursery):
+            await trio.sleep(1.2)
+            world.store.faults = world.store.faults._replace(refuse=503)
+            answers = []
+            for number in range(3):
+                answers.append(
+                    await world.call(
+                        '/match/x',
+                        f'r{number}',
+                        key='bigkey',
+                        method='POST',
+                        x_token_counts='100,10',
+                    ),
+                )
+            return [response.status for response, _ in answers]
+
+        self.assertEqual(
+            [200] * 3, run_world(scenario, model=[['stream:2']])
+        )
+
+    def test_metrics_and_state_are_served(self):
+        async def scenario(world, nursery):
+            await world.call('/look/x')
+            answers = []
+            for path in ('/metrics', '/state'):
+                request = ClientRequest(
+                    f'127.0.0.1:{world.settings.last_internal_port}',
+                    'GET',
+                    path,
+                )
+                answers.append((await world.client.fetch(request))[1])
+            return answers
+
+        metrics, state = run_world(scenario, plain=[['ok']])
+        self.assertIn(
+            b'eelgrassfork_requests_ended_total{kind="idempotent",'
+            b'outcome="http_200"} 1.0',
+            metrics,
+        )
+        self.assertEqual(1, msgspec.json.decode(state)['configuration_version'])
+
+
--- /dev/null
+++ b/tests/test_gateway_servers.py
@@ -0,0 +1,152 @@
+"""
+tests.test_gateway_servers
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against requests to servers that leave, and servers lost by mistake.
+"""
+
+import random
+
+import testtools
+import trio
+import trio.testing
+
+from eelgrassfork.gateway.records import ServerEntry, ServerLoad
+from eelgrassfork.gateway.servers import Server, ServerSet
+
+ENTRY = ServerEntry('s1', 'svc', '10.0.0.1:80', 'd0', 6, 100, 5)
+SOURCE = random.Random(3)
+
+
+def run(function):
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(function, clock=clock)
+
+
+def usable(servers):
+    return [server.entry.id for server in servers.usable('svc')]
+
+
+class ServerSetTests(testtools.TestCase):
+    def test_server_that_leaves_gets_nothing_whatever_comes_late(self):
+        async def main():
+            servers = ServerSet()
+            servers.take(ENTRY)
+            servers.take(ENTRY._replace(sequence=6, leaving=True))
+            servers.take(ENTRY._replace(sequence=4))
+            servers.take(ENTRY._replace(sequence=9))
+            return usable(servers)
+
+        self.assertEqual([], run(main))
+
+    def test_new_incarnation_with_the_same_id_is_a_new_server(self):
+        async def main():
+            servers = ServerSet()
+            servers.take(ENTRY._replace(leaving=True))
+            servers.take(ENTRY._replace(incarnation=200, sequence=1))
+            return usable(servers)
+
+        self.assertEqual(['s1'], run(main))
+
+    def test_older_incarnation_is_ignored(self):
+        async def main():
+            servers = ServerSet()
+            servers.take(ENTRY)
+            servers.take(ENTRY._replace(incarnation=50, address='10.9.9.9:1'))
+            return servers.usable('svc')[0].entry.address
+
+        self.assertEqual(ENTRY.address, run(main))
+
+    def test_removed_entry_is_gone_within_the_bound(self):
+        async def main():
+            servers = ServerSet()
+            servers.take(ENTRY)
+            servers.vanish('s1')
+            await trio.sleep(0.6)
+            return usable(servers)
+
+        self.assertEqual([], run(main))
+
+    def test_entry_that_lapsed_with_the_store_is_used_until_it_can_be_back(self):
+        async def main():
+            servers = ServerSet()
+            servers.take(ENTRY)
+            servers.note_store(reachable=False)
+            await trio.sleep(5)
+            servers.note_store(reachable=True)
+            servers.take_all([])
+            await trio.sleep(1.9)
+            held = usable(servers)
+            await trio.sleep(0.2)
+            return held, usable(servers)
+
+        self.assertEqual((['s1'], []), run(main))
+
+    def test_entry_that_is_back_stays(self):
+        async def main():
+            servers = ServerSet()
+            servers.take(ENTRY)
+            servers.vanish('s1')
+            servers.take(ENTRY._replace(sequence=8))
+            await trio.sleep(3)
+            return usable(servers)
+
+        self.assertEqual(['s1'], run(main))
+
+    def test_misdirected_server_is_dropped_at_once(self):
+        async def main():
+            servers = ServerSet()
+            servers.take(ENTRY)
+            servers.misdirected(servers.usable('svc')[0])
+            return usable(servers)
+
+        self.assertEqual([], run(main))
+
+    def test_gone_servers_are_forgotten_after_their_last_request(self):
+        async def main():
+            servers = ServerSet()
+            servers.take(ENTRY)
+            server = servers.usable('svc')[0]
+            server.in_flight = 1
+            servers.misdirected(server)
+            await trio.sleep(1)
+            servers.forget_gone()
+            kept = len(servers.of_service('svc'))
+            server.in_flight = 0
+            servers.forget_gone()
+            return kept, len(servers.of_service('svc'))
+
+        self.assertEqual((1, 0), run(main))
+
+
+class ServerTests(testtools.TestCase):
+    def test_load_counts_own_requests_exactly_and_others_by_report(self):
+        server = Server(ENTRY)
+        server.in_flight = 2
+        server.note_load(ServerLoad(5, 1, 6), 10)
+        self.assertEqual(6, server.load(10))
+        server.in_flight = 0
+        self.assertEqual(4, server.load(10))
+        self.assertLess(server.load(13), 2)
+
+    def test_unreachable_server_is_ejected_and_tried_again(self):
+        server = Server(ENTRY)
+        server.note_failure(0, True, SOURCE)
+        self.assertTrue(server.health.ejected)
+        self.assertFalse(server.is_due(0.1))
+        self.assertTrue(server.is_due(2))
+
+    def test_failed_trial_ejects_for_longer(self):
+        server = Server(ENTRY)
+        server.note_failure(0, True, SOURCE)
+        first = server.health.probe_at
+        server.note_failure(first, True, SOURCE)
+        self.assertGreater(server.health.probe_at, first)
+
+    def test_failures_fade_with_time_and_success(self):
+        server = Server(ENTRY)
+        server.note_failure(0, False, SOURCE)
+        self.assertEqual(1, server.failures(0))
+        self.assertAlmostEqual(0.5, server.failures(4))
+        server.note_success(0.1, 4)
+        self.assertLess(server.failures(4), 0.5)
