Test follower, heartbeats, credit and the platform's decoders; mend what they found

Found: a stop that raced with the refilling of standby credit left it in the ledger; a keeper could run out before its standby credit may be used (it now holds 5.5 s of use and fills up below 0.85).

--- a/eelgrassfork/gateway/credit.py
+++ b/eelgrassfork/gateway/credit.py
@@ -47,13 +47,13 @@
     """
 
     hold_s: float = 1
-    keeper_hold_s: float = 4
+    keeper_hold_s: float = 5.5
     standby_s: float = 8
     first_part: float = 0.06
     most_part: float = 0.5
     rate_half_life_s: float = 6
-    low_part: float = 0.6
-    refill_part: float = 0.9
+    low_part: float = 0.85
+    refill_part: float = 0.95
     surplus: float = 3
     flush_part: float = 0.03
 
--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -96,6 +96,7 @@
         self._urgent: Counter[str] = Counter()
         self._wake = trio.Event()
         self._round_done = trio.Event()
+        self._keeping = trio.CancelScope()
 
     async def start(self, nursery: trio.Nursery) -> None:
         """
@@ -103,9 +104,7 @@
 
         :param nursery: where the tasks run.
         """
-        nursery.start_soon(self._run)
-        nursery.start_soon(self._run_standby)
-        nursery.start_soon(self._watch_standby)
+        nursery.start_soon(self._keep)
 
     async def reserve(self, organisation: str, amount: int) -> None:
         """
@@ -136,6 +135,7 @@
 
         :param timeout_s: longest time for it.
         """
+        self._keeping.cancel()
         with trio.move_on_after(timeout_s):
             await self._standby.renew({}, free=True)
             free = self.held.free_by_organisation()
@@ -195,6 +195,13 @@
             code, 'no credit at hand', retry_after_s=_RETRY_AFTER_S
         )
 
+    async def _keep(self) -> None:
+        with self._keeping:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._run)
+                nursery.start_soon(self._run_standby)
+                nursery.start_soon(self._watch_standby)
+
     async def _run(self) -> None:
         while True:
             with trio.move_on_after(_TICK_S):
--- a/eelgrassfork/gateway/gossip.py
+++ b/eelgrassfork/gateway/gossip.py
@@ -109,7 +109,7 @@
         self._by_node: dict[str, Peer] = {}
         self._seed_ips: tuple[str, ...] = ()
         self._random = random.Random()
-        self._socket = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
+        self._socket: trio.socket.SocketType | None = None
         self._decoder = msgspec.msgpack.Decoder(Heartbeat)
         self._now = trio.Event()
 
@@ -119,13 +119,16 @@
 
         :param nursery: where the tasks run.
         """
-        await self._socket.bind((self._ip, self._port))
-        nursery.start_soon(self._receive)
-        nursery.start_soon(self._send)
+        opened = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
+        await opened.bind((self._ip, self._port))
+        self._socket = opened
+        nursery.start_soon(self._receive, opened)
+        nursery.start_soon(self._send, opened)
 
     def close(self) -> None:
         """Close the socket."""
-        self._socket.close()
+        if self._socket is not None:
+            self._socket.close()
 
     def add_seeds(self, ips: tuple[str, ...]) -> None:
         """
@@ -237,18 +240,20 @@
             for peer in self._by_node.values()
         ]
 
-    async def _send(self) -> None:
+    async def _send(self, opened: trio.socket.SocketType) -> None:
         while True:
             body = msgspec.msgpack.encode(self._heartbeat())
             for ip in self._targets():
-                await self._send_to(ip, body)
+                await self._send_to(opened, ip, body)
             with trio.move_on_after(_INTERVAL_S):
                 await self._now.wait()
             self._now = trio.Event()
 
-    async def _send_to(self, ip: str, body: bytes) -> None:
+    async def _send_to(
+        self, opened: trio.socket.SocketType, ip: str, body: bytes
+    ) -> None:
         try:
-            await self._socket.sendto(body, (ip, self._port))
+            await opened.sendto(body, (ip, self._port))
         except (OSError, trio.ClosedResourceError) as error:
             _log.debug('no heartbeat left', extra={'ip': ip, 'why': str(error)})
 
@@ -279,10 +284,10 @@
             return sorted(ips)
         return self._random.sample(sorted(ips), _FAN_OUT // 2)
 
-    async def _receive(self) -> None:
+    async def _receive(self, opened: trio.socket.SocketType) -> None:
         while True:
             try:
-                body, _ = await self._socket.recvfrom(_DATAGRAM_BYTES)
+                body, _ = await opened.recvfrom(_DATAGRAM_BYTES)
             except trio.ClosedResourceError:
                 return
             except OSError as error:
--- /dev/null
+++ b/tests/test_gateway_credit_keeper.py
@@ -0,0 +1,205 @@
+"""
+tests.test_gateway_credit_keeper
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against false refusals, and requests that wait for credit in vain.
+"""
+
+import testtools
+import trio
+import trio.testing
+
+from eelgrassfork.errors import RequestError
+from eelgrassfork.gateway.credit_keeper import CreditKeeper, CreditWorld
+from eelgrassfork.gateway.standby import FleetTime
+
+from .memory_store import MemoryStore
+
+EPOCH_MS = 1_700_000_000_000
+
+
+class Fleet:
+    """Routers over one store that lend to each other."""
+
+    def __init__(self, prepaid=100_000):
+        self.store = MemoryStore()
+        self.prepaid = prepaid
+        self.keepers_by_node = {}
+        self.cut = False
+
+    def fleet_time(self):
+        now_ms = EPOCH_MS + int(trio.current_time() * 1000)
+        return FleetTime(now_ms, 9)
+
+    async def add(self, nursery, node, is_keeper=True):
+        async def borrow(wanted):
+            await trio.sleep(0.001)
+            lent = {}
+            for other, keeper in self.keepers_by_node.items():
+                if other == node or self.cut:
+                    continue
+                for name, amount in wanted.items():
+                    missing = amount - lent.get(name, 0)
+                    got = keeper.held.remove(name, missing)
+                    lent[name] = lent.get(name, 0) + got
+            return lent
+
+        def peers_free(name):
+            return sum(
+                keeper.held.free(name)
+                for other, keeper in self.keepers_by_node.items()
+                if other != node and not self.cut
+            )
+
+        world = CreditWorld(
+            lambda: {'a': self.prepaid},
+            lambda: 2,
+            lambda: is_keeper,
+            borrow,
+            peers_free,
+            self.fleet_time,
+        )
+        keeper = CreditKeeper(self.store, node, 1, world)
+        self.keepers_by_node[node] = keeper
+        await keeper.start(nursery)
+        return keeper
+
+
+async def reserve(keeper, amount):
+    try:
+        await keeper.reserve('a', amount)
+    except RequestError as error:
+        return error.code
+    return 'reserved'
+
+
+def run(scenario, **options):
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(**options)
+            found = await scenario(fleet, nursery)
+            nursery.cancel_scope.cancel()
+        return found
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(main, clock=clock)
+
+
+class CreditKeeperTests(testtools.TestCase):
+    def test_large_request_is_served_at_once(self):
+        async def scenario(fleet, nursery):
+            keeper = await fleet.add(nursery, 'n1')
+            started_at = trio.current_time()
+            outcome = await reserve(keeper, 90_000)
+            return outcome, trio.current_time() - started_at
+
+        outcome, waited_s = run(scenario)
+        self.assertEqual('reserved', outcome)
+        self.assertLess(waited_s, 0.2)
+
+    def test_last_credit_is_found_wherever_it_is_held(self):
+        async def scenario(fleet, nursery):
+            first = await fleet.add(nursery, 'n1')
+            second = await fleet.add(nursery, 'n2', is_keeper=False)
+            await trio.sleep(3)
+            first_outcome = await reserve(first, 60_000)
+            return first_outcome, await reserve(second, 30_000)
+
+        self.assertEqual(('reserved', 'reserved'), run(scenario))
+
+    def test_spent_budget_is_told_apart_from_credit_elsewhere(self):
+        async def scenario(fleet, nursery):
+            keeper = await fleet.add(nursery, 'n1')
+            await reserve(keeper, 95_000)
+            in_use = await reserve(keeper, 50_000)
+            keeper.held.settle('a', 95_000, 95_000)
+            return in_use, await reserve(keeper, 50_000)
+
+        self.assertEqual(
+            ('credit_held_elsewhere', 'budget_exhausted'), run(scenario)
+        )
+
+    def test_outage_of_eight_seconds_is_served_from_credit_at_hand(self):
+        async def scenario(fleet, nursery):
+            keeper = await fleet.add(nursery, 'n1')
+
+            async def use(seconds):
+                outcomes = []
+                for _ in range(seconds * 10):
+                    outcomes.append(await reserve(keeper, 100))
+                    await trio.sleep(0.1)
+                return outcomes
+
+            await use(15)
+            fleet.store.down = True
+            return await use(8)
+
+        outcomes = run(scenario, prepaid=1_000_000)
+        self.assertEqual({'reserved'}, set(outcomes))
+
+    def test_unreachable_credit_is_refused_without_waiting(self):
+        async def scenario(fleet, nursery):
+            keeper = await fleet.add(nursery, 'n1')
+            await trio.sleep(2)
+            fleet.store.down = True
+            await trio.sleep(3)
+            started_at = trio.current_time()
+            outcome = await reserve(keeper, 99_000)
+            return outcome, trio.current_time() - started_at
+
+        outcome, waited_s = run(scenario)
+        self.assertEqual('credit_unreachable', outcome)
+        self.assertLess(waited_s, 0.05)
+
+    def test_stop_returns_everything(self):
+        async def scenario(fleet, nursery):
+            keeper = await fleet.add(nursery, 'n1')
+            await trio.sleep(4)
+            await reserve(keeper, 1000)
+            keeper.held.settle('a', 1000, 400)
+            await keeper.close(1)
+            stored = await fleet.store.get('eelgrassfork-credit', 'ledger')
+            return stored.content
+
+        self.assertIn(b'"granted":{"a":400}', run(scenario))
+
+    def test_power_cut_of_all_loses_only_what_was_not_on_standby(self):
+        async def scenario(fleet, nursery):
+            async with trio.open_nursery() as first_life:
+                keeper = await fleet.add(first_life, 'n1')
+                for _ in range(100):
+                    await reserve(keeper, 500)
+                    keeper.held.settle('a', 500, 500)
+                    await trio.sleep(0.1)
+                standby = keeper.dump()['standby_by_organisation']['a']
+                first_life.cancel_scope.cancel()
+            await trio.sleep(1.5)
+            fleet.keepers_by_node.clear()
+            again = await fleet.add(nursery, 'n1')
+            await trio.sleep(2)
+            return standby, again.dump()['standby_by_organisation']['a']
+
+        before, after = run(scenario, prepaid=1_000_000)
+        self.assertGreater(before, 20_000)
+        self.assertGreaterEqual(after, before)
+
+    def test_top_up_while_two_routers_compete_is_never_exceeded(self):
+        async def scenario(fleet, nursery):
+            keepers = [
+                await fleet.add(nursery, f'n{number}') for number in range(3)
+            ]
+            reserved = 0
+            for round_number in range(60):
+                if round_number == 30:
+                    fleet.prepaid *= 2
+                if round_number % 20 == 5:
+                    fleet.store.lose = 2
+                for keeper in keepers:
+                    if await reserve(keeper, 4000) == 'reserved':
+                        reserved += 4000
+                await trio.sleep(0.2)
+            return reserved, fleet.prepaid
+
+        reserved, prepaid = run(scenario)
+        self.assertLessEqual(reserved, prepaid)
+        self.assertGreater(reserved, prepaid * 0.9)
--- /dev/null
+++ b/tests/test_gateway_follower.py
@@ -0,0 +1,146 @@
+"""
+tests.test_gateway_follower
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against beliefs that stay behind the store, or fall back.
+"""
+
+import msgspec
+import testtools
+import trio
+import trio.testing
+
+from eelgrassfork.gateway.follower import Beliefs, Decoders, StoreFollower
+from eelgrassfork.platform.config_decoder import decode_configuration
+from eelgrassfork.platform.server_entries import decode_entry
+
+from .gateway_world import configuration
+from .memory_store import MemoryStore
+
+DECODERS = Decoders(
+    'config', 'main', 'servers', decode_configuration, decode_entry
+)
+ENTRY = {
+    'service': 'svc',
+    'address': '10.0.0.1:80',
+    'zone': 'd0',
+    'version': 'v1',
+    'slots': 6,
+    'state': 'ready',
+    'sequence': 3,
+    'born': 5,
+}
+
+
+class Setting:
+    def __init__(self, nursery):
+        self.store = MemoryStore()
+        self.changes = 0
+        self.beliefs = Beliefs(DECODERS, self.note_change)
+        self.follower = StoreFollower(
+            self.store, self.beliefs, DECODERS, lambda: 9
+        )
+        self.nursery = nursery
+
+    def note_change(self):
+        self.changes += 1
+
+    def put_version(self, version):
+        self.store.put('config', 'main', configuration(version))
+
+    @property
+    def version(self):
+        return self.beliefs.configuration.version
+
+    @property
+    def usable(self):
+        return [one.entry.id for one in self.beliefs.servers.usable('svc')]
+
+
+def run(scenario):
+    async def main():
+        async with trio.open_nursery() as nursery:
+            setting = Setting(nursery)
+            setting.put_version(3)
+            setting.store.put('servers', 's1', ENTRY)
+            await setting.follower.start(nursery)
+            await trio.sleep(0.1)
+            found = await scenario(setting)
+            nursery.cancel_scope.cancel()
+        return found
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(main, clock=clock)
+
+
+class FollowerTests(testtools.TestCase):
+    def test_takes_over_changes_at_once(self):
+        async def scenario(setting):
+            first = setting.version, setting.usable
+            setting.put_version(8)
+            setting.store.put('servers', 's1', {**ENTRY, 'state': 'draining'})
+            await trio.sleep(0.05)
+            return first, (setting.version, setting.usable)
+
+        self.assertEqual(((3, ['s1']), (8, [])), run(scenario))
+
+    def test_catches_up_after_an_outage_and_lost_history(self):
+        async def scenario(setting):
+            setting.store.down = True
+            await trio.sleep(5)
+            lost = setting.follower.reachable
+            setting.put_version(9)
+            setting.store.put('servers', 's2', ENTRY)
+            setting.store.compact()
+            setting.store.down = False
+            await trio.sleep(0.6)
+            return lost, setting.version, setting.usable
+
+        self.assertEqual((False, 9, ['s1', 's2']), run(scenario))
+
+    def test_silent_watch_is_renewed_within_seconds(self):
+        async def scenario(setting):
+            setting.store.silent = True
+            await trio.sleep(2.9)
+            setting.put_version(9)
+            setting.store.silent = False
+            await trio.sleep(1.6)
+            return setting.version
+
+        self.assertEqual(9, run(scenario))
+
+    def test_bad_configuration_leaves_the_old_one_in_force(self):
+        async def scenario(setting):
+            setting.store.put('config', 'main', b'{"version":9,"routes":[7]}')
+            await trio.sleep(0.1)
+            return setting.version
+
+        self.assertEqual(3, run(scenario))
+
+    def test_forged_entry_changes_nothing(self):
+        async def scenario(setting):
+            setting.store.put('servers', 's1', {**ENTRY, 'address': 7})
+            setting.store.put('servers', 's9', b'\xff')
+            await trio.sleep(0.1)
+            return setting.usable
+
+        self.assertEqual(['s1'], run(scenario))
+
+    def test_removed_entry_is_not_brought_back_by_a_peer(self):
+        async def scenario(setting):
+            known = setting.beliefs.records.export()
+            setting.store.remove('servers', 's1')
+            await trio.sleep(1)
+            setting.beliefs.take_servers(known, 'peer')
+            return setting.usable
+
+        self.assertEqual([], run(scenario))
+
+    def test_older_configuration_of_a_peer_is_ignored(self):
+        async def scenario(setting):
+            changes = setting.changes
+            older = msgspec.json.encode(configuration(2))
+            setting.beliefs.take_configuration(older, 'peer')
+            return setting.version, setting.changes - changes
+
+        self.assertEqual((3, 0), run(scenario))
--- /dev/null
+++ b/tests/test_line_writer.py
@@ -0,0 +1,66 @@
+"""
+tests.test_line_writer
+~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against logs that stop the process or grow without bound.
+"""
+
+import os
+
+import testtools
+import trio
+import trio.testing
+
+from eelgrassfork.line_writer import LineWriter
+
+
+class LineWriterTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.reader, self.descriptor = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.descriptor)
+
+    def run_in_trio(self, function):
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        return trio.run(function, clock=clock)
+
+    def test_writes_lines_in_order(self):
+        async def main():
+            writer = LineWriter(self.descriptor)
+            writer.write('one\n')
+            writer.write('two\n')
+            return os.read(self.reader, 100)
+
+        self.assertEqual(b'one\ntwo\n', self.run_in_trio(main))
+
+    def test_rate_is_bounded_and_comes_back(self):
+        async def main():
+            writer = LineWriter(self.descriptor, lines_per_s=10)
+            for _ in range(1000):
+                writer.write('x\n')
+            dropped = writer.dropped
+            os.read(self.reader, 100_000)
+            await trio.sleep(1)
+            writer.write('later\n')
+            return dropped, os.read(self.reader, 100)
+
+        self.assertEqual((400, b'later\n'), self.run_in_trio(main))
+
+    def test_reader_that_stops_blocks_nothing(self):
+        async def main():
+            writer = LineWriter(self.descriptor, lines_per_s=1_000_000)
+            for _ in range(600):
+                writer.write('x' * 2000 + '\n')
+            dropped = writer.dropped
+            os.read(self.reader, 10_000_000)
+            writer.flush()
+            return dropped, os.read(self.reader, 10_000_000)[:1]
+
+        dropped, rest = self.run_in_trio(main)
+        self.assertGreater(dropped, 0)
+        self.assertEqual(b'x', rest)
+
+    def test_works_outside_the_loop(self):
+        LineWriter(self.descriptor).write('start\n')
+        self.assertEqual(b'start\n', os.read(self.reader, 100))
--- /dev/null
+++ b/tests/test_platform_heads.py
@@ -0,0 +1,159 @@
+"""
+tests.test_platform_heads
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against smuggled requests, and headers that callers may not set.
+"""
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from eelgrassfork.errors import RequestError
+from eelgrassfork.platform.heads import (
+    Added,
+    decode_answer,
+    decode_request,
+    encode_added,
+    encode_retry_after,
+)
+
+HEADERS = (
+    ('host', 'Shop.Example:80'),
+    ('x-request-id', 'r1'),
+    ('x-token-counts', '1460,80'),
+    ('x-prompt-prefix', '5c:800, 91:410,e4:250'),
+    ('x-request-deadline', '4000'),
+    ('api-key', 'secret'),
+    ('last-event-id', '12'),
+    ('x-custom', 'kept'),
+)
+
+
+def decode(*extra, target='/a/b?c=d', headers=HEADERS):
+    return decode_request('POST', target, (*headers, *extra))
+
+
+class RequestTests(testtools.TestCase):
+    def code(self, *extra, **options):
+        return self.assertRaises(RequestError, decode, *extra, **options).code
+
+    def test_decodes_what_routing_needs(self):
+        head = decode()
+        self.assertEqual('shop.example', head.host)
+        self.assertEqual(('/a/b?c=d', '/a/b'), (head.target, head.path))
+        self.assertEqual((1460, 80), (head.prompt_tokens, head.max_output_tokens))
+        self.assertEqual(
+            [('5c', 800), ('91', 410), ('e4', 250)],
+            [tuple(part) for part in head.parts],
+        )
+        self.assertEqual((4.0, 'secret', '12'), (head.patience_s, head.key, head.last_event_id))
+
+    def test_drops_what_only_routers_say_and_what_binds_one_connection(self):
+        names = dict(
+            decode(
+                ('x-hold', '1'),
+                ('x-tenant', 'other'),
+                ('kv-from', 'x'),
+                ('kv-fetch', 'x'),
+                ('x-pin-ms', '5'),
+                ('x-kv-backup', 'x'),
+                ('x-expect-replica', 'i'),
+                ('x-request-priority', '0'),
+                ('transfer-encoding', 'chunked'),
+                ('keep-alive', 'x'),
+                ('connection', 'x-nominated, x-token-counts'),
+                ('x-nominated', 'x'),
+            ).headers,
+        )
+        self.assertEqual(
+            {'x-request-id', 'x-token-counts', 'x-prompt-prefix', 'x-custom'},
+            set(names),
+        )
+
+    def test_ambiguous_requests_are_refused(self):
+        for extra in (
+            ('x-request-id', 'r2'),
+            ('host', 'other'),
+            ('api-key', 'other'),
+            ('x-token-counts', '1,1'),
+        ):
+            self.assertEqual('invalid_request', self.code(extra))
+        self.assertEqual(
+            'invalid_request',
+            self.code(('content-length', '5'), ('transfer-encoding', 'chunked')),
+        )
+
+    def test_other_targets_than_paths_are_refused(self):
+        for target in ('http://other/a/', '*', 'a/b'):
+            self.assertEqual('invalid_request', self.code(target=target))
+
+    def test_identity_is_needed(self):
+        self.assertEqual('invalid_request', self.code(headers=HEADERS[:1]))
+
+    def test_odd_numbers_mean_nothing(self):
+        for text in ('', 'soon', '-5', 'nan', 'inf'):
+            headers = (*HEADERS[:2], ('x-request-deadline', text))
+            self.assertIsNone(decode(headers=headers).patience_s)
+        headers = (*HEADERS[:2], ('x-token-counts', '-1,x'))
+        self.assertEqual(0, decode(headers=headers).most_tokens)
+
+    @settings(derandomize=True, max_examples=200)
+    @given(st.text(max_size=30), st.text(max_size=30), st.text(max_size=30))
+    def test_any_text_is_survived(self, counts, parts, patience):
+        decode(
+            headers=(
+                *HEADERS[:2],
+                ('x-token-counts', counts),
+                ('x-prompt-prefix', parts),
+                ('x-request-deadline', patience),
+            ),
+        )
+
+
+class AnswerTests(testtools.TestCase):
+    def test_proofs_of_not_having_run(self):
+        self.assertTrue(decode_answer(503, (('x-not-executed', '1'),)).not_run)
+        self.assertTrue(decode_answer(421, ()).not_run)
+        self.assertFalse(decode_answer(503, ()).not_run)
+
+    def test_reads_load_and_idle_timeout(self):
+        answer = decode_answer(
+            200,
+            (
+                ('x-replica-load', '3,1,8'),
+                ('keep-alive', 'timeout=7, max=3'),
+                ('x-response-seal', 's'),
+            ),
+        )
+        self.assertEqual((3, 1, 8), tuple(answer.load))
+        self.assertEqual(7, answer.idle_timeout_s)
+        self.assertTrue(answer.sealed)
+        self.assertEqual((('x-response-seal', 's'),), answer.headers)
+
+    def test_odd_load_is_ignored(self):
+        for text in ('', '1,2', 'a,b,c', '1,2,3,4'):
+            self.assertIsNone(decode_answer(200, (('x-replica-load', text),)).load)
+
+
+class EncodeTests(testtools.TestCase):
+    def test_tells_a_server_its_target(self):
+        headers = dict(encode_added(Added('i-1', 1.5, 'acme', 2, '7')))
+        self.assertEqual(
+            {
+                'x-request-deadline': '1500',
+                'x-expect-replica': 'i-1',
+                'x-request-priority': '2',
+                'x-tenant': 'acme',
+                'last-event-id': '7',
+            },
+            headers,
+        )
+
+    def test_anonymous_request_has_no_organisation(self):
+        headers = dict(encode_added(Added('i-1', 0.0001, '', 2, '')))
+        self.assertNotIn('x-tenant', headers)
+        self.assertEqual('1', headers['x-request-deadline'])
+
+    def test_time_to_come_back_has_fractions(self):
+        self.assertEqual((('retry-after', '0.250'),), encode_retry_after(0.25))
