--- a/eelgrassfork/gateway/credit.py
+++ b/eelgrassfork/gateway/credit.py
@@ -240,31 +240,51 @@
     """
     drawn: dict[str, int] = {}
     returned: dict[str, int] = {}
-    spent: dict[str, int] = {}
     is_low = any(situation.urgent_by_organisation.values())
     for name, prepaid in situation.prepaid_by_organisation.items():
         left = remaining(ledger, name, prepaid)
         free = held.free(name)
         target = target_tokens(held, name, situation, policy, now_s)
-        most = int(left * policy.most_part / situation.keepers)
-        missing = target - free
-        if situation.is_keeper:
-            missing += standby_missing(held, name, situation, policy, now_s)
-        wanted = max(situation.urgent_by_organisation.get(name, 0) - free, 0)
-        advance = min(missing, most)
-        if wanted or advance > target * (1 - policy.refill_part):
-            drawn[name] = min(left, max(wanted, advance))
+        wanted = _wanted(held, name, situation, policy, now_s)
+        if wanted > target * (1 - policy.refill_part):
+            most = int(left * policy.most_part / situation.keepers)
+            urgent = situation.urgent_by_organisation.get(name, 0) - free
+            drawn[name] = max(0, min(left, max(urgent, min(wanted, most))))
             is_low = is_low or free < target * policy.low_part
         elif free > policy.surplus * target and left < prepaid / 4:
             returned[name] = free - target
-        unflushed = held.unflushed(name)
-        if unflushed > prepaid * policy.flush_part / situation.keepers:
-            spent[name] = unflushed
-    return Transfer(
-        {name: amount for name, amount in drawn.items() if is_low and amount},
-        returned,
-        spent if is_low or returned else {},
-    )
+    if not is_low:
+        drawn = {}
+    spent = _unrecorded(held, situation, policy)
+    drawn = {key: amount for key, amount in drawn.items() if amount}
+    return Transfer(drawn, returned, spent if drawn or returned else {})
+
+
+def _wanted(
+    held: HeldCredit,
+    organisation: str,
+    situation: Situation,
+    policy: CreditPolicy,
+    now_s: float,
+) -> int:
+    free = held.free(organisation)
+    urgent = situation.urgent_by_organisation.get(organisation, 0) - free
+    missing = -free
+    missing += target_tokens(held, organisation, situation, policy, now_s)
+    if situation.is_keeper:
+        missing += standby_missing(held, organisation, situation, policy, now_s)
+    return max(urgent, missing)
+
+
+def _unrecorded(
+    held: HeldCredit, situation: Situation, policy: CreditPolicy
+) -> dict[str, int]:
+    part = policy.flush_part / situation.keepers
+    return {
+        name: held.unflushed(name)
+        for name, prepaid in situation.prepaid_by_organisation.items()
+        if held.unflushed(name) > prepaid * part
+    }
 
 
 def target_tokens(
--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -19,16 +19,18 @@
     HeldCredit,
     Situation,
     plan_transfer,
-    standby_missing,
     target_tokens,
 )
 from .ledger import Transfer
 from .ledger_writer import LedgerWriter
-from .standby import RENEWAL_S, FleetTime, Standby
+from .standby import FleetTime, Standby
+from .standby_keeper import StandbyKeeper
 from .store import Store, StoreError
 
 __all__ = ('CreditKeeper', 'CreditWorld')
 
+Tokens = Mapping[str, int]
+
 _log = logbook.Logger('credit')
 
 _TICK_S: Final = 1.0
@@ -36,11 +38,6 @@
 _DRAW_WAIT_S: Final = 0.15
 _BORROW_WAIT_S: Final = 0.1
 _RETRY_AFTER_S: Final = 0.3
-_WATCH_S: Final = 0.1
-_CLOCKS_WAIT_S: Final = 1.2
-_RETRY_S: Final = 0.3
-# Standby credit above this multiple of its target is freed.
-_MOST_STANDBY: Final = 2
 
 
 class CreditWorld(NamedTuple):
@@ -57,10 +54,10 @@
     :param fleet_time: median of the routers' clocks.
     """
 
-    prepaid: Callable[[], Mapping[str, int]]
+    prepaid: Callable[[], Tokens]
     keepers: Callable[[], int]
     is_keeper: Callable[[], bool]
-    borrow: Callable[[Mapping[str, int]], Awaitable[Mapping[str, int]]]
+    borrow: Callable[[Tokens], Awaitable[Tokens]]
     peers_free: Callable[[str], int]
     fleet_time: Callable[[], FleetTime]
 
@@ -90,8 +87,12 @@
         self._ledger = LedgerWriter(
             store, node, incarnation, self.held, world.prepaid
         )
-        self._standby = Standby(
-            store, node, incarnation, world.fleet_time, self._add
+        self._standby = StandbyKeeper(
+            Standby(store, node, incarnation, world.fleet_time, self._add),
+            self.held,
+            self._ledger,
+            self._situation,
+            self._policy,
         )
         self._urgent: Counter[str] = Counter()
         self._wake = trio.Event()
@@ -137,7 +138,7 @@
         """
         self._keeping.cancel()
         with trio.move_on_after(timeout_s):
-            await self._standby.renew({}, free=True)
+            await self._standby.release()
             free = self.held.free_by_organisation()
             await self._ledger.transfer(
                 lambda: Transfer(
@@ -160,7 +161,7 @@
             'ledger': self._ledger.dump(),
         }
 
-    def _add(self, tokens_by_organisation: Mapping[str, int]) -> None:
+    def _add(self, tokens_by_organisation: Tokens) -> None:
         for name, tokens in tokens_by_organisation.items():
             self.held.add(name, tokens)
 
@@ -199,8 +200,8 @@
         with self._keeping:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._run)
-                nursery.start_soon(self._run_standby)
-                nursery.start_soon(self._watch_standby)
+                nursery.start_soon(self._standby.run)
+                nursery.start_soon(self._standby.watch)
 
     async def _run(self) -> None:
         while True:
@@ -263,68 +264,3 @@
             max(1, self._world.keepers()),
             self._world.is_keeper(),
         )
-
-    async def _run_standby(self) -> None:
-        with trio.move_on_after(_CLOCKS_WAIT_S):
-            while not self._standby.has_clocks:
-                await trio.sleep(_WATCH_S)
-        await self._recover_standby()
-        while True:
-            await trio.sleep(RENEWAL_S)
-            situation = self._situation()
-            await self._fill_standby(situation)
-            await self._standby.renew(
-                self._standby_targets(situation), not situation.is_keeper
-            )
-
-    async def _recover_standby(self) -> None:
-        while True:
-            try:
-                await self._standby.recover()
-            except StoreError as error:
-                _log.warning(
-                    'could not recover credit', extra={'why': error.code}
-                )
-                await trio.sleep(_RETRY_S)
-            else:
-                return
-
-    async def _watch_standby(self) -> None:
-        while True:
-            await trio.sleep(_WATCH_S)
-            self._standby.activate_if_due()
-
-    def _standby_targets(self, situation: Situation) -> dict[str, int]:
-        # Nothing stays on standby of what the ledger can't replace.
-        targets = {}
-        for name in self._standby.tokens_by_organisation:
-            target = target_tokens(
-                self.held,
-                name,
-                situation,
-                self._policy,
-                trio.current_time(),
-            )
-            short = self.held.free(name) < target / 2
-            if not (short and self._ledger.is_known_empty(name, 1)):
-                part = self._policy.standby_s / self._policy.keeper_hold_s
-                targets[name] = int(_MOST_STANDBY * part * target)
-        return targets
-
-    async def _fill_standby(self, situation: Situation) -> None:
-        if not situation.is_keeper:
-            return
-        now_s = trio.current_time()
-        added = {}
-        for name in situation.prepaid_by_organisation:
-            missing = standby_missing(
-                self.held, name, situation, self._policy, now_s
-            )
-            target = target_tokens(
-                self.held, name, situation, self._policy, now_s
-            )
-            spare = min(missing, self.held.free(name) - target)
-            if spare > target * (1 - self._policy.refill_part):
-                added[name] = self.held.remove(name, spare)
-        if added and not await self._standby.put(added):
-            self._add(added)
--- /dev/null
+++ b/eelgrassfork/gateway/exchange.py
@@ -0,0 +1,251 @@
+"""
+eelgrassfork.gateway.exchange
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Exchanges one request with one server, and relays its answer.
+"""
+
+import random
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Final, NamedTuple
+
+import trio
+
+from ..http_client import (
+    ClientRequest,
+    ClientTimeouts,
+    ConnectFailed,
+    ConnectionSilent,
+    HttpClient,
+    HttpClientError,
+    Response,
+)
+from ..sse import EventTooLarge
+from .event_relay import BrokenStream
+from .follower import Beliefs
+from .patience import Waiting, pause_s, silence_s
+from .records import AnswerHead, Headers
+from .sending import KeptAnswer, Send, SendFailed, Sending
+
+__all__ = ('Exchange', 'ExchangeParts', 'Target')
+
+_EVENTS: Final = 'text/event-stream'
+# Routers and servers are a few milliseconds apart.
+_CONNECT_S: Final = 0.3
+# Statuses by which callers know that a request has not run.
+_PROMISES: Final = frozenset((408, 421, 429, 503))
+
+
+class Target(NamedTuple):
+    """What a server is told beside the caller's own headers."""
+
+    server_id: str
+    patience_s: float
+    organisation: str
+    priority: int
+    last_event_id: str
+
+
+class ExchangeParts(NamedTuple):
+    """
+    What an exchange works with.
+
+    :param client: HTTP client for servers.
+    :param beliefs: told of servers that are not who they were.
+    :param encode: writes the headers that tell a server its target.
+    :param decode: understands the head of an answer.
+    """
+
+    client: HttpClient
+    beliefs: Beliefs
+    encode: Callable[[Target], Headers]
+    decode: Callable[[int, Headers], AnswerHead]
+
+
+class Exchange:
+    """
+    Sends requests to servers that were chosen.
+
+    :param parts: what it works with.
+    """
+
+    def __init__(self, parts: ExchangeParts) -> None:
+        self._parts = parts
+        self._random = random.Random()
+
+    async def run(
+        self, sending: Sending, send: Send, has_other: bool
+    ) -> KeptAnswer | None:
+        """
+        Send a request and relay its answer.
+
+        :param sending: the request.
+        :param send: the server it goes to.
+        :param has_other: whether another server may be tried after it.
+        :returns: a failure of the server that was not relayed; ``None`` if
+            the answer was.
+        :raises SendFailed: if there is no answer to relay.
+        """
+        response = await self._request(sending, send, has_other)
+        try:
+            return await self._relay(sending, send, response)
+        except HttpClientError as error:
+            raise self._lost(send, error) from None
+        except (BrokenStream, EventTooLarge) as error:
+            self._note_failure(send)
+            raise SendFailed(error.code, error.message, not_run=False) from None
+        finally:
+            await response.close()
+
+    async def _request(
+        self, sending: Sending, send: Send, has_other: bool
+    ) -> Response:
+        route = sending.permission.route
+        waiting = Waiting(sending.left_s, send.server.latency_s, has_other)
+        bounds = ClientTimeouts(
+            connect_s=_CONNECT_S,
+            first_byte_s=silence_s(route, waiting),
+            silence_s=pause_s(route, sending.left_s),
+        )
+        send.reached = True
+        try:
+            return await self._parts.client.request(
+                self._encode(sending, send), bounds
+            )
+        except HttpClientError as error:
+            send.reached = error.sent
+            raise self._lost(send, error) from None
+
+    def _encode(self, sending: Sending, send: Send) -> ClientRequest:
+        head = sending.head
+        permission = sending.permission
+        target = Target(
+            send.server.entry.id,
+            sending.left_s,
+            permission.organisation.name,
+            permission.priority,
+            sending.relay.last_event_id,
+        )
+        return ClientRequest(
+            send.server.entry.address,
+            head.method,
+            head.target,
+            (*head.headers, *self._parts.encode(target)),
+            sending.call.body,
+            once=not permission.route.repeatable,
+            host=head.host_header,
+        )
+
+    async def _relay(
+        self, sending: Sending, send: Send, response: Response
+    ) -> KeptAnswer | None:
+        answer = self._check(sending, send, response)
+        sending.may_have_run = True
+        if not _is_success(answer):
+            return await self._failure(sending, send, response, answer)
+        if _is_stream(sending, answer):
+            await self._stream(sending, send, response, answer)
+        else:
+            body = await response.read()
+            self._note_success(send)
+            await sending.respond(answer, body)
+        send.outcome = 'answered'
+        return None
+
+    def _check(
+        self, sending: Sending, send: Send, response: Response
+    ) -> AnswerHead:
+        answer = self._parts.decode(response.status, response.headers)
+        if answer.load is not None:
+            send.server.note_load(answer.load, trio.current_time())
+        if answer.request_id not in {'', sending.head.request_id}:
+            self._note_failure(send)
+            raise SendFailed('crossed', 'an answer to another request', False)
+        if answer.not_run:
+            raise self._not_run(send, answer)
+        if _is_success(answer) and not answer.sealed:
+            self._note_failure(send)
+            raise SendFailed('unsealed', 'an answer of unknown origin', False)
+        return answer
+
+    def _not_run(self, send: Send, answer: AnswerHead) -> SendFailed:
+        if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
+            self._parts.beliefs.servers.misdirected(send.server)
+        else:
+            self._note_failure(send)
+        return SendFailed('not_run', f'HTTP {answer.status}', not_run=True)
+
+    async def _failure(
+        self,
+        sending: Sending,
+        send: Send,
+        response: Response,
+        answer: AnswerHead,
+    ) -> KeptAnswer:
+        body = await response.read()
+        send.outcome = f'http_{answer.status}'
+        is_servers = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        if is_servers:
+            self._note_failure(send)
+        if answer.status in _PROMISES:
+            # The server did not vouch for it, so callers must not rely on it.
+            raise SendFailed('unproven', f'HTTP {answer.status}', not_run=False)
+        repeatable = sending.permission.route.repeatable
+        return KeptAnswer(answer, body, not (is_servers and repeatable))
+
+    async def _stream(
+        self,
+        sending: Sending,
+        send: Send,
+        response: Response,
+        answer: AnswerHead,
+    ) -> None:
+        relay = sending.relay
+        relay.begin()
+        sending.tokens_per_event = self._tokens_per_event(send)
+        async for chunk in response.chunks():
+            events = relay.feed(chunk)
+            if events:
+                if not send.is_read:
+                    send.mark_read()
+                    self._note_success(send)
+                await sending.pass_on(answer, events)
+        if not relay.is_whole:
+            raise SendFailed('cut', 'the stream ended within an event', False)
+        await sending.finish(answer)
+
+    def _tokens_per_event(self, send: Send) -> int:
+        configuration = self._parts.beliefs.configuration.current
+        if configuration is None:
+            return 1
+        service = configuration.services_by_name.get(send.server.entry.service)
+        if service is None or service.engine is None:
+            return 1
+        return service.engine.tokens_per_event
+
+    def _lost(self, send: Send, error: HttpClientError) -> SendFailed:
+        self._note_failure(send, isinstance(error, ConnectFailed))
+        silent = isinstance(error, ConnectionSilent)
+        return SendFailed(
+            'silent' if silent else error.code,
+            error.message,
+            not_run=not error.sent,
+        )
+
+    def _note_failure(self, send: Send, unreachable: bool = False) -> None:
+        send.server.note_failure(trio.current_time(), unreachable, self._random)
+
+    def _note_success(self, send: Send) -> None:
+        now_s = trio.current_time()
+        send.server.note_success(now_s - send.started_at, now_s)
+
+
+def _is_success(answer: AnswerHead) -> bool:
+    return HTTPStatus.OK <= answer.status < HTTPStatus.MULTIPLE_CHOICES
+
+
+def _is_stream(sending: Sending, answer: AnswerHead) -> bool:
+    kinds = [text for name, text in answer.headers if name == 'content-type']
+    events = any(text.startswith(_EVENTS) for text in kinds)
+    return events or (sending.permission.route.kind == 'stream' and not kinds)
--- a/eelgrassfork/gateway/forwarder.py
+++ b/eelgrassfork/gateway/forwarder.py
@@ -17,7 +17,8 @@
 from .credit_keeper import CreditKeeper
 from .follower import Beliefs
 from .records import Configuration, ForwardHead, Headers
-from .sending import Sender, Sending
+from .sender import Sender
+from .sending import Sending
 from .telemetry import Telemetry
 
 __all__ = ('Forwarder', 'ForwarderParts', 'Translation')
@@ -70,7 +71,7 @@
         self.draining = False
         self.in_progress = 0
 
-    async def handle(self, call: Call) -> None:
+    async def forward(self, call: Call) -> None:
         """
         Answer one request.
 
@@ -78,11 +79,11 @@
         """
         self.in_progress += 1
         try:
-            await self._handle(call)
+            await self._forward(call)
         finally:
             self.in_progress -= 1
 
-    async def _handle(self, call: Call) -> None:
+    async def _forward(self, call: Call) -> None:
         try:
             head = self._parts.translation.request(
                 call.method, call.target, call.headers
@@ -210,9 +211,7 @@
     scope.cancel()
 
 
-def _deadline(
-    call: Call, permission: Permission, head: ForwardHead
-) -> float:
+def _deadline(call: Call, permission: Permission, head: ForwardHead) -> float:
     longest_s = permission.route.timeout_s
     if head.patience_s is not None:
         longest_s = min(longest_s, head.patience_s)
--- a/eelgrassfork/gateway/gossip.py
+++ b/eelgrassfork/gateway/gossip.py
@@ -18,7 +18,7 @@
 from ..names import rendezvous_order
 from .standby import FleetTime
 
-__all__ = ('Gossip', 'Heartbeat', 'Known', 'Peer')
+__all__ = ('Gossip', 'Heartbeat', 'Known', 'Peer', 'unix_ms')
 
 _log = logbook.Logger('gossip')
 
@@ -32,6 +32,7 @@
 _FORGET_S: Final = 60.0
 _DATAGRAM_BYTES: Final = 8192
 _MS_PER_S: Final = 1000
+_NS_PER_MS: Final = 1_000_000
 
 
 class Known(NamedTuple):
@@ -136,8 +137,8 @@
 
         :param ips: IP addresses.
         """
-        known = {*self._seed_ips, *ips} - {self._ip}
-        self._seed_ips = tuple(sorted(known))
+        known = set(self._seed_ips) | set(ips)
+        self._seed_ips = tuple(sorted(known - {self._ip}))
 
     def hasten(self) -> None:
         """Send the next heartbeat now."""
@@ -177,7 +178,7 @@
         :returns: fleet time now.
         """
         now_s = trio.current_time()
-        clocks = [_unix_ms()]
+        clocks = [unix_ms()]
         for peer in self.spoken():
             if peer.heartbeat is not None:
                 age_s = now_s - peer.spoke_at
@@ -271,7 +272,7 @@
         ]
         sample = self._random.sample(peers, min(_SAMPLE, len(peers)))
         return self._describe()._replace(
-            others=tuple(sample), unix_ms=_unix_ms()
+            others=tuple(sample), unix_ms=unix_ms()
         )
 
     def _targets(self) -> list[str]:
@@ -279,7 +280,7 @@
         for node, peer in list(self._by_node.items()):
             if now_s - peer.heard_at > _FORGET_S:
                 self._by_node.pop(node)
-        ips = {peer.ip for peer in self._by_node.values()} | {*self._seed_ips}
+        ips = {one.ip for one in self._by_node.values()} | set(self._seed_ips)
         if len(ips) <= _FAN_OUT:
             return sorted(ips)
         return self._random.sample(sorted(ips), _FAN_OUT // 2)
@@ -347,5 +348,10 @@
     return rendezvous_order(domain, nodes)[0]
 
 
-def _unix_ms() -> int:
-    return time.time_ns() // 1_000_000
+def unix_ms() -> int:
+    """
+    Read the clock of this VM.
+
+    :returns: Unix time in milliseconds.
+    """
+    return time.time_ns() // _NS_PER_MS
--- a/eelgrassfork/gateway/ledger.py
+++ b/eelgrassfork/gateway/ledger.py
@@ -140,10 +140,8 @@
     :param second: tokens by organisation.
     :returns: their sums.
     """
-    return {
-        name: first.get(name, 0) + second.get(name, 0)
-        for name in {**first, **second}
-    }
+    names = set(first) | set(second)
+    return {name: first.get(name, 0) + second.get(name, 0) for name in names}
 
 
 def apply_transfer(
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -5,28 +5,26 @@
 Wires the parts of one router that forwards requests as they are.
 """
 
-import time
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
 import logbook
-import msgspec
 import trio
 
-from ..errors import RequestError
 from ..http_client import HttpClient
-from ..http_server import Call, HttpServer, ServerLimits
-from ..loop_watch import LoopWatch
+from ..http_server import HttpServer, ServerLimits
 from .credit_keeper import CreditKeeper, CreditWorld
+from .exchange import Exchange, ExchangeParts, Target
 from .follower import Beliefs, Decoders, StoreFollower
 from .forwarder import Forwarder, ForwarderParts, Translation
-from .gossip import Gossip, Heartbeat, Peer
+from .gossip import Gossip, Heartbeat, Peer, unix_ms
 from .node_settings import NodeSettings
 from .peer_exchange import PeerExchange
 from .records import AnswerHead, CallerBounds, Headers
 from .registry import Registry
 from .repeat_budget import RepeatPolicy
-from .sending import Sender, SenderParts, Target
+from .sender import Sender, SenderParts
+from .status_pages import StatusPages
 from .store import Store
 from .telemetry import Telemetry
 
@@ -41,12 +39,11 @@
 _END_MARGIN_S: Final = 0.4
 _RETURN_CREDIT_S: Final = 0.6
 _POLL_S: Final = 0.05
+_LEAST_S: Final = 0.05
 # Servers close idle connections without a notice that can be told from a
 # lost request.
 _SERVER_IDLE_S: Final = 2.0
 _SERVER_IDLE_CONNECTIONS: Final = 16
-_TEXT: Final = (('content-type', 'text/plain; charset=utf-8'),)
-_JSON: Final = (('content-type', 'application/json'),)
 
 
 class NodeAdapter(NamedTuple):
@@ -80,12 +77,12 @@
     def __init__(self, settings: NodeSettings, adapter: NodeAdapter) -> None:
         self._settings = settings
         self._adapter = adapter
-        self._incarnation = time.time_ns() // 1_000_000
-        self.telemetry = Telemetry()
+        self._incarnation = unix_ms()
         self._http = HttpClient()
         self._servers_http = HttpClient(
             max_idle=_SERVER_IDLE_CONNECTIONS, max_idle_s=_SERVER_IDLE_S
         )
+        self.telemetry = Telemetry(lambda: self._servers_http.opened)
         self._store = adapter.make_store(self._http, self._count_store_call)
         self._beliefs = Beliefs(adapter.decoders, self._beliefs_changed)
         self._gossip = Gossip(
@@ -95,10 +92,7 @@
             self._heard,
         )
         self._exchange = PeerExchange(
-            self._http,
-            self._gossip,
-            self._beliefs,
-            settings,
+            self._http, self._gossip, self._beliefs, settings
         )
         self._follower = StoreFollower(
             self._store, self._beliefs, adapter.decoders, self._routers
@@ -109,11 +103,11 @@
         self._credit = self._make_credit()
         self._exchange.held = lambda: self._credit.held
         self._forwarder = self._make_forwarder()
-        self._loop_watch = LoopWatch()
-        self._callers = HttpServer(self._forwarder.handle)
+        self._callers = HttpServer(self._forwarder.forward)
         self._peers = HttpServer(self._exchange.serve)
-        self._ready = HttpServer(self._answer_ready)
-        self._metrics = HttpServer(self._answer_metrics)
+        pages = StatusPages(self.telemetry, self._is_ready, self.dump)
+        self._ready = HttpServer(pages.answer_ready)
+        self._metrics = HttpServer(pages.answer_metrics)
         self._draining = False
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -139,7 +133,6 @@
         nursery.start_soon(self._exchange.run)
         nursery.start_soon(self._registry.run)
         nursery.start_soon(self._tidy)
-        nursery.start_soon(self._loop_watch.run)
         _log.info(
             'started',
             extra={
@@ -155,9 +148,7 @@
         end_at = began_at + self._settings.bounds.grace_s - _END_MARGIN_S
         self._draining = True
         self._gossip.hasten()
-        _log.info(
-            'drains', extra={'in_progress': self._forwarder.in_progress}
-        )
+        _log.info('drains', extra={'in_progress': self._forwarder.in_progress})
         await trio.sleep(_LAST_CALLERS_S)
         self._forwarder.draining = True
         self._callers.stop_accepting()
@@ -166,7 +157,7 @@
                 break
             await trio.sleep(_POLL_S)
         await self._credit.close(
-            max(0.05, min(_RETURN_CREDIT_S, end_at - trio.current_time()))
+            max(_LEAST_S, min(_RETURN_CREDIT_S, end_at - trio.current_time()))
         )
         _log.info(
             'stopped',
@@ -227,14 +218,20 @@
 
     def _make_forwarder(self) -> Forwarder:
         bounds = self._settings.bounds
+        exchange = Exchange(
+            ExchangeParts(
+                self._servers_http,
+                self._beliefs,
+                self._adapter.encode_target,
+                self._adapter.decode_answer,
+            ),
+        )
         sender = Sender(
             SenderParts(
-                self._servers_http,
+                exchange,
                 self._beliefs,
                 self.telemetry,
                 self._settings.failure_domain,
-                self._adapter.encode_target,
-                self._adapter.decode_answer,
                 RepeatPolicy(
                     bounds.retry_ratio,
                     bounds.retry_window_s,
@@ -297,7 +294,7 @@
         configuration = self._beliefs.configuration.current
         if configuration is not None:
             self.telemetry.configuration_version.set(configuration.version)
-            self._callers.set_limits(_server_limits(configuration.bounds))
+            self._callers.change_limits(_server_limits(configuration.bounds))
 
     def _count_store_call(self, outcome: str) -> None:
         self.telemetry.store_calls.labels(outcome).inc()
@@ -307,7 +304,6 @@
             await trio.sleep(_TIDY_S)
             self._beliefs.servers.forget_gone()
 
-    @property
     def _is_ready(self) -> bool:
         known = self._beliefs.configuration.version and not self._draining
         return bool(known) and not self._is_isolated()
@@ -323,21 +319,6 @@
             for name in configuration.services_by_name
         )
 
-    async def _answer_ready(self, call: Call) -> None:
-        if self._is_ready:
-            await call.respond(200, b'ready\n', _TEXT)
-        else:
-            await call.respond(503, b'not ready\n', _TEXT)
-
-    async def _answer_metrics(self, call: Call) -> None:
-        if call.path == '/metrics':
-            self.telemetry.connections_opened.set(self._servers_http.opened)
-            await call.respond(200, self.telemetry.text(), _TEXT)
-        elif call.path == '/state':
-            await call.respond(200, msgspec.json.encode(self.dump()), _JSON)
-        else:
-            raise RequestError('unknown_route', 'try /metrics or /state')
-
 
 async def _listen(
     server: HttpServer, nursery: trio.Nursery, address: str
--- a/eelgrassfork/gateway/peer_exchange.py
+++ b/eelgrassfork/gateway/peer_exchange.py
@@ -29,7 +29,7 @@
 _CONFIGURATION: Final = '/peer/v1/configuration'
 _SERVERS: Final = '/peer/v1/servers'
 _CREDIT: Final = '/peer/v1/credit'
-_TIMEOUTS: Final = ClientTimeouts(connect_s=0.3, first_byte_s=0.5, silence_s=1)
+_TIMEOUTS: Final = ClientTimeouts(connect_s=0.25, first_byte_s=0.5, silence_s=1)
 # Most news also come by the router's own watch in this time.
 _WATCH_LEAD_S: Final = 0.06
 _OK: Final = 200
@@ -137,7 +137,7 @@
         answer = answers_by_path.get(call.path)
         if answer is None:
             raise RequestError('unknown_service', 'no such path')
-        await call.respond(200, answer(call), _BODY)
+        await call.respond(_OK, answer(call), _BODY)
 
     def _configuration(self, call: Call) -> bytes:
         return self._beliefs.configuration.content
--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -18,7 +18,7 @@
 
 # Crashed servers mostly come back under a new id, so an ejected one that does
 # come back is tried again within a few seconds.
-_EJECTION: Final = EjectionPolicy(failures=3, first_s=0.4, longest_s=4)
+_EJECTION: Final = EjectionPolicy(failures=3, first_s=0.5, longest_s=4)
 # Failures count half after this time, the length of a short disturbance.
 _FAILURE_HALF_LIFE_S: Final = 4.0
 _SUCCESS_FACTOR: Final = 0.7
@@ -198,9 +198,7 @@
         :param service: name of the service.
         :returns: whether all are ejected, or there is none.
         """
-        return all(
-            server.health.ejected for server in self.usable(service)
-        )
+        return all(server.health.ejected for server in self.usable(service))
 
     def of_service(self, service: str) -> list[Server]:
         """
@@ -270,9 +268,7 @@
         """
         listed = {entry.id: entry for entry in entries}
         changed = [
-            server_id
-            for server_id, entry in listed.items()
-            if self.take(entry)
+            server_id for server_id, entry in listed.items() if self.take(entry)
         ]
         missing = [
             server_id
--- a/eelgrassfork/gateway/telemetry.py
+++ b/eelgrassfork/gateway/telemetry.py
@@ -5,6 +5,7 @@
 Counters and latency histograms of the gateway, as text on request.
 """
 
+from collections.abc import Callable
 from typing import Final
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
@@ -35,13 +36,15 @@
     """
     Everything that the gateway counts.
 
+    :param connections_opened: connections to backend servers so far.
+
     :ivar ended: ended requests by route kind and outcome.
     :ivar sends: requests sent to servers by service and outcome.
     :ivar first_byte_s: time to the first byte for the caller, in seconds.
     :ivar whole_s: time to the end of the answer, in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, connections_opened: Callable[[], float]) -> None:
         registry = CollectorRegistry()
         self._registry = registry
         self.ended = Counter(
@@ -88,20 +91,14 @@
             _PREFIX,
             registry=registry,
         )
-        self.connections_opened = Gauge(
+        opened = Gauge(
             'server_connections_opened',
             'Connections opened to backend servers.',
             (),
             _PREFIX,
             registry=registry,
         )
-        self.log_lines_dropped = Gauge(
-            'log_lines_dropped',
-            'Log lines dropped to bound their rate.',
-            (),
-            _PREFIX,
-            registry=registry,
-        )
+        opened.set_function(connections_opened)
 
     def text(self) -> bytes:
         """
--- a/eelgrassfork/http_server.py
+++ b/eelgrassfork/http_server.py
@@ -386,7 +386,7 @@
         self.address = listening.address
         nursery.start_soon(self._run, listening)
 
-    def set_limits(self, limits: ServerLimits) -> None:
+    def change_limits(self, limits: ServerLimits) -> None:
         """
         Change the bounds on callers, for connections accepted from now on.
 
--- a/eelgrassfork/platform/__main__.py
+++ b/eelgrassfork/platform/__main__.py
@@ -14,11 +14,11 @@
 import logbook
 import trio
 
+from ..gateway.exchange import Target
 from ..gateway.follower import Decoders
 from ..gateway.forwarder import Translation
 from ..gateway.node import GatewayNode, NodeAdapter
 from ..gateway.node_settings import NodeSettings
-from ..gateway.sending import Target
 from ..gateway.store import Store
 from ..http_client import HttpClient
 from ..line_writer import LineWriter
@@ -91,9 +91,7 @@
             decode_configuration,
             server_entries.decode_entry,
         ),
-        translation=Translation(
-            heads.decode_request, heads.encode_retry_after
-        ),
+        translation=Translation(heads.decode_request, heads.encode_retry_after),
         encode_target=_encode_target,
         decode_answer=heads.decode_answer,
         metrics_port=settings.first_internal_port + _METRICS_PORT_OFFSET,
--- a/eelgrassfork/platform/config_decoder.py
+++ b/eelgrassfork/platform/config_decoder.py
@@ -125,13 +125,15 @@
         host = wire.hostname.lower()
         routes_by_host.setdefault(host, []).append(_route(wire, host))
     return {
-        host: tuple(
-            sorted(routes, key=lambda route: len(route.prefix), reverse=True)
-        )
+        host: tuple(sorted(routes, key=_prefix_length, reverse=True))
         for host, routes in routes_by_host.items()
     }
 
 
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
+
+
 def _route(wire: _Route, host: str) -> Route:
     services = [
         WeightedService(split.service, split.weight)
--- a/eelgrassfork/platform/heads.py
+++ b/eelgrassfork/platform/heads.py
@@ -186,15 +186,18 @@
 
 def _check(target: str, headers: Headers) -> None:
     names = [name for name, _ in headers]
-    for single in _SINGLE:
-        if names.count(single) > 1:
-            raise RequestError('invalid_request', f'two {single} headers')
-    if 'content-length' in names and 'transfer-encoding' in names:
-        raise RequestError('invalid_request', 'two lengths of the body')
-    if _REQUEST_ID not in names:
-        raise RequestError('invalid_request', f'{_REQUEST_ID} is missing')
-    if not target.startswith('/') or len(target) > _TARGET_LIMIT:
-        raise RequestError('invalid_request', 'the target must be a path')
+    doubled = [single for single in _SINGLE if names.count(single) > 1]
+    problem = ''
+    if doubled:
+        problem = f'two {doubled[0]} headers'
+    elif 'content-length' in names and 'transfer-encoding' in names:
+        problem = 'two lengths of the body'
+    elif _REQUEST_ID not in names:
+        problem = f'{_REQUEST_ID} is missing'
+    elif not target.startswith('/') or len(target) > _TARGET_LIMIT:
+        problem = 'the target must be a path'
+    if problem:
+        raise RequestError('invalid_request', problem)
 
 
 def _end_to_end(headers: Headers, dropped: frozenset[str]) -> Headers:
--- a/eelgrassfork/platform/server_entries.py
+++ b/eelgrassfork/platform/server_entries.py
@@ -16,14 +16,16 @@
 
 KIND: Final = 'servers'
 
+_MAX_NAME: Final = 200
+_MAX_UNIX_MS: Final = 1_000_000_000_000_000
 _MS_PER_S: Final = 1000
 _ADDRESS: Final = re.compile(r'\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}')
 
-_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=_MAX_NAME)]
 _Count = Annotated[int, msgspec.Meta(ge=0)]
 _Slots = Annotated[int, msgspec.Meta(ge=1)]
 # Whole numbers beyond this are no Unix time in milliseconds.
-_UnixMs = Annotated[int, msgspec.Meta(ge=0, le=10**15)]
+_UnixMs = Annotated[int, msgspec.Meta(ge=0, le=_MAX_UNIX_MS)]
 
 
 class _Entry(msgspec.Struct, rename='camel'):
--- a/eelgrassfork/platform/store_client.py
+++ b/eelgrassfork/platform/store_client.py
@@ -82,7 +82,7 @@
         self,
         client: HttpClient,
         address: str,
-        on_call: Callable[[str], None] = lambda outcome: None,
+        on_call: Callable[[str], None],
     ) -> None:
         self._client = client
         self._address = address
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -16,6 +16,7 @@
 
 _PAGE = 500
 _MS = 1000
+_Event = tuple[int, str, dict[str, Any]]
 _JSON = (('content-type', 'application/json'),)
 
 
@@ -46,7 +47,7 @@
         self._page = page
         self._server = HttpServer(self._serve)
         self._objects_by_key: dict[tuple[str, str], dict[str, Any]] = {}
-        self._events: list[tuple[int, str, dict[str, Any]]] = []
+        self._events: list[_Event] = []
         self._oldest = 0
         self._changed = trio.Event()
         self.revision = 1
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -12,7 +12,6 @@
 __all__ = ('Replica',)
 
 
-
 class Replica:
     """
     Answers requests as its script says.
@@ -68,7 +67,10 @@
         await self._play(call, behaviour or self.script[0])
 
     async def _play(self, call: Call, behaviour: str) -> None:
-        sealed = (('x-response-seal', self.server_id), ('x-replica-load', '1,0,6'))
+        sealed = (
+            ('x-response-seal', self.server_id),
+            ('x-replica-load', '1,0,6'),
+        )
         if behaviour == 'full':
             await call.respond(503, b'', (('x-not-executed', '1'),))
             return
--- a/tests/test_gateway_choice.py
+++ b/tests/test_gateway_choice.py
@@ -45,7 +45,9 @@
         chosen = []
         for key in keys:
             candidates = [
-                one._replace(load=load[one.id], failures=4 * (one.id in failing))
+                one._replace(
+                    load=load[one.id], failures=4 * (one.id in failing)
+                )
                 for one in servers()
             ]
             server_id = self.choose(candidates, key).server_id
@@ -84,9 +86,7 @@
         self.assertLess(counts['s3'], 300 / 6 / 2)
 
     def test_own_failure_domain_comes_first_while_loads_are_alike(self):
-        counts = Counter(
-            self.choose(servers()).server_id for _ in range(200)
-        )
+        counts = Counter(self.choose(servers()).server_id for _ in range(200))
         own = sum(counts[f's{index}'] for index in (0, 2, 4))
         self.assertGreater(own, 150)
 
--- a/tests/test_gateway_forwarder.py
+++ b/tests/test_gateway_forwarder.py
@@ -78,9 +78,7 @@
                 runs = sum(len(replica.runs) for replica in world.replicas)
                 return response.status, runs
 
-            status, runs = run_world(
-                scenario, plain=[[behaviour], [behaviour]]
-            )
+            status, runs = run_world(scenario, plain=[[behaviour], [behaviour]])
             self.assertEqual(1, runs)
             self.assertIn(status, {500, 502, 504})
 
@@ -147,9 +145,7 @@
             return response.status, body, world.replicas
 
         script = ['torn:3', 'stream:6']
-        status, body, replicas = run_world(
-            scenario, model=[script, script]
-        )
+        status, body, replicas = run_world(scenario, model=[script, script])
         self.assertEqual(200, status)
         self.assertEqual(
             [b'id: %d' % number for number in range(1, 7)],
@@ -170,15 +166,11 @@
             except ConnectionLost:
                 return sum(len(one.runs) for one in world.replicas)
 
-        self.assertEqual(
-            1, run_world(scenario, model=[['torn:3'], ['torn:3']])
-        )
+        self.assertEqual(1, run_world(scenario, model=[['torn:3'], ['torn:3']]))
 
     def test_credit_is_charged_for_what_was_delivered(self):
         async def scenario(world, nursery):
-            await world.call(
-                '/match/x', method='POST', x_token_counts='100,40'
-            )
+            await world.call('/match/x', method='POST', x_token_counts='100,40')
             held = world.node._credit.held
             with trio.move_on_after(1):
                 while not held.unflushed('acme'):
@@ -268,9 +260,7 @@
                 statuses.append(response.status)
             return statuses, len(world.replicas[0].seen)
 
-        self.assertEqual(
-            ([400] * 3, 0), run_world(scenario, plain=[['ok']])
-        )
+        self.assertEqual(([400] * 3, 0), run_world(scenario, plain=[['ok']]))
 
 
 class LifeTests(testtools.TestCase):
@@ -283,9 +273,7 @@
             answers = [await world.call('/look/x', f'r{n}') for n in range(4)]
             return {body for _, body in answers}
 
-        self.assertEqual(
-            {b'i-1'}, run_world(scenario, plain=[['ok'], ['ok']])
-        )
+        self.assertEqual({b'i-1'}, run_world(scenario, plain=[['ok'], ['ok']]))
 
     def test_stop_finishes_what_runs_and_returns_credit(self):
         async def scenario(world, nursery):
@@ -338,9 +326,7 @@
                 )
             return [response.status for response, _ in answers]
 
-        self.assertEqual(
-            [200] * 3, run_world(scenario, model=[['stream:2']])
-        )
+        self.assertEqual([200] * 3, run_world(scenario, model=[['stream:2']]))
 
     def test_metrics_and_state_are_served(self):
         async def scenario(world, nursery):
@@ -362,5 +348,3 @@
             metrics,
         )
         self.assertEqual(1, msgspec.json.decode(state)['configuration_version'])
-
-
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -81,9 +81,7 @@
 
         async def scenario():
             await trio.sleep(0.6)
-            return [
-                router.gossip.keepers('d0') for router in routers
-            ]
+            return [router.gossip.keepers('d0') for router in routers]
 
         keepers = run(scenario, *routers)
         self.assertEqual([None], keepers[0])
--- a/tests/test_gateway_ledger.py
+++ b/tests/test_gateway_ledger.py
@@ -43,10 +43,18 @@
 
     def test_lowered_limit_gives_nothing_more(self):
         ledger, _ = apply_transfer(
-            EMPTY, Transfer({'a': 500}, {}, {}), {'a': 500}, 'n', Operation(1, 1)
+            EMPTY,
+            Transfer({'a': 500}, {}, {}),
+            {'a': 500},
+            'n',
+            Operation(1, 1),
         )
         _, got = apply_transfer(
-            ledger, Transfer({'a': 50}, {}, {}), {'a': 100}, 'n', Operation(1, 2)
+            ledger,
+            Transfer({'a': 50}, {}, {}),
+            {'a': 100},
+            'n',
+            Operation(1, 2),
         )
         self.assertEqual({'a': 0}, got)
 
--- a/tests/test_gateway_servers.py
+++ b/tests/test_gateway_servers.py
@@ -67,7 +67,9 @@
 
         self.assertEqual([], run(main))
 
-    def test_entry_that_lapsed_with_the_store_is_used_until_it_can_be_back(self):
+    def test_entry_that_lapsed_with_the_store_is_used_until_it_can_be_back(
+        self,
+    ):
         async def main():
             servers = ServerSet()
             servers.take(ENTRY)
--- a/tests/test_platform_boot_file.py
+++ b/tests/test_platform_boot_file.py
@@ -45,9 +45,7 @@
         self.assertEqual(9, settings.bounds.grace_s)
         self.assertEqual(0.3, settings.bounds.retry_ratio)
         self.assertEqual((7200, 7215), settings[6:8])
-        self.assertEqual(
-            ('10.1.0.19:8748', '10.2.0.13:8748'), settings.seeds
-        )
+        self.assertEqual(('10.1.0.19:8748', '10.2.0.13:8748'), settings.seeds)
         self.assertTrue(settings.first_start)
 
     def test_names_the_missing_field(self):
--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -31,8 +31,10 @@
 }
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(max_size=5),
-    lambda inner: st.lists(inner, max_size=3)
-    | st.dictionaries(st.text(max_size=5), inner, max_size=3),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
     max_leaves=6,
 )
 
@@ -44,7 +46,9 @@
 class ServerEntryTests(testtools.TestCase):
     def test_decodes_what_servers_write(self):
         entry = decode_entry('i-1', encoded())
-        self.assertEqual(('i-1', 'svc', 6), (entry.id, entry.service, entry.slots))
+        self.assertEqual(
+            ('i-1', 'svc', 6), (entry.id, entry.service, entry.slots)
+        )
         self.assertEqual(1.5, entry.cold_s)
         self.assertFalse(entry.leaving)
         self.assertTrue(decode_entry('i-1', encoded(state='draining')).leaving)
@@ -91,15 +95,21 @@
             route.name: route for route in known.routes_by_host['shop.example']
         }
         self.assertEqual(7, known.version)
-        self.assertEqual([90, 10], [one.weight for one in routes['look'].services])
+        self.assertEqual(
+            [90, 10], [one.weight for one in routes['look'].services]
+        )
         self.assertEqual(0.3, routes['look'].objective_s)
         self.assertTrue(routes['match'].repeatable)
         self.assertFalse(routes['reply'].repeatable)
         self.assertFalse(routes['order'].repeatable)
         self.assertEqual('acme', known.organisation_names_by_key['key'])
         self.assertEqual(9, known.organisations_by_name['acme'].priority)
-        self.assertEqual(1000, known.organisations_by_name['acme'].prepaid_tokens)
-        self.assertEqual(4, known.services_by_name['model'].engine.tokens_per_event)
+        self.assertEqual(
+            1000, known.organisations_by_name['acme'].prepaid_tokens
+        )
+        self.assertEqual(
+            4, known.services_by_name['model'].engine.tokens_per_event
+        )
 
     def test_without_organisations_no_key_is_needed(self):
         wire = configuration()
@@ -109,7 +119,9 @@
 
     def test_longest_prefix_comes_first(self):
         wire = configuration()
-        wire['routes'].append({**wire['routes'][0], 'pathPrefix': '/look/deep/'})
+        wire['routes'].append(
+            {**wire['routes'][0], 'pathPrefix': '/look/deep/'}
+        )
         known = decode_configuration(msgspec.json.encode(wire))
         first = known.routes_by_host['shop.example'][0]
         self.assertEqual('/look/deep/', first.prefix)
--- a/tests/test_platform_heads.py
+++ b/tests/test_platform_heads.py
@@ -42,12 +42,17 @@
         head = decode()
         self.assertEqual('shop.example', head.host)
         self.assertEqual(('/a/b?c=d', '/a/b'), (head.target, head.path))
-        self.assertEqual((1460, 80), (head.prompt_tokens, head.max_output_tokens))
+        self.assertEqual(
+            (1460, 80), (head.prompt_tokens, head.max_output_tokens)
+        )
         self.assertEqual(
             [('5c', 800), ('91', 410), ('e4', 250)],
             [tuple(part) for part in head.parts],
         )
-        self.assertEqual((4.0, 'secret', '12'), (head.patience_s, head.key, head.last_event_id))
+        self.assertEqual(
+            (4.0, 'secret', '12'),
+            (head.patience_s, head.key, head.last_event_id),
+        )
 
     def test_drops_what_only_routers_say_and_what_binds_one_connection(self):
         names = dict(
@@ -81,7 +86,9 @@
             self.assertEqual('invalid_request', self.code(extra))
         self.assertEqual(
             'invalid_request',
-            self.code(('content-length', '5'), ('transfer-encoding', 'chunked')),
+            self.code(
+                ('content-length', '5'), ('transfer-encoding', 'chunked')
+            ),
         )
 
     def test_other_targets_than_paths_are_refused(self):
@@ -133,7 +140,9 @@
 
     def test_odd_load_is_ignored(self):
         for text in ('', '1,2', 'a,b,c', '1,2,3,4'):
-            self.assertIsNone(decode_answer(200, (('x-replica-load', text),)).load)
+            self.assertIsNone(
+                decode_answer(200, (('x-replica-load', text),)).load
+            )
 
 
 class EncodeTests(testtools.TestCase):
--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -26,7 +26,7 @@
         with trio.fail_after(10):
             async with trio.open_nursery() as nursery:
                 await store.start(nursery, '127.0.0.1', 0)
-                client = StoreClient(HttpClient(), store.address)
+                client = StoreClient(HttpClient(), store.address, [].append)
                 found = await scenario(store, client)
                 nursery.cancel_scope.cancel()
         return found
