--- a/eelgrassfork/gateway/configuration.py
+++ b/eelgrassfork/gateway/configuration.py
@@ -44,6 +44,11 @@
         """Version in force, 0 if there is none."""
         return self.current.version if self.current else 0
 
+    @property
+    def age_s(self) -> float:
+        """Time since the version in force was taken over, in seconds."""
+        return round(trio.current_time() - self.known_at, 1)
+
     def take(self, configuration: Configuration, content: bytes) -> bool:
         """
         Put a configuration into force unless a newer one already is.
--- a/eelgrassfork/gateway/exchange.py
+++ b/eelgrassfork/gateway/exchange.py
@@ -10,6 +10,7 @@
 from http import HTTPStatus
 from typing import Final, NamedTuple
 
+import logbook
 import trio
 
 from ..http_client import (
@@ -30,6 +31,8 @@
 
 __all__ = ('Exchange', 'ExchangeParts', 'Target')
 
+_log = logbook.Logger('exchange')
+
 _EVENTS: Final = 'text/event-stream'
 # Routers and servers are a few milliseconds apart.
 _CONNECT_S: Final = 0.3
@@ -234,11 +237,26 @@
         )
 
     def _note_failure(self, send: Send, unreachable: bool = False) -> None:
-        send.server.note_failure(trio.current_time(), unreachable, self._random)
+        server = send.server
+        now_s = trio.current_time()
+        was_ejected = server.health.ejected
+        server.note_failure(now_s, unreachable, self._random)
+        if server.health.ejected and not was_ejected:
+            _log.warning(
+                'ejected a server',
+                extra={
+                    'server': server.entry.id,
+                    'unreachable': unreachable,
+                    'failures': round(server.failures(now_s), 1),
+                },
+            )
 
     def _note_success(self, send: Send) -> None:
+        server = send.server
         now_s = trio.current_time()
-        send.server.note_success(now_s - send.started_at, now_s)
+        if server.health.ejected:
+            _log.info('took a server back', extra={'server': server.entry.id})
+        server.note_success(now_s - send.started_at, now_s)
 
 
 def _is_success(answer: AnswerHead) -> bool:
--- a/eelgrassfork/gateway/forwarder.py
+++ b/eelgrassfork/gateway/forwarder.py
@@ -174,6 +174,7 @@
                 'outcome': error.code,
                 'why': error.message,
                 'version': self._parts.beliefs.configuration.version,
+                'version_age_s': self._parts.beliefs.configuration.age_s,
             },
         )
 
@@ -197,6 +198,7 @@
                 'route': route.name,
                 'organisation': sending.permission.organisation.name,
                 'version': self._parts.beliefs.configuration.version,
+                'version_age_s': self._parts.beliefs.configuration.age_s,
                 'tokens': sending.head.most_tokens,
                 'events': sending.relay.events,
                 'sends': [send.log_fields() for send in sending.sends],
--- a/eelgrassfork/gateway/peer_exchange.py
+++ b/eelgrassfork/gateway/peer_exchange.py
@@ -29,7 +29,10 @@
 _CONFIGURATION: Final = '/peer/v1/configuration'
 _SERVERS: Final = '/peer/v1/servers'
 _CREDIT: Final = '/peer/v1/credit'
-_TIMEOUTS: Final = ClientTimeouts(connect_s=0.25, first_byte_s=0.5, silence_s=1)
+_CONNECT_S: Final = 0.25
+_TIMEOUTS: Final = ClientTimeouts(
+    connect_s=_CONNECT_S, first_byte_s=0.5, silence_s=1
+)
 # Most news also come by the router's own watch in this time.
 _WATCH_LEAD_S: Final = 0.06
 _OK: Final = 200
--- a/eelgrassfork/gateway/sending.py
+++ b/eelgrassfork/gateway/sending.py
@@ -61,6 +61,7 @@
         self.server = server
         self.reason = reason
         self.load = load
+        self.load_age_s = server.load_age_s(trio.current_time())
         self.outcome = 'unknown'
         self.reached = False
         self.started_at = trio.current_time()
@@ -95,6 +96,7 @@
             'server': self.server.entry.id,
             'chosen_by': self.reason,
             'load': round(self.load, 1),
+            'load_age_s': round(self.load_age_s, 1),
             'outcome': self.outcome,
         }
 
--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -96,6 +96,15 @@
             now_s - self._failed_at, _FAILURE_HALF_LIFE_S
         )
 
+    def load_age_s(self, now_s: float) -> float:
+        """
+        Compute the age of the server's last word on its load.
+
+        :param now_s: time on the clock of trio.
+        :returns: seconds.
+        """
+        return now_s - self._load_at
+
     def is_due(self, now_s: float) -> bool:
         """
         Tell whether an ejected server may be tried with a request.
--- a/eelgrassfork/gateway/status_pages.py
+++ b/eelgrassfork/gateway/status_pages.py
@@ -9,6 +9,7 @@
 from http import HTTPStatus
 from typing import Final
 
+import logbook
 import msgspec
 
 from ..errors import RequestError
@@ -17,6 +18,8 @@
 
 __all__ = ('StatusPages',)
 
+_log = logbook.Logger('ready')
+
 _TEXT: Final = (('content-type', 'text/plain; charset=utf-8'),)
 _JSON: Final = (('content-type', 'application/json'),)
 
@@ -39,6 +42,7 @@
         self._telemetry = telemetry
         self._is_ready = is_ready
         self._dump = dump
+        self._was_ready = False
 
     async def answer_ready(self, call: Call) -> None:
         """
@@ -46,7 +50,11 @@
 
         :param call: its check.
         """
-        if self._is_ready():
+        is_ready = self._is_ready()
+        if is_ready != self._was_ready:
+            self._was_ready = is_ready
+            _log.info('readiness changed', extra={'ready': is_ready})
+        if is_ready:
             await call.respond(HTTPStatus.OK, b'ready\n', _TEXT)
         else:
             status = HTTPStatus.SERVICE_UNAVAILABLE
--- a/eelgrassfork/platform/heads.py
+++ b/eelgrassfork/platform/heads.py
@@ -186,18 +186,17 @@
 
 def _check(target: str, headers: Headers) -> None:
     names = [name for name, _ in headers]
-    doubled = [single for single in _SINGLE if names.count(single) > 1]
-    problem = ''
-    if doubled:
-        problem = f'two {doubled[0]} headers'
-    elif 'content-length' in names and 'transfer-encoding' in names:
-        problem = 'two lengths of the body'
-    elif _REQUEST_ID not in names:
-        problem = f'{_REQUEST_ID} is missing'
-    elif not target.startswith('/') or len(target) > _TARGET_LIMIT:
-        problem = 'the target must be a path'
-    if problem:
-        raise RequestError('invalid_request', problem)
+    problems = [
+        f'two {single} headers' for single in _SINGLE if names.count(single) > 1
+    ]
+    if 'content-length' in names and 'transfer-encoding' in names:
+        problems.append('two lengths of the body')
+    if _REQUEST_ID not in names:
+        problems.append(f'{_REQUEST_ID} is missing')
+    if not target.startswith('/') or len(target) > _TARGET_LIMIT:
+        problems.append('the target must be a path')
+    if problems:
+        raise RequestError('invalid_request', ', '.join(problems))
 
 
 def _end_to_end(headers: Headers, dropped: frozenset[str]) -> Headers:
