Ask a store that is away less often, and draw directly only for what peers lack

Change: one follower asks, at most once a second; routers that are no keepers draw themselves only when the refill from peers was not enough.

--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -216,7 +216,10 @@
     async def _round(self) -> None:
         if not self._world.is_keeper():
             await self._refill()
-        urgent = any(amount > 0 for amount in self._urgent.values())
+        urgent = any(
+            amount > self.held.free(name)
+            for name, amount in self._urgent.items()
+        )
         if not (urgent or self._world.is_keeper()):
             return
         try:
--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -24,6 +24,11 @@
 _log = logbook.Logger('follow')
 
 _RETRY_S: Final = 0.25
+_MAX_DOUBLINGS: Final = 4
+_LONGEST_RETRY_S: Final = 1.0
+# While the store is away only the configuration's follower asks for it; the
+# other one waits for its success, or so long.
+_LONGEST_WAIT_S: Final = 2.0
 # A watch that hears nothing may be dead.  With the watches of all routers
 # renewed in turn, one of them hears of a change within this time.
 _RENEWAL_S: Final = 0.3
@@ -147,6 +152,7 @@
         self._routers = routers
         self._random = random.Random()
         self._reachable: bool | None = None
+        self._returned = trio.Event()
         self.heard_at: float = float('-inf')
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -180,6 +186,7 @@
         on_changes: Callable[[list[Change]], None],
     ) -> None:
         revision: int | None = None
+        failures = 0
         while True:
             try:
                 revision = await self._step(
@@ -190,9 +197,19 @@
                 revision = None
             except StoreError as error:
                 self._note(False, error.code)
-                await trio.sleep(_RETRY_S * (1 + self._random.random()))
+                await self._pause(kind, failures)
+                failures += 1
             else:
-                self._note(True, '')
+                failures = 0
+
+    async def _pause(self, kind: str, failures: int) -> None:
+        if kind == self._decoders.configuration_kind:
+            doubled = _RETRY_S * 2 ** min(failures, _MAX_DOUBLINGS)
+            longest_s = min(_LONGEST_RETRY_S, doubled)
+            await trio.sleep(longest_s * (1 + self._random.random()) / 2)
+            return
+        with trio.move_on_after(_LONGEST_WAIT_S):
+            await self._returned.wait()
 
     async def _step(
         self,
@@ -228,7 +245,9 @@
         self._beliefs.servers.note_store(reachable)
         if reachable:
             _log.info('reaches the store')
+            self._returned.set()
         else:
+            self._returned = trio.Event()
             _log.warning('lost the store', extra={'why': why})
 
     def _list_configuration(self, listing: Listing) -> None:
