Renew standby credit with fewer writes, watch longer, ask an absent platform sooner

Change: a write that adds to standby credit counts as its renewal; watches of nine routers last 4.5 s; max_probe_s is 0.5 s instead of 4.

--- a/eelgrassfork/credit_policy.py
+++ b/eelgrassfork/credit_policy.py
@@ -46,7 +46,7 @@
     draw_wait_s: float = 1
     idle_after_s: float = 30
     probe_s: float = 0.25
-    max_probe_s: float = 4
+    max_probe_s: float = 0.5
     retry_s: float = 0.005
     max_retry_s: float = 0.5
 
--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -31,7 +31,7 @@
 _LONGEST_WAIT_S: Final = 2.0
 # A watch that hears nothing may be dead.  With the watches of all routers
 # renewed in turn, one of them hears of a change within this time.
-_RENEWAL_S: Final = 0.3
+_RENEWAL_S: Final = 0.5
 _SHORTEST_WATCH_S: Final = 2.4
 _LONGEST_WATCH_S: Final = 20.0
 
--- a/eelgrassfork/gateway/standby_keeper.py
+++ b/eelgrassfork/gateway/standby_keeper.py
@@ -73,8 +73,8 @@
         while True:
             await trio.sleep(RENEWAL_S)
             situation = self._situation()
-            if situation.is_keeper:
-                await self._fill(situation)
+            if situation.is_keeper and await self._fill(situation):
+                continue
             await self._standby.renew(
                 self._targets(situation), not situation.is_keeper
             )
@@ -112,7 +112,7 @@
                 targets[name] = int(_MOST_STANDBY * part * target)
         return targets
 
-    async def _fill(self, situation: Situation) -> None:
+    async def _fill(self, situation: Situation) -> bool:
         added = {}
         for name in situation.prepaid_by_organisation:
             missing = standby_missing(
@@ -126,9 +126,12 @@
             spare = min(missing, self._held.free(name) - target)
             if spare > target * (1 - self._policy.refill_part):
                 added[name] = self._held.remove(name, spare)
-        if added and not await self._standby.put(added):
-            for name, tokens in added.items():
-                self._held.add(name, tokens)
+        if added and await self._standby.put(added):
+            # That write has renewed the record as well.
+            return True
+        for name, tokens in added.items():
+            self._held.add(name, tokens)
+        return False
 
     def _target(self, organisation: str, situation: Situation) -> int:
         return target_tokens(
