--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -58,6 +58,7 @@
         self.gone_at: float | None = None
         self.health = ServerHealth()
         self.latency_s: float | None = None
+        self.hold_s: float = 0
         self._others: float = 0
         self._waiting: float = 0
         self._load_at: float = 0
@@ -85,6 +86,15 @@
             now_s - self._load_at, _LOAD_HALF_LIFE_S
         )
 
+    def wait_s(self, now_s: float) -> float:
+        """
+        Estimate how long a request waits for a slot.
+
+        :param now_s: time on the clock of trio.
+        :returns: seconds, by the requests that wait and how long one runs.
+        """
+        return self.waiting(now_s) * self.hold_s / self.entry.slots
+
     def failures(self, now_s: float) -> float:
         """
         Count recent failures.
@@ -142,6 +152,14 @@
         self._failed_at = now_s
         self.health = ServerHealth()
 
+    def note_hold(self, held_s: float) -> None:
+        """
+        Note how long the server worked on a request.
+
+        :param held_s: from sending to the end of the answer, in seconds.
+        """
+        self.hold_s += _LATENCY_WEIGHT * (held_s - self.hold_s)
+
     def note_failure(
         self, now_s: float, unreachable: bool, source: random.Random
     ) -> None:
