--- a/eelgrassfork/gateway/choice.py
+++ b/eelgrassfork/gateway/choice.py
@@ -31,7 +31,7 @@
     :param load: estimated requests in progress.
     :param waiting: estimated requests that wait for a slot.
     :param slots: requests that it runs at once.
-    :param wait_s: estimated wait for a slot, in seconds.
+    :param wait_s: estimated time to the first byte, in seconds.
     :param unread_tokens: prompt tokens that it still has to read for this
         router.
     :param failures: recent failures.
@@ -61,8 +61,8 @@
     :param tried: servers that it was sent to before.
     :param trial: whether it may be the first request to a server that
         failed.
-    :param longest_wait_s: longest wait for a slot that leaves time for a
-        useful answer, in seconds.
+    :param longest_wait_s: estimated time to the first byte beyond which a
+        server counts as full, in seconds.
     """
 
     failure_domain: str
--- a/eelgrassfork/gateway/exchange.py
+++ b/eelgrassfork/gateway/exchange.py
@@ -154,7 +154,6 @@
             self._note_success(send)
             await sending.respond(answer, body)
         send.outcome = 'answered'
-        send.server.note_hold(trio.current_time() - send.started_at)
         return None
 
     def _check(
--- a/eelgrassfork/gateway/patience.py
+++ b/eelgrassfork/gateway/patience.py
@@ -19,8 +19,8 @@
 _PLAIN_SILENCE_S: Final = 0.12
 # Engines read prompts of others first, for some hundred milliseconds.
 _ENGINE_SILENCE_S: Final = 0.3
-# The rest of the objective is for reading the prompt and the first event.
-_WAIT_PART: Final = 0.5
+# Half of the answers of a server that is usually this slow come in time.
+_BUSY_FACTOR: Final = 1.0
 # Part of the objective after which the first refused callers return, and the
 # part over which all of them are spread.
 _FIRST_RETURN: Final = 0.2
@@ -67,12 +67,14 @@
 
 def longest_wait_s(route: Route) -> float:
     """
-    Compute the longest wait for a slot that is worth its delay to others.
+    Compute the longest usual time to a first byte at which a server is used.
+
+    Beyond it the answer would be late, and make those beside it late.
 
     :param route: route of the request.
     :returns: seconds.
     """
-    return route.objective_s * _WAIT_PART
+    return route.objective_s * _BUSY_FACTOR
 
 
 def pause_s(route: Route, left_s: float) -> float:
--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -23,6 +23,7 @@
 _FAILURE_HALF_LIFE_S: Final = 4.0
 _SUCCESS_FACTOR: Final = 0.7
 _LATENCY_WEIGHT: Final = 0.2
+_LATENCY_HALF_LIFE_S: Final = 1.0
 # A server's own count of requests says little after a few mean run times.
 _LOAD_HALF_LIFE_S: Final = 1.5
 
@@ -58,7 +59,7 @@
         self.gone_at: float | None = None
         self.health = ServerHealth()
         self.latency_s: float | None = None
-        self.hold_s: float = 0
+        self._answered_at: float = 0
         self._others: float = 0
         self._waiting: float = 0
         self._load_at: float = 0
@@ -88,12 +89,17 @@
 
     def wait_s(self, now_s: float) -> float:
         """
-        Estimate how long a request waits for a slot.
+        Estimate the time to the first byte of an answer.
 
         :param now_s: time on the clock of trio.
-        :returns: seconds, by the requests that wait and how long one runs.
+        :returns: seconds; what was measured counts half after a second, so
+            that a server that was busy is tried again.
         """
-        return self.waiting(now_s) * self.hold_s / self.entry.slots
+        if self.latency_s is None:
+            return 0
+        return self.latency_s * _half_lives(
+            now_s - self._answered_at, _LATENCY_HALF_LIFE_S
+        )
 
     def failures(self, now_s: float) -> float:
         """
@@ -144,6 +150,7 @@
         :param now_s: time on the clock of trio.
         """
         known = self.latency_s
+        self._answered_at = now_s
         if known is None:
             self.latency_s = latency_s
         else:
@@ -152,14 +159,6 @@
         self._failed_at = now_s
         self.health = ServerHealth()
 
-    def note_hold(self, held_s: float) -> None:
-        """
-        Note how long the server worked on a request.
-
-        :param held_s: from sending to the end of the answer, in seconds.
-        """
-        self.hold_s += _LATENCY_WEIGHT * (held_s - self.hold_s)
-
     def note_failure(
         self, now_s: float, unreachable: bool, source: random.Random
     ) -> None:
