Take the two trials of admission by estimated delay out again

Cause of the trials: at four times the load as many answers are late as in time. Tried: servers count as full beyond a wait for a slot of half the objective, or beyond a usual first byte of the whole objective. Ruled out by these: waiting for slots as the cause; the engines' reading of prompts binds, which no router can tell from its own answers soon enough.

--- a/eelgrassfork/gateway/choice.py
+++ b/eelgrassfork/gateway/choice.py
@@ -31,7 +31,6 @@
     :param load: estimated requests in progress.
     :param waiting: estimated requests that wait for a slot.
     :param slots: requests that it runs at once.
-    :param wait_s: estimated time to the first byte, in seconds.
     :param unread_tokens: prompt tokens that it still has to read for this
         router.
     :param failures: recent failures.
@@ -44,7 +43,6 @@
     load: float
     waiting: float
     slots: int
-    wait_s: float = 0
     unread_tokens: int = 0
     failures: float = 0
     ejected: bool = False
@@ -61,15 +59,12 @@
     :param tried: servers that it was sent to before.
     :param trial: whether it may be the first request to a server that
         failed.
-    :param longest_wait_s: estimated time to the first byte beyond which a
-        server counts as full, in seconds.
     """
 
     failure_domain: str
     key: str
     tried: frozenset[str] = frozenset()
     trial: bool = False
-    longest_wait_s: float = float('inf')
 
 
 class ChoicePolicy(NamedTuple):
@@ -141,9 +136,7 @@
     A server that was ejected gets one trial when its backoff is over.
     Requests that share a large part of their prompts go to one server, which
     keeps it in memory, and spill to the next one in a fixed order while that
-    one is busier than the others.  Under more load than the servers can take,
-    requests that would wait too long are turned away instead of making all
-    answers late.
+    one is busier than the others.
 
     :param candidates: servers that may get requests.
     :param wish: what the request asks for.
@@ -164,12 +157,7 @@
         if due:
             return Choice(source.choice(due).id, 'trial')
         return Choice('', 'all_ejected')
-    free = [
-        one
-        for one in sound
-        if one.load < one.slots * policy.overfull
-        and one.wait_s <= wish.longest_wait_s
-    ]
+    free = [one for one in sound if one.load < one.slots * policy.overfull]
     if not free:
         return Choice('', 'all_full')
     return _among(free, wish, policy, source)
--- a/eelgrassfork/gateway/patience.py
+++ b/eelgrassfork/gateway/patience.py
@@ -10,7 +10,7 @@
 
 from .records import Route
 
-__all__ = ('Waiting', 'longest_wait_s', 'pause_s', 'return_s', 'silence_s')
+__all__ = ('Waiting', 'pause_s', 'return_s', 'silence_s')
 
 _LEAST_S: Final = 0.01
 # A server that is this much slower than usual is taken to be silent.
@@ -19,8 +19,6 @@
 _PLAIN_SILENCE_S: Final = 0.12
 # Engines read prompts of others first, for some hundred milliseconds.
 _ENGINE_SILENCE_S: Final = 0.3
-# Half of the answers of a server that is usually this slow come in time.
-_BUSY_FACTOR: Final = 1.0
 # Part of the objective after which the first refused callers return, and the
 # part over which all of them are spread.
 _FIRST_RETURN: Final = 0.2
@@ -65,18 +63,6 @@
     return min(left_s, max(shortest_s, usual_s * _SILENCE_FACTOR))
 
 
-def longest_wait_s(route: Route) -> float:
-    """
-    Compute the longest usual time to a first byte at which a server is used.
-
-    Beyond it the answer would be late, and make those beside it late.
-
-    :param route: route of the request.
-    :returns: seconds.
-    """
-    return route.objective_s * _BUSY_FACTOR
-
-
 def pause_s(route: Route, left_s: float) -> float:
     """
     Compute how long a stream may pause before it goes on elsewhere.
--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -16,7 +16,7 @@
 from .configuration import Permission
 from .exchange import Exchange
 from .follower import Beliefs
-from .patience import longest_wait_s, return_s
+from .patience import return_s
 from .repeat_budget import RepeatBudget, RepeatPolicy
 from .sending import KeptAnswer, Send, SendFailed, Sending
 from .servers import Server
@@ -136,7 +136,6 @@
             placement_key(sending.head.parts),
             sending.tried,
             sending.permission.route.repeatable,
-            longest_wait_s(sending.permission.route),
         )
         choice = choose(
             [_candidate(server, now_s) for server in servers],
@@ -224,7 +223,6 @@
         server.load(now_s),
         server.waiting(now_s),
         server.entry.slots,
-        server.wait_s(now_s),
         server.unread_tokens,
         server.failures(now_s),
         server.health.ejected,
--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -23,7 +23,6 @@
 _FAILURE_HALF_LIFE_S: Final = 4.0
 _SUCCESS_FACTOR: Final = 0.7
 _LATENCY_WEIGHT: Final = 0.2
-_LATENCY_HALF_LIFE_S: Final = 1.0
 # A server's own count of requests says little after a few mean run times.
 _LOAD_HALF_LIFE_S: Final = 1.5
 
@@ -59,7 +58,6 @@
         self.gone_at: float | None = None
         self.health = ServerHealth()
         self.latency_s: float | None = None
-        self._answered_at: float = 0
         self._others: float = 0
         self._waiting: float = 0
         self._load_at: float = 0
@@ -87,20 +85,6 @@
             now_s - self._load_at, _LOAD_HALF_LIFE_S
         )
 
-    def wait_s(self, now_s: float) -> float:
-        """
-        Estimate the time to the first byte of an answer.
-
-        :param now_s: time on the clock of trio.
-        :returns: seconds; what was measured counts half after a second, so
-            that a server that was busy is tried again.
-        """
-        if self.latency_s is None:
-            return 0
-        return self.latency_s * _half_lives(
-            now_s - self._answered_at, _LATENCY_HALF_LIFE_S
-        )
-
     def failures(self, now_s: float) -> float:
         """
         Count recent failures.
@@ -150,7 +134,6 @@
         :param now_s: time on the clock of trio.
         """
         known = self.latency_s
-        self._answered_at = now_s
         if known is None:
             self.latency_s = latency_s
         else:
