Spread catching up over peers, and read large configurations from the store

Change: a random one of the peers that have it; beyond 64 KB, or if a peer does not answer, the store is read first. Ruled out: the followers' retries, at most 1 s apart after the cut.

--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -179,6 +179,19 @@
         """Whether the last call of the store was answered."""
         return bool(self._reachable)
 
+    async def reread(self) -> None:
+        """Read the configuration at once, as its watch may be silent."""
+        try:
+            stored = await self._store.get(
+                self._decoders.configuration_kind,
+                self._decoders.configuration_name,
+            )
+        except StoreError as error:
+            _log.info('could not reread', extra={'why': error.code})
+            return
+        if stored is not None:
+            self._beliefs.take_configuration(stored.content, 'store')
+
     async def _follow(
         self,
         kind: str,
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -97,6 +97,7 @@
         self._follower = StoreFollower(
             self._store, self._beliefs, adapter.decoders, self._routers
         )
+        self._exchange.reread = self._follower.reread
         self._registry = Registry(
             self._store, self._gossip, settings, self._incarnation
         )
--- a/eelgrassfork/gateway/peer_exchange.py
+++ b/eelgrassfork/gateway/peer_exchange.py
@@ -5,7 +5,8 @@
 Newer beliefs and credit that routers ask of one another.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+import random
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from typing import Final, NamedTuple
 
 import logbook
@@ -36,6 +37,8 @@
 # Most news also come by the router's own watch in this time.
 _WATCH_LEAD_S: Final = 0.06
 _OK: Final = 200
+# Takes a twentieth of a second on the slowest links.
+_LARGE_BYTES: Final = 65536
 _RETRY_S: Final = 0.2
 _MAX_LENDERS: Final = 6
 _BODY: Final = (('content-type', 'application/msgpack'),)
@@ -64,6 +67,7 @@
     :param beliefs: what this router believes.
     :param settings: of this router; the port for peers is the same on all.
     :ivar held: credit of this router, once there is any.
+    :ivar reread: reads the configuration from the store.
     """
 
     def __init__(
@@ -80,7 +84,9 @@
         self._failure_domain = settings.failure_domain
         self._port = settings.peer_address.rpartition(':')[2]
         self._news = trio.Event()
+        self._random = random.Random()
         self.held: Callable[[], HeldCredit | None] = lambda: None
+        self.reread: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
 
     async def run(self) -> None:
         """Pull newer beliefs for as long as the task runs."""
@@ -207,15 +213,7 @@
         return [*keepers, *others][:_MAX_LENDERS]
 
     async def _catch_up(self) -> bool:
-        done = True
-        newest = max(
-            self._gossip.spoken(),
-            key=_configuration_version,
-            default=None,
-        )
-        known = self._beliefs.configuration.version
-        if newest is not None and _configuration_version(newest) > known:
-            done = await self._pull(newest, _CONFIGURATION)
+        done = await self._catch_up_configuration()
         digest = self._beliefs.records.digest
         for peer in self._gossip.spoken():
             if peer.heartbeat and peer.heartbeat.servers_digest != digest:
@@ -223,6 +221,25 @@
                 break
         return done
 
+    async def _catch_up_configuration(self) -> bool:
+        peers = self._gossip.spoken()
+        newest = max(map(_configuration_version, peers), default=0)
+        holder = self._beliefs.configuration
+        if newest <= holder.version:
+            return True
+        # All routers hear of a version at once.  Spread over those that have
+        # it, and to the store if it is large, they do not choke one link.
+        sources = [
+            peer for peer in peers if _configuration_version(peer) == newest
+        ]
+        if len(holder.content) > _LARGE_BYTES:
+            await self.reread()
+        if holder.version < newest:
+            peer = self._random.choice(sources)
+            if not await self._pull(peer, _CONFIGURATION):
+                await self.reread()
+        return holder.version >= newest
+
     async def _pull(self, peer: Peer, path: str) -> bool:
         request = ClientRequest(f'{peer.ip}:{self._port}', 'GET', path)
         try:
--- /dev/null
+++ b/tests/test_gateway_peer_exchange.py
@@ -0,0 +1,220 @@
+"""
+tests.test_gateway_peer_exchange
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against routers that stay behind their peers, or choke one of them.
+"""
+
+from collections import Counter
+
+import msgspec
+import testtools
+import trio
+import trio.testing
+
+from eelgrassfork.errors import EelgrassError
+from eelgrassfork.gateway.credit import HeldCredit
+from eelgrassfork.gateway.follower import Beliefs
+from eelgrassfork.gateway.gossip import Heartbeat, Peer
+from eelgrassfork.gateway.peer_exchange import CreditRequest, PeerExchange
+from eelgrassfork.gateway.server_records import ServerRecord
+from eelgrassfork.platform import boot_file
+
+from .gateway_world import configuration
+from .test_gateway_follower import DECODERS
+from .test_platform_boot_file import TEXT
+
+
+class FakeGossip:
+    def __init__(self, versions, free=()):
+        self.peers = []
+        for index, version in enumerate(versions):
+            peer = Peer(f'n{index}', f'10.0.0.{index}', 1)
+            peer.heartbeat = Heartbeat(
+                peer.node,
+                peer.ip,
+                1,
+                'd0',
+                configuration_version=version,
+                free_by_organisation={'a': free[index]} if free else {},
+            )
+            self.peers.append(peer)
+
+    def spoken(self):
+        return self.peers
+
+    def keepers(self, failure_domain):
+        return [self.peers[0]] if self.peers else [None]
+
+
+class FakeClient:
+    """Answers for all peers, and remembers whom it asked."""
+
+    def __init__(self, answers_by_path):
+        self.answers_by_path = answers_by_path
+        self.asked = []
+        self.down = False
+
+    async def fetch(self, request, timeouts=None):
+        await trio.lowlevel.checkpoint()
+        self.asked.append(request.address)
+        if self.down:
+            raise EelgrassError('connection_silent', 'no answer')
+
+        class Answer:
+            status = 200
+
+        return Answer, self.answers_by_path[request.target]
+
+
+class Call:
+    def __init__(self, path, body=b''):
+        self.path = path
+        self.body = body
+        self.answer = None
+
+    async def respond(self, status, body, headers):
+        self.answer = body
+
+
+def make(client, gossip):
+    beliefs = Beliefs(DECODERS, lambda: None)
+    settings = boot_file.parse_settings(TEXT)
+    return PeerExchange(client, gossip, beliefs, settings), beliefs
+
+
+def run(function):
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(function, clock=clock)
+
+
+class CatchUpTests(testtools.TestCase):
+    def newest(self):
+        return {
+            '/peer/v1/configuration': msgspec.json.encode(configuration(9)),
+            '/peer/v1/servers': msgspec.msgpack.encode([]),
+        }
+
+    def test_ninety_routers_do_not_all_ask_the_same_peer(self):
+        async def main():
+            asked = Counter()
+            for _ in range(90):
+                client = FakeClient(self.newest())
+                exchange, beliefs = make(client, FakeGossip([9] * 10 + [8] * 5))
+                await exchange._catch_up_configuration()
+                asked.update(client.asked)
+                self.assertEqual(9, beliefs.configuration.version)
+            return asked
+
+        asked = run(main)
+        self.assertEqual(90, sum(asked.values()))
+        self.assertLess(max(asked.values()), 30)
+
+    def test_store_is_read_where_peers_do_not_answer(self):
+        async def main():
+            client = FakeClient({})
+            client.down = True
+            exchange, beliefs = make(client, FakeGossip([9]))
+
+            async def reread():
+                await trio.lowlevel.checkpoint()
+                beliefs.take_configuration(
+                    msgspec.json.encode(configuration(9)), 'store'
+                )
+
+            exchange.reread = reread
+            return await exchange._catch_up_configuration()
+
+        self.assertTrue(run(main))
+
+    def test_large_configuration_comes_from_the_store_first(self):
+        async def main():
+            client = FakeClient(self.newest())
+            exchange, beliefs = make(client, FakeGossip([9]))
+            wire = configuration(3)
+            wire['routes'] *= 400
+            beliefs.take_configuration(msgspec.json.encode(wire), 'store')
+            reads = []
+
+            async def reread():
+                await trio.lowlevel.checkpoint()
+                reads.append(1)
+
+            exchange.reread = reread
+            await exchange._catch_up_configuration()
+            return reads, client.asked, beliefs.configuration.version
+
+        reads, asked, version = run(main)
+        self.assertEqual(([1], 1, 9), (reads, len(asked), version))
+
+    def test_news_are_pulled_without_being_asked_for(self):
+        async def main():
+            client = FakeClient(self.newest())
+            exchange, beliefs = make(client, FakeGossip([9]))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(exchange.run)
+                exchange.look()
+                await trio.sleep(0.2)
+                nursery.cancel_scope.cancel()
+            return beliefs.configuration.version
+
+        self.assertEqual(9, run(main))
+
+
+class LendingTests(testtools.TestCase):
+    def lend(self, exchange, amount):
+        async def main():
+            wanted = CreditRequest('n7', 'd0', {'a': amount})
+            call = Call('/peer/v1/credit', msgspec.msgpack.encode(wanted))
+            await exchange.serve(call)
+            return msgspec.msgpack.decode(call.answer)
+
+        return run(main)
+
+    def test_lends_what_is_free_and_no_more(self):
+        exchange, _ = make(FakeClient({}), FakeGossip([]))
+        held = HeldCredit(6)
+        held.add('a', 100)
+        held.reserve('a', 30)
+        exchange.held = lambda: held
+        self.assertEqual({'a': 70}, self.lend(exchange, 500))
+        self.assertEqual({'a': 0}, self.lend(exchange, 500))
+
+    def test_asks_the_keeper_first_and_then_the_richest(self):
+        client = FakeClient(
+            {'/peer/v1/credit': msgspec.msgpack.encode({'a': 10})}
+        )
+        exchange, _ = make(client, FakeGossip([0, 0, 0], free=(0, 50, 90)))
+
+        async def main():
+            return await exchange.borrow({'a': 25})
+
+        self.assertEqual({'a': 30}, run(main))
+        self.assertEqual(
+            ['10.0.0.0:8748', '10.0.0.2:8748', '10.0.0.1:8748'], client.asked
+        )
+
+    def test_silent_lenders_lend_nothing(self):
+        client = FakeClient({})
+        client.down = True
+        exchange, _ = make(client, FakeGossip([0], free=(50,)))
+
+        async def main():
+            return await exchange.borrow({'a': 25})
+
+        self.assertEqual({}, run(main))
+
+    def test_serves_records_of_servers(self):
+        exchange, beliefs = make(FakeClient({}), FakeGossip([]))
+        record = ServerRecord('s1', 4, True, b'')
+        call = Call('/peer/v1/servers')
+
+        async def main():
+            beliefs.take_servers([record], 'store')
+            await exchange.serve(call)
+
+        run(main)
+        self.assertEqual(
+            [record],
+            msgspec.msgpack.decode(call.answer, type=list[ServerRecord]),
+        )
