--- /dev/null
+++ b/tests/test_gateway_registry.py
@@ -0,0 +1,76 @@
+"""
+tests.test_gateway_registry
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against routers that never find each other after a start.
+"""
+
+import testtools
+import trio
+import trio.testing
+
+from eelgrassfork.gateway.registry import Registry
+from eelgrassfork.platform import boot_file
+
+from .memory_store import MemoryStore
+from .test_platform_boot_file import TEXT
+
+KIND = 'eelgrassfork-routers'
+
+
+class FakeGossip:
+    def __init__(self):
+        self.ips = set()
+
+    def add_seeds(self, ips):
+        self.ips.update(ips)
+
+    def spoken(self):
+        return []
+
+
+def run(scenario):
+    async def main():
+        store, gossip = MemoryStore(), FakeGossip()
+        settings = boot_file.parse_settings(TEXT)
+        async with trio.open_nursery() as nursery:
+            registry = Registry(store, gossip, settings, 7)
+            found = await scenario(store, gossip, registry, nursery)
+            nursery.cancel_scope.cancel()
+        return found
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(main, clock=clock)
+
+
+class RegistryTests(testtools.TestCase):
+    def test_finds_routers_that_start_later(self):
+        async def scenario(store, gossip, registry, nursery):
+            nursery.start_soon(registry.run)
+            await trio.sleep(0.5)
+            store.put(KIND, 'n2', {'ip': '10.1.0.20', 'incarnation': 3})
+            await trio.sleep(6)
+            return gossip.ips
+
+        self.assertEqual({'10.1.0.19', '10.1.0.20'}, run(scenario))
+
+    def test_restart_replaces_the_entry(self):
+        async def scenario(store, gossip, registry, nursery):
+            store.put(KIND, 'edge-1', {'ip': '10.9.9.9', 'incarnation': 1})
+            nursery.start_soon(registry.run)
+            await trio.sleep(0.5)
+            return (await store.get(KIND, 'edge-1')).content
+
+        self.assertEqual(b'{"ip":"10.1.0.19","incarnation":7}', run(scenario))
+
+    def test_store_that_is_away_is_asked_until_it_is_back(self):
+        async def scenario(store, gossip, registry, nursery):
+            store.down = True
+            nursery.start_soon(registry.run)
+            await trio.sleep(3)
+            store.down = False
+            store.put(KIND, 'bad', b'{"ip":3}')
+            await trio.sleep(2)
+            return gossip.ips
+
+        self.assertEqual({'10.1.0.19'}, run(scenario))
--- /dev/null
+++ b/tests/test_gateway_status_pages.py
@@ -0,0 +1,67 @@
+"""
+tests.test_gateway_status_pages
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against callers sent to routers that can't serve them.
+"""
+
+import msgspec
+import testtools
+import trio
+
+from eelgrassfork.errors import RequestError
+from eelgrassfork.gateway.status_pages import StatusPages
+from eelgrassfork.gateway.telemetry import Telemetry
+
+
+class Call:
+    def __init__(self, path=''):
+        self.path = path
+        self.status = None
+        self.body = b''
+
+    async def respond(self, status, body, headers):
+        self.status = int(status)
+        self.body = body
+
+
+class StatusPagesTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.ready = False
+        self.telemetry = Telemetry(lambda: 7)
+        self.pages = StatusPages(
+            self.telemetry, lambda: self.ready, lambda: {'node': 'n1'}
+        )
+
+    def ask(self, method, path=''):
+        call = Call(path)
+        trio.run(method, call)
+        return call
+
+    def test_readiness_follows_the_router(self):
+        statuses = []
+        for self.ready in (False, True, False):
+            statuses.append(self.ask(self.pages.answer_ready).status)
+        self.assertEqual([503, 200, 503], statuses)
+
+    def test_metrics_have_counters_and_histograms(self):
+        self.telemetry.ended.labels('stream', 'answered').inc()
+        self.telemetry.first_byte_s.labels('stream').observe(0.2)
+        text = self.ask(self.pages.answer_metrics, '/metrics').body.decode()
+        for line in (
+            'eelgrassfork_requests_ended_total'
+            '{kind="stream",outcome="answered"} 1.0',
+            'eelgrassfork_first_byte_seconds_bucket{kind="stream",le="0.2"} 1.0',
+            'eelgrassfork_server_connections_opened 7.0',
+        ):
+            self.assertIn(line, text)
+
+    def test_state_is_dumped(self):
+        body = self.ask(self.pages.answer_metrics, '/state').body
+        self.assertEqual({'node': 'n1'}, msgspec.json.decode(body))
+
+    def test_other_paths_are_refused(self):
+        self.assertRaises(
+            RequestError, self.ask, self.pages.answer_metrics, '/secret'
+        )
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,161 @@
+"""
+tests.test_http_client
+~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against requests sent twice, and bytes taken for another answer.
+"""
+
+import testtools
+import trio
+
+from eelgrassfork.http_client import (
+    ClientRequest,
+    ClientTimeouts,
+    ConnectionLost,
+    HttpClient,
+)
+
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+TIMEOUTS = ClientTimeouts(connect_s=1, first_byte_s=1, silence_s=1)
+
+
+class Server:
+    """Plays a script on each connection, and counts what it gets."""
+
+    def __init__(self, play):
+        self.play = play
+        self.connections = 0
+        self.received = []
+
+    async def serve(self, stream):
+        self.connections += 1
+        async with stream:
+            try:
+                await self.play(self, stream, self.connections)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+
+    async def request(self, stream):
+        received = b''
+        while b'\r\n\r\n' not in received:
+            chunk = await stream.receive_some(65536)
+            if not chunk:
+                raise trio.BrokenResourceError
+            received += chunk
+        self.received.append(received)
+
+
+def run(play, scenario):
+    async def main():
+        server = Server(play)
+        with trio.fail_after(5):
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+                nursery.start_soon(
+                    trio.serve_listeners, server.serve, listeners
+                )
+                port = listeners[0].socket.getsockname()[1]
+                client = HttpClient(TIMEOUTS, max_idle_s=1)
+                found = await scenario(client, server, f'127.0.0.1:{port}')
+                nursery.cancel_scope.cancel()
+        return found
+
+    return trio.run(main)
+
+
+async def fetch(client, address, **options):
+    try:
+        _, body = await client.fetch(
+            ClientRequest(address, 'POST', '/', **options)
+        )
+    except ConnectionLost as error:
+        return error.code
+    return body
+
+
+class HttpClientTests(testtools.TestCase):
+    def test_broken_idle_connection_is_replaced_where_that_is_safe(self):
+        async def play(server, stream, number):
+            await server.request(stream)
+            await stream.send_all(ANSWER)
+            if number == 1:
+                await server.request(stream)
+
+        async def scenario(client, server, address):
+            first = await fetch(client, address)
+            again = await fetch(client, address)
+            return first, again, len(server.received)
+
+        self.assertEqual((b'ok', b'ok', 3), run(play, scenario))
+
+    def test_request_that_may_run_once_is_not_sent_again(self):
+        async def play(server, stream, number):
+            await server.request(stream)
+            await stream.send_all(ANSWER)
+            await server.request(stream)
+
+        async def scenario(client, server, address):
+            first = await fetch(client, address, once=True)
+            again = await fetch(client, address, once=True)
+            return first, again, len(server.received)
+
+        self.assertEqual((b'ok', 'connection_lost', 2), run(play, scenario))
+
+    def test_stray_bytes_are_no_answer_to_the_next_request(self):
+        async def play(server, stream, number):
+            await server.request(stream)
+            stray = ANSWER.replace(b'ok', b'NO') if number == 1 else b''
+            await stream.send_all(ANSWER + stray)
+            await trio.sleep(0.5)
+
+        async def scenario(client, server, address):
+            first = await fetch(client, address)
+            await trio.sleep(0.1)
+            return first, await fetch(client, address), server.connections
+
+        self.assertEqual((b'ok', b'ok', 2), run(play, scenario))
+
+    def test_late_stray_bytes_are_noticed_as_well(self):
+        async def play(server, stream, number):
+            await server.request(stream)
+            await stream.send_all(ANSWER)
+            if number == 1:
+                await trio.sleep(0.05)
+                await stream.send_all(ANSWER.replace(b'ok', b'NO'))
+            await trio.sleep(0.5)
+
+        async def scenario(client, server, address):
+            first = await fetch(client, address)
+            await trio.sleep(0.2)
+            return first, await fetch(client, address), server.connections
+
+        self.assertEqual((b'ok', b'ok', 2), run(play, scenario))
+
+    def test_old_idle_connection_is_not_used(self):
+        async def play(server, stream, number):
+            for _ in range(2):
+                await server.request(stream)
+                await stream.send_all(ANSWER)
+
+        async def scenario(client, server, address):
+            await fetch(client, address)
+            await trio.sleep(1.1)
+            await fetch(client, address)
+            return server.connections
+
+        self.assertEqual(2, run(play, scenario))
+
+    def test_answer_before_a_long_request_was_read_ends_its_connection(self):
+        body = b'x' * 3_000_000
+
+        async def play(server, stream, number):
+            await server.request(stream)
+            await stream.send_all(ANSWER)
+            await trio.sleep(0.5)
+
+        async def scenario(client, server, address):
+            first = await fetch(client, address, body=body)
+            again = await fetch(client, address)
+            return first, again, server.connections
+
+        self.assertEqual((b'ok', b'ok', 2), run(play, scenario))
