Spread the lengths of watches over nearly their whole range

A change at 21.7 s ended the watches of all 91 routers at once, each then waited 15 to 20 s, and the store was cut off from 23.0 to 30.6 s: none of them asked again before 36.7 s, and none could tell the others. With few routers watches are short, so the small sites were not hit. Change: each watch lasts a random part, from a twentieth, of at most 30 s.

--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -30,10 +30,14 @@
 # other one waits for its success, or so long.
 _LONGEST_WAIT_S: Final = 2.0
 # A watch that hears nothing may be dead.  With the watches of all routers
-# renewed in turn, one of them hears of a change within this time.
+# renewed in turn, one of them hears of a change within about this time.
 _RENEWAL_S: Final = 0.5
 _SHORTEST_WATCH_S: Final = 2.4
-_LONGEST_WATCH_S: Final = 20.0
+# The platform's bound.
+_LONGEST_WATCH_S: Final = 30.0
+# A change ends the watches of all routers at once, so their lengths are spread
+# over nearly the whole range.
+_LEAST_PART: Final = 0.05
 
 
 class Decoders(NamedTuple):
@@ -246,8 +250,8 @@
     def _watch_s(self) -> float:
         routers = max(1, self._routers())
         longest_s = min(_LONGEST_WATCH_S, routers * _RENEWAL_S)
-        jitter = 1 - self._random.random() / 4
-        return max(_SHORTEST_WATCH_S, longest_s) * jitter
+        part = self._random.uniform(_LEAST_PART, 1)
+        return max(_SHORTEST_WATCH_S, longest_s) * part
 
     def _note(self, reachable: bool, why: str) -> None:
         if reachable:
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -5,6 +5,8 @@
 Guards against beliefs that stay behind the store, or fall back.
 """
 
+import random
+
 import msgspec
 import testtools
 import trio
@@ -112,6 +114,18 @@
 
         self.assertEqual(9, run(scenario))
 
+    def test_a_change_does_not_bring_the_watches_of_all_routers_in_step(self):
+        # Ninety routers whose watches all ended with one change.  If the
+        # store is cut off right after it, one of them must ask again soon.
+        ends = []
+        for seed in range(90):
+            follower = StoreFollower(None, None, DECODERS, lambda: 90)
+            follower._random = random.Random(seed)
+            ends.append(follower._watch_s())
+        ends.sort()
+        gaps = [late - early for early, late in zip([0, *ends], ends)]
+        self.assertLess(max(gaps), CONFIG_BOUND_S)
+
     def test_bad_configuration_leaves_the_old_one_in_force(self):
         async def scenario(setting):
             setting.store.put('config', 'main', b'{"version":9,"routes":[7]}')
