--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -18,7 +18,7 @@
 from .follower import Beliefs, Decoders, StoreFollower
 from .forwarder import Forwarder, ForwarderParts, Translation
 from .gossip import Gossip, Heartbeat, Peer, unix_ms
-from .node_settings import NodeSettings
+from .node_settings import Bounds, NodeSettings
 from .peer_exchange import PeerExchange
 from .records import AnswerHead, CallerBounds, Headers
 from .registry import Registry
@@ -82,8 +82,15 @@
         self._servers_http = HttpClient(
             max_idle=_SERVER_IDLE_CONNECTIONS, max_idle_s=_SERVER_IDLE_S
         )
-        self.telemetry = Telemetry(lambda: self._servers_http.opened)
-        self._store = adapter.make_store(self._http, self._count_store_call)
+        self.telemetry = Telemetry()
+        self.telemetry.watch(
+            'server_connections_opened',
+            'Connections opened to backend servers.',
+            lambda: self._servers_http.opened,
+        )
+        self._store = adapter.make_store(
+            self._http, self.telemetry.count_store_call
+        )
         self._beliefs = Beliefs(adapter.decoders, self._beliefs_changed)
         self._gossip = Gossip(
             settings.ip,
@@ -103,6 +110,7 @@
         )
         self._credit = self._make_credit()
         self._exchange.held = lambda: self._credit.held
+        self._sender = self._make_sender()
         self._forwarder = self._make_forwarder()
         self._callers = HttpServer(self._forwarder.forward)
         self._peers = HttpServer(self._exchange.serve)
@@ -176,6 +184,7 @@
         :param why: what caused it, for the log.
         """
         self._settings = settings
+        self._sender.change_repeat_policy(_repeat_policy(settings.bounds))
         _log.info('took over settings', extra={'why': why})
 
     async def close(self) -> None:
@@ -217,8 +226,7 @@
             self._store, self._settings.node, self._incarnation, world
         )
 
-    def _make_forwarder(self) -> Forwarder:
-        bounds = self._settings.bounds
+    def _make_sender(self) -> Sender:
         exchange = Exchange(
             ExchangeParts(
                 self._servers_http,
@@ -227,25 +235,23 @@
                 self._adapter.decode_answer,
             ),
         )
-        sender = Sender(
+        return Sender(
             SenderParts(
                 exchange,
                 self._beliefs,
                 self.telemetry,
                 self._settings.failure_domain,
-                RepeatPolicy(
-                    bounds.retry_ratio,
-                    bounds.retry_window_s,
-                    bounds.retry_slack,
-                ),
+                _repeat_policy(self._settings.bounds),
                 self._routers,
             ),
         )
+
+    def _make_forwarder(self) -> Forwarder:
         return Forwarder(
             ForwarderParts(
                 self._beliefs,
                 self._credit,
-                sender,
+                self._sender,
                 self.telemetry,
                 self._adapter.translation,
                 self._is_isolated,
@@ -297,9 +303,6 @@
             self.telemetry.configuration_version.set(configuration.version)
             self._callers.change_limits(_server_limits(configuration.bounds))
 
-    def _count_store_call(self, outcome: str) -> None:
-        self.telemetry.store_calls.labels(outcome).inc()
-
     async def _tidy(self) -> None:
         while True:
             await trio.sleep(_TIDY_S)
@@ -328,6 +331,12 @@
     await server.start(nursery, host, int(port))
 
 
+def _repeat_policy(bounds: Bounds) -> RepeatPolicy:
+    return RepeatPolicy(
+        bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
+    )
+
+
 def _server_limits(bounds: CallerBounds) -> ServerLimits:
     return ServerLimits(
         max_header_bytes=bounds.max_header_bytes,
--- a/eelgrassfork/gateway/node_settings.py
+++ b/eelgrassfork/gateway/node_settings.py
@@ -7,34 +7,21 @@
 
 from typing import NamedTuple
 
-__all__ = ('Bounds', 'NodeSettings', 'StoreRates')
-
-
-class StoreRates(NamedTuple):
-    """Calls a second that the store takes from all routers together."""
-
-    writes_per_s: float = 400
-    reads_per_s: float = 2000
+__all__ = ('Bounds', 'NodeSettings')
 
 
 class Bounds(NamedTuple):
     """
     Bounds that operators hold the fleet to.
 
-    :param drain_s: a server that leaves gets no request later than this.
-    :param config_s: a configuration is in force everywhere within this.
     :param grace_s: time between SIGTERM and SIGKILL.
-    :param catch_up_s: time for a router to catch up after an outage.
     :param retry_ratio: repeated sends of all routers, as a fraction of
         requests.
     :param retry_window_s: time over which repeated sends are counted.
     :param retry_slack: repeated sends allowed on top in that time.
     """
 
-    drain_s: float = 2
-    config_s: float = 2
     grace_s: float = 8
-    catch_up_s: float = 4
     retry_ratio: float = 0.2
     retry_window_s: float = 10
     retry_slack: float = 20
@@ -52,7 +39,6 @@
     :param first_internal_port: first port for use between routers.
     :param last_internal_port: last of these ports.
     :param seeds: peer addresses of some VMs; they may be down.
-    :param first_start: whether the whole fleet starts for the first time.
     """
 
     node: str
@@ -65,6 +51,4 @@
     last_internal_port: int
     seeds: tuple[str, ...]
     store_address: str
-    first_start: bool
-    rates: StoreRates
     bounds: Bounds
--- a/eelgrassfork/gateway/records.py
+++ b/eelgrassfork/gateway/records.py
@@ -224,8 +224,6 @@
     :param sealed: the answer carries the server's proof of origin.
     :param request_id: identity that the server says it answers.
     :param headers: headers to pass on.
-    :param leaving: the server closes the connection after the answer.
-    :param idle_timeout_s: how long the server keeps the connection open.
     """
 
     status: int
@@ -234,5 +232,3 @@
     request_id: str
     headers: Headers
     load: ServerLoad | None = None
-    leaving: bool = False
-    idle_timeout_s: float | None = None
--- a/eelgrassfork/gateway/registry.py
+++ b/eelgrassfork/gateway/registry.py
@@ -5,6 +5,7 @@
 Finds other routers through the store, for want of any other directory.
 """
 
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 import logbook
@@ -65,7 +66,7 @@
             if not self._gossip.spoken():
                 await self._insist(self._find)
 
-    async def _insist(self, step) -> None:  # type: ignore[no-untyped-def]
+    async def _insist(self, step: Callable[[], Awaitable[None]]) -> None:
         while True:
             try:
                 await step()
--- a/eelgrassfork/gateway/repeat_budget.py
+++ b/eelgrassfork/gateway/repeat_budget.py
@@ -37,14 +37,14 @@
     Each router uses its share of the slack, and the ratio of its own
     requests, so that routers need not talk about it.
 
-    :param policy: what the fleet may do.
+    :param policy: what the fleet may do; may be replaced at any time.
     :param routers: number of routers in the fleet, 0 if unknown.
     """
 
     def __init__(
         self, policy: RepeatPolicy, routers: Callable[[], int]
     ) -> None:
-        self._policy = policy
+        self.policy = policy
         self._routers = routers
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
@@ -66,7 +66,7 @@
         :returns: whether the send may be made.
         """
         self._forget(now_s)
-        policy = self._policy
+        policy = self.policy
         share = policy.slack / (self._routers() or _DEFAULT_ROUTERS)
         allowed = _USED_PART * (policy.ratio * len(self._requests) + share)
         if len(self._repeats) + 1 > allowed:
@@ -75,7 +75,7 @@
         return True
 
     def _forget(self, now_s: float) -> None:
-        oldest = now_s - self._policy.window_s
+        oldest = now_s - self.policy.window_s
         for times in (self._requests, self._repeats):
             while times and times[0] < oldest:
                 times.popleft()
--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -65,6 +65,16 @@
         self._random = random.Random()
         self._budgets_by_service: dict[str, RepeatBudget] = {}
 
+    def change_repeat_policy(self, policy: RepeatPolicy) -> None:
+        """
+        Take over changed bounds on repeated sends.
+
+        :param policy: as it is now.
+        """
+        self._parts = self._parts._replace(repeat_policy=policy)
+        for budget in self._budgets_by_service.values():
+            budget.policy = policy
+
     async def send(self, sending: Sending, renew: Renew) -> None:
         """
         Bring a request to its final answer.
--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from collections.abc import Iterable
 from typing import Final, NamedTuple
 
 import trio
@@ -209,19 +208,6 @@
         """
         return all(server.health.ejected for server in self.usable(service))
 
-    def of_service(self, service: str) -> list[Server]:
-        """
-        List all servers of a service, also those that leave.
-
-        :param service: name of the service.
-        :returns: servers.
-        """
-        return [
-            server
-            for server in self._by_id.values()
-            if server.entry.service == service
-        ]
-
     def take(self, entry: ServerEntry) -> bool:
         """
         Take over what a server says of itself.
@@ -268,24 +254,6 @@
         server.gone_at = hold_until
         return True
 
-    def take_all(self, entries: Iterable[ServerEntry]) -> list[str]:
-        """
-        Take over a whole listing; servers missing in it have vanished.
-
-        :param entries: all entries of the store.
-        :returns: ids of servers of which something changed.
-        """
-        listed = {entry.id: entry for entry in entries}
-        changed = [
-            server_id for server_id, entry in listed.items() if self.take(entry)
-        ]
-        missing = [
-            server_id
-            for server_id in self._by_id
-            if server_id not in listed and self.vanish(server_id)
-        ]
-        return changed + missing
-
     def misdirected(self, server: Server) -> None:
         """
         Stop using a server whose address belongs to another one.
--- a/eelgrassfork/gateway/telemetry.py
+++ b/eelgrassfork/gateway/telemetry.py
@@ -36,15 +36,13 @@
     """
     Everything that the gateway counts.
 
-    :param connections_opened: connections to backend servers so far.
-
     :ivar ended: ended requests by route kind and outcome.
     :ivar sends: requests sent to servers by service and outcome.
     :ivar first_byte_s: time to the first byte for the caller, in seconds.
     :ivar whole_s: time to the end of the answer, in seconds.
     """
 
-    def __init__(self, connections_opened: Callable[[], float]) -> None:
+    def __init__(self) -> None:
         registry = CollectorRegistry()
         self._registry = registry
         self.ended = Counter(
@@ -61,7 +59,7 @@
             _PREFIX,
             registry=registry,
         )
-        self.store_calls = Counter(
+        self._store_calls = Counter(
             'store_calls',
             'Calls of the store by outcome.',
             ('outcome',),
@@ -91,14 +89,27 @@
             _PREFIX,
             registry=registry,
         )
-        opened = Gauge(
-            'server_connections_opened',
-            'Connections opened to backend servers.',
-            (),
-            _PREFIX,
-            registry=registry,
-        )
-        opened.set_function(connections_opened)
+
+    def count_store_call(self, outcome: str) -> None:
+        """
+        Count a call of the store.
+
+        :param outcome: how it ended.
+        """
+        self._store_calls.labels(outcome).inc()
+
+    def watch(
+        self, name: str, description: str, read: Callable[[], float]
+    ) -> None:
+        """
+        Show a number that another part keeps.
+
+        :param name: of the gauge, without the common prefix.
+        :param description: shown with it.
+        :param read: called for each request for the metrics.
+        """
+        gauge = Gauge(name, description, (), _PREFIX, registry=self._registry)
+        gauge.set_function(read)
 
     def text(self) -> bytes:
         """
--- a/eelgrassfork/http_client.py
+++ b/eelgrassfork/http_client.py
@@ -5,6 +5,7 @@
 HTTP/1.1 client connections by h11 over trio, with a pool per address.
 """
 
+import math
 import select
 from collections.abc import AsyncIterator
 from typing import Final, NamedTuple
@@ -28,6 +29,8 @@
 
 _RECEIVE_BYTES: Final = 65536
 _MAX_IDLE_S: Final = 60.0
+# A request on its way when the server closes an idle connection is lost.
+_IDLE_MARGIN_S: Final = 0.5
 _MAX_HEADER_BYTES: Final = 65536
 # Fits into the send buffer of a socket, so that sending can't block.
 _SMALL_REQUEST_BYTES: Final = 4096
@@ -95,6 +98,7 @@
     def __init__(self, stream: trio.abc.Stream) -> None:
         self.stream = stream
         self.idle_since = trio.current_time()
+        self.kept_s: float = math.inf
         self.sent_whole = True
         self.protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
@@ -112,7 +116,9 @@
 
     def is_usable(self, max_idle_s: float) -> bool:
         idle_s = trio.current_time() - self.idle_since
-        return idle_s <= max_idle_s and not _is_readable(self.stream)
+        return idle_s <= min(max_idle_s, self.kept_s) and not _is_readable(
+            self.stream
+        )
 
     async def next_event(self, silence_s: float) -> object:
         while True:
@@ -199,6 +205,14 @@
     return bool(poll.poll(0))
 
 
+def _kept_s(keep_alive: str) -> float:
+    for option in keep_alive.split(','):
+        name, _, seconds = option.strip().partition('=')
+        if name.lower() == 'timeout' and seconds.isdecimal():
+            return float(seconds) - _IDLE_MARGIN_S
+    return math.inf
+
+
 def _lost(message: str) -> ConnectionLost:
     return ConnectionLost('connection_lost', message, sent=True)
 
@@ -269,6 +283,9 @@
         clean = self._connection.sent_whole and not protocol.trailing_data[0]
         if self._whole and clean and done == (h11.DONE, h11.DONE):
             protocol.start_next_cycle()
+            self._connection.kept_s = _kept_s(
+                self.headers_by_name.get('keep-alive', '')
+            )
             await self._client.give_back(self._address, self._connection)
             return
         await self._connection.close()
--- a/eelgrassfork/line_writer.py
+++ b/eelgrassfork/line_writer.py
@@ -10,10 +10,13 @@
 from collections import deque
 from typing import Final
 
+import logbook
 import trio
 
 __all__ = ('LineWriter',)
 
+_log = logbook.Logger('logs')
+
 _MAX_BUFFERED_BYTES: Final = 262_144
 _LINES_PER_S: Final = 300
 _BURST_LINES: Final = 600
@@ -72,10 +75,14 @@
             self._pending.popleft()
 
     async def run(self) -> None:
-        """Write what is left over for as long as the task runs."""
+        """Write what is left over, and tell how many lines were dropped."""
+        told = 0
         while True:
             await trio.sleep(_FLUSH_S)
             self.flush()
+            if self.dropped > told and self._can_write():
+                _log.warning('dropped lines', extra={'in_all': self.dropped})
+                told = self.dropped
 
     def _try_write(self, line: bytes) -> int:
         try:
@@ -87,16 +94,23 @@
             self.dropped += 1
             return len(line)
 
+    def _can_write(self) -> bool:
+        self._refill()
+        return self._tokens >= 1 and not self._pending
+
     def _may_write(self) -> bool:
+        self._refill()
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def _refill(self) -> None:
         now_s = _now_s()
         if self._filled_at is not None:
             added = (now_s - self._filled_at) * self._lines_per_s
             self._tokens = min(_BURST_LINES, self._tokens + added)
         self._filled_at = now_s
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
 
 
 def _now_s() -> float:
--- a/eelgrassfork/platform/__main__.py
+++ b/eelgrassfork/platform/__main__.py
@@ -60,6 +60,11 @@
 
 async def _serve(path: str, settings: NodeSettings, writer: LineWriter) -> None:
     node = GatewayNode(settings, make_adapter(settings))
+    node.telemetry.watch(
+        'log_lines_dropped',
+        'Log lines dropped beyond the rate or for a slow reader.',
+        lambda: writer.dropped,
+    )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(writer.run)
         nursery.start_soon(_watch_settings, node, path)
--- a/eelgrassfork/platform/boot_file.py
+++ b/eelgrassfork/platform/boot_file.py
@@ -11,7 +11,7 @@
 from typing import Final, TypeVar
 
 from ..errors import EelgrassError
-from ..gateway.node_settings import Bounds, NodeSettings, StoreRates
+from ..gateway.node_settings import Bounds, NodeSettings
 
 __all__ = (
     'PATH_VARIABLE',
@@ -23,7 +23,6 @@
 
 PATH_VARIABLE: Final = 'EELGRASSFORK_BOOT'
 _DEFAULT_PATH: Final = '/etc/eelgrassfork/settings.conf'
-_MS_PER_S: Final = 1000
 
 _Option = TypeVar('_Option')
 
@@ -81,47 +80,27 @@
         last_internal_port=last_port,
         seeds=_field(texts_by_field, 'seeds', _addresses, ()),
         store_address=_field(texts_by_field, 'provider.address', _address),
-        first_start=_field(texts_by_field, 'bootstrap', _flag, False),
-        rates=_rates(texts_by_field),
         bounds=_bounds(texts_by_field),
     )
 
 
-def _rates(texts_by_field: dict[str, str]) -> StoreRates:
-    return StoreRates(
-        writes_per_s=_field(texts_by_field, 'provider.writesPerS', _positive),
-        reads_per_s=_field(texts_by_field, 'provider.readsPerS', _positive),
-    )
-
-
 def _bounds(texts_by_field: dict[str, str]) -> Bounds:
     known = Bounds()
     return Bounds(
-        drain_s=_ms(texts_by_field, 'bounds.drainMs', known.drain_s),
-        config_s=_ms(texts_by_field, 'bounds.configMs', known.config_s),
-        grace_s=_seconds(texts_by_field, 'bounds.graceS', known.grace_s),
-        catch_up_s=_seconds(texts_by_field, 'bounds.syncS', known.catch_up_s),
-        retry_ratio=_seconds(
+        grace_s=_number(texts_by_field, 'bounds.graceS', known.grace_s),
+        retry_ratio=_number(
             texts_by_field, 'bounds.retryBudgetRatio', known.retry_ratio
         ),
-        retry_window_s=_seconds(
+        retry_window_s=_number(
             texts_by_field, 'bounds.budgetWindowS', known.retry_window_s
         ),
-        retry_slack=_seconds(
+        retry_slack=_number(
             texts_by_field, 'bounds.budgetSlack', known.retry_slack
         ),
     )
 
 
-def _ms(texts_by_field: dict[str, str], name: str, default: float) -> float:
-    return (
-        _field(texts_by_field, name, _positive, default * _MS_PER_S) / _MS_PER_S
-    )
-
-
-def _seconds(
-    texts_by_field: dict[str, str], name: str, default: float
-) -> float:
+def _number(texts_by_field: dict[str, str], name: str, default: float) -> float:
     return _field(texts_by_field, name, _positive, default)
 
 
@@ -171,9 +150,3 @@
     if not 0 <= number < float('inf'):
         raise ValueError('must be a number of 0 or more')
     return number
-
-
-def _flag(text: str) -> bool:
-    if text not in {'true', 'false'}:
-        raise ValueError('must be true or false')
-    return text == 'true'
--- a/eelgrassfork/platform/heads.py
+++ b/eelgrassfork/platform/heads.py
@@ -169,8 +169,6 @@
         request_id=texts_by_name.get(_REQUEST_ID, ''),
         headers=_end_to_end(headers, frozenset((_REQUEST_ID, _LOAD))),
         load=_load(texts_by_name.get(_LOAD, '')),
-        leaving=texts_by_name.get('connection', '').lower() == 'close',
-        idle_timeout_s=_idle_timeout_s(texts_by_name.get('keep-alive', '')),
     )
 
 
@@ -244,11 +242,3 @@
         return ServerLoad(*(int(count) for count in counts))
     except ValueError:
         return None
-
-
-def _idle_timeout_s(text: str) -> float | None:
-    for item in text.split(','):
-        name, _, seconds = item.strip().partition('=')
-        if name.lower() == 'timeout' and seconds.isdecimal():
-            return float(seconds)
-    return None
--- a/tests/test_gateway_repeat_budget.py
+++ b/tests/test_gateway_repeat_budget.py
@@ -38,6 +38,11 @@
         budget = RepeatBudget(POLICY, lambda: 0)
         self.assertLess(sum(budget.take(0) for _ in range(60)), 10)
 
+    def test_changed_policy_binds_at_once(self):
+        budget = RepeatBudget(POLICY, lambda: 1)
+        budget.policy = POLICY._replace(slack=0)
+        self.assertFalse(budget.take(0))
+
     def test_first_failures_can_be_repeated(self):
         budget = RepeatBudget(POLICY, lambda: 9)
         self.assertTrue(budget.take(0))
--- a/tests/test_gateway_servers.py
+++ b/tests/test_gateway_servers.py
@@ -76,7 +76,7 @@
             servers.note_store(reachable=False)
             await trio.sleep(5)
             servers.note_store(reachable=True)
-            servers.take_all([])
+            servers.vanish('s1')
             await trio.sleep(1.9)
             held = usable(servers)
             await trio.sleep(0.2)
@@ -113,10 +113,10 @@
             servers.misdirected(server)
             await trio.sleep(1)
             servers.forget_gone()
-            kept = len(servers.of_service('svc'))
+            kept = len(servers.dump())
             server.in_flight = 0
             servers.forget_gone()
-            return kept, len(servers.of_service('svc'))
+            return kept, len(servers.dump())
 
         self.assertEqual((1, 0), run(main))
 
--- a/tests/test_gateway_status_pages.py
+++ b/tests/test_gateway_status_pages.py
@@ -29,7 +29,8 @@
     def setUp(self):
         super().setUp()
         self.ready = False
-        self.telemetry = Telemetry(lambda: 7)
+        self.telemetry = Telemetry()
+        self.telemetry.watch('server_connections_opened', '', lambda: 7)
         self.pages = StatusPages(
             self.telemetry, lambda: self.ready, lambda: {'node': 'n1'}
         )
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -16,6 +16,7 @@
 )
 
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+KEEP_ALIVE = b'\r\nKeep-Alive: timeout=1, max=100\r\n\r\n'
 TIMEOUTS = ClientTimeouts(connect_s=1, first_byte_s=1, silence_s=1)
 
 
@@ -101,6 +102,24 @@
 
         self.assertEqual((b'ok', 'connection_lost', 2), run(play, scenario))
 
+    def test_connection_is_dropped_before_the_server_closes_it(self):
+        async def play(server, stream, number):
+            while True:
+                await server.request(stream)
+                await stream.send_all(
+                    ANSWER.replace(b'\r\n\r\n', KEEP_ALIVE, 1)
+                )
+
+        async def scenario(client, server, address):
+            await fetch(client, address)
+            await fetch(client, address)
+            reused = server.connections
+            await trio.sleep(0.6)
+            await fetch(client, address)
+            return reused, server.connections
+
+        self.assertEqual((1, 2), run(play, scenario))
+
     def test_stray_bytes_are_no_answer_to_the_next_request(self):
         async def play(server, stream, number):
             await server.request(stream)
--- a/tests/test_line_writer.py
+++ b/tests/test_line_writer.py
@@ -7,6 +7,7 @@
 
 import os
 
+import logbook
 import testtools
 import trio
 import trio.testing
@@ -47,6 +48,18 @@
 
         self.assertEqual((400, b'later\n'), self.run_in_trio(main))
 
+    def test_tells_how_many_lines_were_dropped(self):
+        async def main():
+            writer = LineWriter(self.descriptor, lines_per_s=10)
+            for _ in range(1000):
+                writer.write('x\n')
+            os.read(self.reader, 100_000)
+            with logbook.TestHandler() as handler, trio.move_on_after(5):
+                await writer.run()
+            return [record.extra['in_all'] for record in handler.records]
+
+        self.assertEqual([400], self.run_in_trio(main))
+
     def test_reader_that_stops_blocks_nothing(self):
         async def main():
             writer = LineWriter(self.descriptor, lines_per_s=1_000_000)
--- a/tests/test_platform_boot_file.py
+++ b/tests/test_platform_boot_file.py
@@ -41,12 +41,10 @@
         settings = parse_settings(TEXT)
         self.assertEqual('edge-1', settings.node)
         self.assertEqual('d0', settings.failure_domain)
-        self.assertEqual(2.5, settings.bounds.drain_s)
         self.assertEqual(9, settings.bounds.grace_s)
         self.assertEqual(0.3, settings.bounds.retry_ratio)
         self.assertEqual((7200, 7215), settings[6:8])
         self.assertEqual(('10.1.0.19:8748', '10.2.0.13:8748'), settings.seeds)
-        self.assertTrue(settings.first_start)
 
     def test_names_the_missing_field(self):
         text = TEXT.replace('listen.ready', 'listen.other')
@@ -56,9 +54,9 @@
         for wrong in (
             'listen.front=nowhere',
             'internalPorts=9,3',
-            'bounds.drainMs=soon',
-            'bounds.drainMs=-1',
-            'bootstrap=perhaps',
+            'bounds.graceS=soon',
+            'bounds.graceS=-1',
+            'bounds.budgetSlack=inf',
         ):
             name, _, text = wrong.partition('=')
             message = self.message(f'{TEXT}\n{wrong}\n')
--- a/tests/test_platform_heads.py
+++ b/tests/test_platform_heads.py
@@ -124,7 +124,7 @@
         self.assertTrue(decode_answer(421, ()).not_run)
         self.assertFalse(decode_answer(503, ()).not_run)
 
-    def test_reads_load_and_idle_timeout(self):
+    def test_reads_load_and_proof_of_origin(self):
         answer = decode_answer(
             200,
             (
@@ -134,7 +134,6 @@
             ),
         )
         self.assertEqual((3, 1, 8), tuple(answer.load))
-        self.assertEqual(7, answer.idle_timeout_s)
         self.assertTrue(answer.sealed)
         self.assertEqual((('x-response-seal', 's'),), answer.headers)
 
