Let keepers draw credit for the routers of their failure domain

A request that came during a write waited for the end of that write only, which did not know of it. Ruled out: more credit at hand for every router, since a test bounds what routers hold.

A router now asks its keeper, which draws for all that wait in one write and tells what the ledger holds; only where no keeper answers does a router draw itself. A lender that did not answer is not asked again for two seconds, and a loan under way is not cancelled with its request. The tests replay the first second of traffic.

--- a/eelgrassfork/gateway/credit.py
+++ b/eelgrassfork/gateway/credit.py
@@ -202,6 +202,29 @@
         account.free -= handed
         return handed
 
+    def note_spent(self, spent_by_organisation: Mapping[str, int]) -> None:
+        """
+        Take over use that the ledger does not show yet.
+
+        :param spent_by_organisation: tokens.
+        """
+        for name, spent in spent_by_organisation.items():
+            self._account(name).unflushed += spent
+
+    def take_unflushed(self) -> dict[str, int]:
+        """
+        Hand over the use that the ledger does not show yet.
+
+        :returns: tokens by organisation, no longer counted here.
+        """
+        handed = {
+            name: account.unflushed
+            for name, account in self._accounts_by_organisation.items()
+            if account.unflushed
+        }
+        self.note_flushed(handed)
+        return handed
+
     def note_flushed(self, spent_by_organisation: Mapping[str, int]) -> None:
         """
         Note use that the ledger shows now.
--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -23,6 +23,8 @@
 )
 from .ledger import Transfer
 from .ledger_writer import LedgerWriter
+from .lender import Lender, LenderParts
+from .lending import CreditRequest, Loan
 from .standby import FleetTime, Standby
 from .standby_keeper import StandbyKeeper
 from .store import Store, StoreError
@@ -36,7 +38,8 @@
 _TICK_S: Final = 1.0
 # A request waits for one or two answers of the store, not for its timeout.
 _DRAW_WAIT_S: Final = 0.15
-_BORROW_WAIT_S: Final = 0.1
+# The round in progress may have been planned before a need was known.
+_DRAW_ROUNDS: Final = 2
 _RETRY_AFTER_S: Final = 0.3
 
 
@@ -47,8 +50,8 @@
     :param prepaid: limits in tokens by organisation.
     :param keepers: number of routers that draw credit.
     :param is_keeper: whether this router is one of them.
-    :param borrow: asks peers for credit by organisation; returns what they
-        lent.
+    :param failure_domain: where this router runs.
+    :param borrow: asks peers for credit.
     :param peers_free: free credit of an organisation at peers by their last
         word.
     :param fleet_time: median of the routers' clocks.
@@ -57,7 +60,8 @@
     prepaid: Callable[[], Tokens]
     keepers: Callable[[], int]
     is_keeper: Callable[[], bool]
-    borrow: Callable[[Tokens], Awaitable[Tokens]]
+    failure_domain: str
+    borrow: Callable[[CreditRequest], Awaitable[Loan]]
     peers_free: Callable[[str], int]
     fleet_time: Callable[[], FleetTime]
 
@@ -66,6 +70,8 @@
     """
     Credit of one router.
 
+    :ivar lender: hands credit over to peers.
+
     :param store: where the ledger is.
     :param node: name of this VM.
     :param incarnation: of this process.
@@ -81,6 +87,7 @@
         world: CreditWorld,
         policy: CreditPolicy | None = None,
     ) -> None:
+        self._node = node
         self._world = world
         self._policy = policy or CreditPolicy()
         self.held = HeldCredit(self._policy.rate_half_life_s)
@@ -94,6 +101,16 @@
             self._situation,
             self._policy,
         )
+        self.lender = Lender(
+            LenderParts(
+                self.held,
+                self._ledger,
+                world.prepaid,
+                world.failure_domain,
+                world.is_keeper,
+                self._draw_for,
+            ),
+        )
         self._urgent: Counter[str] = Counter()
         self._wake = trio.Event()
         self._round_done = trio.Event()
@@ -119,16 +136,17 @@
         self.held.note_demand(organisation, amount, trio.current_time())
         if self.held.reserve(organisation, amount):
             return
-        if await self._borrow(organisation, amount):
-            return
-        missing = amount - self.held.free(organisation)
-        if not self._ledger.is_known_empty(organisation, missing):
-            await self._draw(organisation, amount)
-            if self.held.reserve(organisation, amount):
-                return
-            if await self._borrow(organisation, amount):
-                return
-        raise self._refusal(organisation, amount)
+        if self._world.is_keeper():
+            await self._draw_for({organisation: amount})
+            missing = amount - self.held.free(organisation)
+            if 0 < missing <= self._world.peers_free(organisation):
+                await self._borrow(organisation, missing)
+        elif not await self._borrow(
+            organisation, amount - self.held.free(organisation)
+        ):
+            await self._draw_for({organisation: amount})
+        if not self.held.reserve(organisation, amount):
+            raise self._refusal(organisation, amount)
 
     async def close(self, timeout_s: float) -> None:
         """
@@ -165,25 +183,45 @@
         for name, tokens in tokens_by_organisation.items():
             self.held.add(name, tokens)
 
-    async def _borrow(self, organisation: str, amount: int) -> bool:
-        # Peers are asked first: that costs the store no call.
-        missing = amount - self.held.free(organisation)
-        if self._world.peers_free(organisation) < missing:
-            return False
-        with trio.move_on_after(_BORROW_WAIT_S):
-            lent = await self._world.borrow({organisation: missing})
-            self._add(lent)
-        return self.held.reserve(organisation, amount)
-
-    async def _draw(self, organisation: str, amount: int) -> None:
-        self._urgent[organisation] += amount
-        self._wake.set()
-        wait_s = 0 if self._ledger.is_away else _DRAW_WAIT_S
+    async def _borrow(self, organisation: str, missing: int) -> bool:
+        extra = {organisation: self._target(organisation)}
+        return await self._borrow_all({organisation: missing}, extra)
+
+    async def _borrow_all(
+        self, urgent: dict[str, int], extra: dict[str, int]
+    ) -> bool:
+        request = CreditRequest(
+            self._node,
+            self._world.failure_domain,
+            urgent,
+            extra,
+            {} if self._world.is_keeper() else self.held.take_unflushed(),
+        )
+        # Credit whose answer is not read is lost; the call has its own bound.
+        with trio.CancelScope(shield=True):
+            loan = await self._world.borrow(request)
+        self._add(loan.lent_by_organisation)
+        if loan.ledger is not None:
+            self._ledger.observe(loan.ledger)
+        return loan.ledger is not None
+
+    async def _draw_for(self, needs: Tokens) -> None:
+        needs = _in_ledger(needs, self.held, self._ledger)
+        if not needs or self._ledger.is_away:
+            return
+        self._urgent.update(needs)
         try:
-            with trio.move_on_after(wait_s):
-                await self._round_done.wait()
+            with trio.move_on_after(_DRAW_WAIT_S):
+                await self._wait_for(needs)
         finally:
-            self._urgent[organisation] -= amount
+            self._urgent.subtract(needs)
+
+    async def _wait_for(self, needs: Tokens) -> None:
+        for _ in range(_DRAW_ROUNDS):
+            self._wake.set()
+            await self._round_done.wait()
+            if not _in_ledger(needs, self.held, self._ledger):
+                return
 
     def _refusal(self, organisation: str, amount: int) -> RequestError:
         if self._ledger.is_spent(organisation, amount):
@@ -214,13 +252,12 @@
             done.set()
 
     async def _round(self) -> None:
-        if not self._world.is_keeper():
-            await self._refill()
         urgent = any(
             amount > self.held.free(name)
             for name, amount in self._urgent.items()
         )
         if not (urgent or self._world.is_keeper()):
+            await self._refill()
             return
         try:
             await self._ledger.transfer(self._plan, reread=urgent)
@@ -232,19 +269,23 @@
             _log.error('the ledger is damaged', extra={'error': str(error)})
 
     async def _refill(self) -> None:
-        situation = self._situation()
-        now_s = trio.current_time()
         wanted = {}
-        for name in situation.prepaid_by_organisation:
-            target = target_tokens(
-                self.held, name, situation, self._policy, now_s
-            )
-            target += max(0, self._urgent[name])
+        for name in self._world.prepaid():
+            target = self._target(name)
             free = self.held.free(name)
             if free < target * self._policy.low_part:
                 wanted[name] = target - free
         if wanted:
-            self._add(await self._world.borrow(wanted))
+            await self._borrow_all({}, wanted)
+
+    def _target(self, organisation: str) -> int:
+        return target_tokens(
+            self.held,
+            organisation,
+            self._situation(),
+            self._policy,
+            trio.current_time(),
+        )
 
     def _plan(self) -> Transfer:
         return plan_transfer(
@@ -267,3 +308,14 @@
             max(1, self._world.keepers()),
             self._world.is_keeper(),
         )
+
+
+def _in_ledger(
+    needs: Tokens, held: HeldCredit, ledger: LedgerWriter
+) -> dict[str, int]:
+    return {
+        name: amount
+        for name, amount in needs.items()
+        if held.free(name) < amount
+        and not ledger.is_known_empty(name, amount - held.free(name))
+    }
--- a/eelgrassfork/gateway/ledger_writer.py
+++ b/eelgrassfork/gateway/ledger_writer.py
@@ -23,6 +23,7 @@
     has_applied,
     remaining,
 )
+from .lending import LedgerView
 from .store import (
     Store,
     StoreAnswerLost,
@@ -42,6 +43,7 @@
 _TRIES: Final = 12
 # A ledger this old does not prove that nothing is left.
 _FRESH_S: Final = 1.0
+_UNSEEN: Final = (float('-inf'), EMPTY)
 
 
 class LedgerWriter:
@@ -73,6 +75,7 @@
         self._revision: int | None = None
         self._read_at: float = float('-inf')
         self._number = 0
+        self._observed_by_organisation: dict[str, tuple[float, Ledger]] = {}
         self.ledger = EMPTY
         self.is_away = False
 
@@ -84,9 +87,52 @@
         :param missing: tokens needed.
         :returns: whether drawing is in vain.
         """
+        read_at, _ = self._observed_by_organisation.get(organisation, _UNSEEN)
+        age_s = trio.current_time() - max(read_at, self._read_at)
+        return age_s < _FRESH_S and self.left(organisation) < missing
+
+    def left(self, organisation: str) -> int:
+        """
+        Read what may still be drawn as far as is known.
+
+        :param organisation: whose credit.
+        :returns: tokens.
+        """
         prepaid = self._prepaid().get(organisation, 0)
-        left = remaining(self.ledger, organisation, prepaid)
-        return self._age_s < _FRESH_S and left < missing
+        return remaining(self._newest(organisation), organisation, prepaid)
+
+    def view(self, organisations: tuple[str, ...]) -> LedgerView:
+        """
+        Tell a peer what is known.
+
+        :param organisations: those that the peer asks about.
+        :returns: the ledger as far as it concerns them.
+        """
+        return LedgerView(
+            {
+                name: self.ledger.granted_by_organisation.get(name, 0)
+                for name in organisations
+            },
+            {
+                name: self.ledger.spent_by_organisation.get(name, 0)
+                + self._held.unflushed(name)
+                for name in organisations
+            },
+            self.age_s,
+        )
+
+    def observe(self, view: LedgerView) -> None:
+        """
+        Note what a keeper knows, for what this router can't draw itself.
+
+        :param view: the ledger as far as it concerns some organisations.
+        """
+        read_at = trio.current_time() - view.age_s
+        ledger = Ledger(
+            view.granted_by_organisation, view.spent_by_organisation, {}
+        )
+        for name in view.granted_by_organisation:
+            self._observed_by_organisation[name] = (read_at, ledger)
 
     def is_spent(self, organisation: str, amount: int) -> bool:
         """
@@ -97,7 +143,8 @@
         :returns: whether what is known to be used leaves too little.
         """
         prepaid = self._prepaid().get(organisation, 0)
-        spent = self.ledger.spent_by_organisation.get(organisation, 0)
+        ledger = self._newest(organisation)
+        spent = ledger.spent_by_organisation.get(organisation, 0)
         return amount > prepaid - spent - self._held.unflushed(organisation)
 
     async def transfer(
@@ -124,19 +171,26 @@
         """
         return {
             'revision': self._revision,
-            'age_s': round(self._age_s, 1),
+            'age_s': round(self.age_s, 1),
             'granted_by_organisation': self.ledger.granted_by_organisation,
             'spent_by_organisation': self.ledger.spent_by_organisation,
         }
 
     @property
-    def _age_s(self) -> float:
+    def age_s(self) -> float:
+        """Time since the ledger was read, in seconds."""
         return trio.current_time() - self._read_at
 
+    def _newest(self, organisation: str) -> Ledger:
+        read_at, ledger = self._observed_by_organisation.get(
+            organisation, _UNSEEN
+        )
+        return ledger if read_at > self._read_at else self.ledger
+
     async def _transfer(
         self, plan: Callable[[], Transfer], reread: bool
     ) -> None:
-        if self._revision is None or (reread and self._age_s > _FRESH_S):
+        if self._revision is None or (reread and self.age_s > _FRESH_S):
             await self._read()
         for _ in range(_TRIES):
             transfer = plan()
--- /dev/null
+++ b/eelgrassfork/gateway/lender.py
@@ -0,0 +1,110 @@
+"""
+eelgrassfork.gateway.lender
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Hands credit over to other routers.
+"""
+
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Final, NamedTuple
+
+import logbook
+import trio
+
+from .credit import HeldCredit
+from .ledger import add_up
+from .ledger_writer import LedgerWriter
+from .lending import CreditAnswer, CreditRequest
+
+__all__ = ('Lender', 'LenderParts')
+
+_log = logbook.Logger('lend')
+
+# Credit is lent only for waiting requests once less than this part of an
+# organisation's limit is left to draw.
+_SCARCE_PART: Final = 0.1
+
+
+class LenderParts(NamedTuple):
+    """
+    What a lender works with.
+
+    :param held: credit of this router.
+    :param prepaid: limits in tokens by organisation.
+    :param failure_domain: where this router runs.
+    :param is_keeper: whether this router draws credit for others.
+    :param draw: tries to have so many tokens at hand by organisation.
+    """
+
+    held: HeldCredit
+    ledger: LedgerWriter
+    prepaid: Callable[[], Mapping[str, int]]
+    failure_domain: str
+    is_keeper: Callable[[], bool]
+    draw: Callable[[Mapping[str, int]], Awaitable[None]]
+
+
+class Lender:
+    """
+    Answers the credit requests of peers.
+
+    :param parts: what it works with.
+    """
+
+    def __init__(self, parts: LenderParts) -> None:
+        self._parts = parts
+
+    async def lend(self, request: CreditRequest) -> CreditAnswer:
+        """
+        Hand over credit to a peer; a keeper draws it first where it lacks.
+
+        :param request: what the peer needs.
+        :returns: what it gets.
+        """
+        held = self._parts.held
+        is_near = request.failure_domain == self._parts.failure_domain
+        wanted = add_up(
+            request.urgent_by_organisation, request.extra_by_organisation
+        )
+        held.note_spent(request.spent_by_organisation)
+        if is_near:
+            self._note_demand(wanted)
+        is_keeper = self._parts.is_keeper()
+        if is_keeper:
+            await self._parts.draw(request.urgent_by_organisation)
+        lent = self._hand_over(request)
+        if not is_near:
+            # Others ask one lender after the other for the same credit.
+            self._note_demand(lent)
+        ledger = self._parts.ledger
+        _log.info(
+            'lent credit',
+            extra={
+                'to': request.borrower,
+                'wanted': wanted,
+                'lent': lent,
+                'ledger_age_s': round(ledger.age_s, 2),
+            },
+        )
+        view = ledger.view(tuple(wanted)) if is_keeper else None
+        return CreditAnswer(lent, view)
+
+    def _note_demand(self, tokens_by_organisation: Mapping[str, int]) -> None:
+        now_s = trio.current_time()
+        for name, amount in tokens_by_organisation.items():
+            self._parts.held.note_demand(name, amount, now_s)
+
+    def _hand_over(self, request: CreditRequest) -> dict[str, int]:
+        held = self._parts.held
+        prepaid = self._parts.prepaid()
+        lent = {
+            name: held.remove(name, amount)
+            for name, amount in request.urgent_by_organisation.items()
+        }
+        extra = {
+            name: held.remove(name, amount)
+            for name, amount in request.extra_by_organisation.items()
+            if self._parts.ledger.left(name)
+            > prepaid.get(name, 0) * _SCARCE_PART
+        }
+        return add_up(lent, extra)
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -109,7 +109,7 @@
             self._store, self._gossip, settings, self._incarnation
         )
         self._credit = self._make_credit()
-        self._exchange.held = lambda: self._credit.held
+        self._exchange.lend = self._credit.lender.lend
         self._sender = self._make_sender()
         self._forwarder = self._make_forwarder()
         self._callers = HttpServer(self._forwarder.forward)
@@ -218,6 +218,7 @@
             self._prepaid,
             lambda: len(self._keepers()),
             lambda: None in self._keepers()[:1],
+            self._settings.failure_domain,
             self._exchange.borrow,
             self._exchange.peers_free,
             self._gossip.fleet_time,
--- a/eelgrassfork/gateway/peer_exchange.py
+++ b/eelgrassfork/gateway/peer_exchange.py
@@ -7,7 +7,7 @@
 
 import random
 from collections.abc import Awaitable, Callable, Iterable, Mapping
-from typing import Final, NamedTuple
+from typing import Final
 
 import logbook
 import msgspec
@@ -16,14 +16,14 @@
 from ..errors import EelgrassError, RequestError
 from ..http_client import ClientRequest, ClientTimeouts, HttpClient
 from ..http_server import Call
-from .credit import HeldCredit
 from .follower import Beliefs
 from .gossip import Gossip, Peer
 from .ledger import add_up
+from .lending import CreditAnswer, CreditRequest, LedgerView, Loan
 from .node_settings import NodeSettings
 from .server_records import ServerRecord
 
-__all__ = ('CreditRequest', 'PeerExchange')
+__all__ = ('PeerExchange',)
 
 _log = logbook.Logger('peers')
 
@@ -41,23 +41,18 @@
 _LARGE_BYTES: Final = 65536
 _RETRY_S: Final = 0.2
 _MAX_LENDERS: Final = 6
+# Longer than a keeper waits for the store, as credit of a lost answer is lost.
+_LEND_S: Final = 0.25
+_CREDIT_TIMEOUTS: Final = ClientTimeouts(
+    connect_s=0.1, first_byte_s=_LEND_S, silence_s=_LEND_S
+)
+# No further peer is asked after so long; the caller waits meanwhile.
+_BORROW_S: Final = 0.2
+# Heartbeats show within this time whether a silent peer is gone.
+_AVOID_S: Final = 2.0
 _BODY: Final = (('content-type', 'application/msgpack'),)
 
 
-class CreditRequest(NamedTuple):
-    """
-    A request for credit.
-
-    :param borrower: name of the VM that asks.
-    :param failure_domain: of that VM.
-    :param wanted_by_organisation: tokens.
-    """
-
-    borrower: str
-    failure_domain: str
-    wanted_by_organisation: dict[str, int]
-
-
 class PeerExchange:
     """
     Pulls what peers know better, and serves what this router knows.
@@ -66,7 +61,7 @@
     :param gossip: who lives and what they know.
     :param beliefs: what this router believes.
     :param settings: of this router; the port for peers is the same on all.
-    :ivar held: credit of this router, once there is any.
+    :ivar lend: hands over credit of this router, once there is any.
     :ivar reread: reads the configuration from the store.
     """
 
@@ -80,12 +75,12 @@
         self._client = client
         self._gossip = gossip
         self._beliefs = beliefs
-        self._node = settings.node
         self._failure_domain = settings.failure_domain
         self._port = settings.peer_address.rpartition(':')[2]
         self._news = trio.Event()
         self._random = random.Random()
-        self.held: Callable[[], HeldCredit | None] = lambda: None
+        self._avoided_until_by_node: dict[str, float] = {}
+        self.lend: Callable[[CreditRequest], Awaitable[CreditAnswer]] = _nothing
         self.reread: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
 
     async def run(self) -> None:
@@ -101,24 +96,30 @@
         """Compare with the peers' heartbeats soon."""
         self._news.set()
 
-    async def borrow(self, wanted: Mapping[str, int]) -> dict[str, int]:
+    async def borrow(self, request: CreditRequest) -> Loan:
         """
         Ask peers for credit: keepers first, then those that have most.
 
-        :param wanted: tokens needed by organisation.
+        :param request: tokens needed.
         :returns: tokens that were lent, maybe too few.
         """
         lent: dict[str, int] = {}
-        for peer in self._lenders(wanted):
-            missing = {
-                name: amount - lent.get(name, 0)
-                for name, amount in wanted.items()
-                if amount > lent.get(name, 0)
-            }
-            if not missing:
+        ledger: LedgerView | None = None
+        asked = request
+        end_at = trio.current_time() + _BORROW_S
+        for peer in self._lenders(request.urgent_by_organisation):
+            urgent = _missing(request.urgent_by_organisation, lent)
+            if trio.current_time() >= end_at:
                 break
-            lent = add_up(lent, await self._borrow_from(peer, missing))
-        return lent
+            if ledger is not None and not _free(peer, urgent):
+                continue
+            answer = await self._borrow_from(
+                peer, asked._replace(urgent_by_organisation=urgent)
+            )
+            lent = add_up(lent, answer.lent_by_organisation)
+            ledger = ledger or answer.ledger
+            asked = CreditRequest(request.borrower, request.failure_domain, {})
+        return Loan(lent, ledger)
 
     def peers_free(self, organisation: str) -> int:
         """
@@ -138,70 +139,57 @@
         :param call: its call.
         :raises RequestError: ``unknown_service`` for another path.
         """
-        answers_by_path: dict[str, Callable[[Call], bytes]] = {
+        if call.path == _CREDIT:
+            await call.respond(_OK, await self._lend(call), _BODY)
+            return
+        answers_by_path: dict[str, Callable[[], bytes]] = {
             _CONFIGURATION: self._configuration,
             _SERVERS: self._servers,
-            _CREDIT: self._lend,
         }
         answer = answers_by_path.get(call.path)
         if answer is None:
             raise RequestError('unknown_service', 'no such path')
-        await call.respond(_OK, answer(call), _BODY)
+        await call.respond(_OK, answer(), _BODY)
 
-    def _configuration(self, call: Call) -> bytes:
+    def _configuration(self) -> bytes:
         return self._beliefs.configuration.content
 
-    def _servers(self, call: Call) -> bytes:
+    def _servers(self) -> bytes:
         return msgspec.msgpack.encode(self._beliefs.records.export())
 
-    def _lend(self, call: Call) -> bytes:
+    async def _lend(self, call: Call) -> bytes:
         try:
             request = msgspec.msgpack.decode(call.body, type=CreditRequest)
         except msgspec.DecodeError as error:
             raise RequestError('invalid_request', str(error)) from None
-        held = self.held()
-        lent: dict[str, int] = {}
-        if held is not None:
-            for name, amount in request.wanted_by_organisation.items():
-                lent[name] = held.remove(name, amount)
-                # Others ask one lender after the other for the same credit.
-                own = request.failure_domain == self._failure_domain
-                demand = amount if own else lent[name]
-                held.note_demand(name, demand, trio.current_time())
-        _log.info(
-            'lent credit',
-            extra={
-                'to': request.borrower,
-                'wanted': request.wanted_by_organisation,
-                'lent': lent,
-            },
-        )
-        return msgspec.msgpack.encode(lent)
+        return msgspec.msgpack.encode(await self.lend(request))
 
     async def _borrow_from(
-        self, peer: Peer, wanted: Mapping[str, int]
-    ) -> dict[str, int]:
-        body = msgspec.msgpack.encode(
-            CreditRequest(self._node, self._failure_domain, dict(wanted))
-        )
-        request = ClientRequest(
+        self, peer: Peer, request: CreditRequest
+    ) -> CreditAnswer:
+        body = msgspec.msgpack.encode(request)
+        call = ClientRequest(
             f'{peer.ip}:{self._port}', 'POST', _CREDIT, _BODY, body, once=True
         )
         try:
-            _, answer = await self._client.fetch(request, _TIMEOUTS)
-            return msgspec.msgpack.decode(answer, type=dict[str, int])
+            _, answer = await self._client.fetch(call, _CREDIT_TIMEOUTS)
+            return msgspec.msgpack.decode(answer, type=CreditAnswer)
         except (EelgrassError, msgspec.DecodeError) as error:
             # What the peer may have lent counts as used from now on.
             _log.warning(
                 'could not borrow credit',
                 extra={'peer': peer.node, 'why': str(error)},
             )
-            return {}
+            self._avoided_until_by_node[peer.node] = (
+                trio.current_time() + _AVOID_S
+            )
+            return CreditAnswer({})
 
-    def _lenders(self, wanted: Mapping[str, int]) -> list[Peer]:
+    def _lenders(self, wanted: Iterable[str]) -> list[Peer]:
+        now_s = trio.current_time()
         keepers = [
             peer
-            for peer in self._gossip.keepers(self._failure_domain)[:1]
+            for peer in self._gossip.keepers(self._failure_domain)
             if peer is not None
         ]
         others = [
@@ -210,7 +198,12 @@
             if peer not in keepers and _free(peer, wanted) > 0
         ]
         others.sort(key=lambda peer: _free(peer, wanted), reverse=True)
-        return [*keepers, *others][:_MAX_LENDERS]
+        sound = [
+            peer
+            for peer in (*keepers, *others)
+            if self._avoided_until_by_node.get(peer.node, 0) <= now_s
+        ]
+        return sound[:_MAX_LENDERS]
 
     async def _catch_up(self) -> bool:
         done = await self._catch_up_configuration()
@@ -267,6 +260,21 @@
         return True
 
 
+async def _nothing(request: CreditRequest) -> CreditAnswer:
+    await trio.lowlevel.checkpoint()
+    return CreditAnswer({})
+
+
+def _missing(
+    wanted: Mapping[str, int], lent: Mapping[str, int]
+) -> dict[str, int]:
+    return {
+        name: amount - lent.get(name, 0)
+        for name, amount in wanted.items()
+        if amount > lent.get(name, 0)
+    }
+
+
 def _free(peer: Peer, organisations: Iterable[str]) -> int:
     if peer.heartbeat is None:
         return 0
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -5,6 +5,8 @@
 A store of the gateway in memory, with outages, lost and late writes.
 """
 
+from collections import Counter
+
 import msgspec
 import trio
 
@@ -25,6 +27,8 @@
 
     :ivar down: every call is refused, and does nothing.
     :ivar silent: every call waits for a second and may not be done.
+    :ivar latency_s: time that each call takes.
+    :ivar writes_by_kind: writes that were tried.
     :ivar lose: so many writes take effect without an answer.
     :ivar delay: so many writes are not answered, and try to take effect when
         :meth:`release` is called.
@@ -40,6 +44,8 @@
         self.lose = 0
         self.delay = 0
         self.calls = 0
+        self.latency_s = 0
+        self.writes_by_kind = Counter()
         self._late = []
         self._changed = trio.Event()
 
@@ -103,6 +109,7 @@
                 continue
 
     async def _write(self, kind, name, content, condition):
+        self.writes_by_kind[kind] += 1
         await self._admit()
         encoded = msgspec.json.encode(content)
         if self.delay:
@@ -141,7 +148,7 @@
 
     async def _admit(self):
         self.calls += 1
-        await trio.lowlevel.checkpoint()
+        await trio.sleep(self.latency_s)
         if self.silent:
             await trio.sleep(1)
             raise StoreAnswerLost('silent', 'no answer')
--- a/tests/test_gateway_credit_keeper.py
+++ b/tests/test_gateway_credit_keeper.py
@@ -11,6 +11,8 @@
 
 from eelgrassfork.errors import RequestError
 from eelgrassfork.gateway.credit_keeper import CreditKeeper, CreditWorld
+from eelgrassfork.gateway.ledger import add_up
+from eelgrassfork.gateway.lending import Loan
 from eelgrassfork.gateway.standby import FleetTime
 
 from .memory_store import MemoryStore
@@ -26,23 +28,34 @@
         self.prepaid = prepaid
         self.keepers_by_node = {}
         self.cut = False
+        self.asked = 0
 
     def fleet_time(self):
         now_ms = EPOCH_MS + int(trio.current_time() * 1000)
         return FleetTime(now_ms, 9)
 
     async def add(self, nursery, node, is_keeper=True):
-        async def borrow(wanted):
+        async def borrow(request):
             await trio.sleep(0.001)
             lent = {}
+            ledger = None
             for other, keeper in self.keepers_by_node.items():
                 if other == node or self.cut:
                     continue
-                for name, amount in wanted.items():
-                    missing = amount - lent.get(name, 0)
-                    got = keeper.held.remove(name, missing)
-                    lent[name] = lent.get(name, 0) + got
-            return lent
+                urgent = {
+                    name: amount - lent.get(name, 0)
+                    for name, amount in request.urgent_by_organisation.items()
+                }
+                answer = await keeper.lender.lend(
+                    request._replace(urgent_by_organisation=urgent)
+                )
+                self.asked += 1
+                lent = add_up(lent, answer.lent_by_organisation)
+                ledger = ledger or answer.ledger
+                request = request._replace(
+                    extra_by_organisation={}, spent_by_organisation={}
+                )
+            return Loan(lent, ledger)
 
         def peers_free(name):
             return sum(
@@ -55,6 +68,7 @@
             lambda: {'a': self.prepaid},
             lambda: 2,
             lambda: is_keeper,
+            'd0',
             borrow,
             peers_free,
             self.fleet_time,
@@ -203,3 +217,72 @@
         reserved, prepaid = run(scenario)
         self.assertLessEqual(reserved, prepaid)
         self.assertGreater(reserved, prepaid * 0.9)
+
+
+class StormTests(testtools.TestCase):
+    """
+    Many routers without credit get their first requests at once.
+
+    The load is that of the first second of traffic at ninety routers, each
+    with requests of organisations that it holds nothing for.
+    """
+
+    def test_routers_of_a_failure_domain_draw_through_their_keeper(self):
+        async def scenario(fleet, nursery):
+            await fleet.add(nursery, 'n0')
+            others = [
+                await fleet.add(nursery, f'n{number}', is_keeper=False)
+                for number in range(1, 18)
+            ]
+            await trio.sleep(2)
+            fleet.store.latency_s = 0.004
+            writes = fleet.store.writes_by_kind
+            before = writes['eelgrassfork-credit']
+            outcomes = []
+
+            async def first_requests(keeper):
+                for _ in range(5):
+                    outcomes.append(await reserve(keeper, 4000))
+                    await trio.sleep(0.05)
+
+            async with trio.open_nursery() as requests:
+                for keeper in others:
+                    requests.start_soon(first_requests, keeper)
+            return outcomes, writes['eelgrassfork-credit'] - before
+
+        outcomes, writes = run(scenario, prepaid=2_000_000)
+        self.assertEqual({'reserved'}, set(outcomes))
+        # A write a round of simultaneous requests, and one of the tick.
+        self.assertLessEqual(writes, 7)
+
+    def test_request_during_a_write_gets_credit_of_the_next_one(self):
+        async def scenario(fleet, nursery):
+            keeper = await fleet.add(nursery, 'n1')
+            await trio.sleep(2)
+            fleet.store.latency_s = 0.004
+            outcomes = []
+
+            async def request(delay_s):
+                await trio.sleep(delay_s)
+                outcomes.append(await reserve(keeper, 9000))
+
+            async with trio.open_nursery() as requests:
+                for number in range(6):
+                    requests.start_soon(request, number * 0.0007)
+            return outcomes
+
+        self.assertEqual(['reserved'] * 6, run(scenario))
+
+    def test_spent_budget_is_known_without_a_call_of_the_store(self):
+        async def scenario(fleet, nursery):
+            await fleet.add(nursery, 'n0')
+            other = await fleet.add(nursery, 'n1', is_keeper=False)
+            await reserve(other, 95_000)
+            other.held.settle('a', 95_000, 95_000)
+            await trio.sleep(1.2)
+            calls_before = fleet.store.calls
+            return await reserve(other, 50_000), fleet.store.calls, calls_before
+
+        outcome, calls, calls_before = run(scenario)
+        self.assertEqual('budget_exhausted', outcome)
+        self.assertLessEqual(calls - calls_before, 2)
--- a/tests/test_gateway_peer_exchange.py
+++ b/tests/test_gateway_peer_exchange.py
@@ -13,10 +13,15 @@
 import trio.testing
 
 from eelgrassfork.errors import EelgrassError
-from eelgrassfork.gateway.credit import HeldCredit
 from eelgrassfork.gateway.follower import Beliefs
 from eelgrassfork.gateway.gossip import Heartbeat, Peer
-from eelgrassfork.gateway.peer_exchange import CreditRequest, PeerExchange
+from eelgrassfork.gateway.lending import (
+    CreditAnswer,
+    CreditRequest,
+    LedgerView,
+    Loan,
+)
+from eelgrassfork.gateway.peer_exchange import PeerExchange
 from eelgrassfork.gateway.server_records import ServerRecord
 from eelgrassfork.platform import boot_file
 
@@ -161,48 +166,64 @@
         self.assertEqual(9, run(main))
 
 
+VIEW = LedgerView({'a': 5}, {'a': 1}, 0.5)
+
+
+def asked(urgent, extra=None):
+    return CreditRequest('n7', 'd0', {'a': urgent}, extra or {})
+
+
 class LendingTests(testtools.TestCase):
-    def lend(self, exchange, amount):
+    def borrow(self, exchange, *requests):
         async def main():
-            wanted = CreditRequest('n7', 'd0', {'a': amount})
-            call = Call('/peer/v1/credit', msgspec.msgpack.encode(wanted))
-            await exchange.serve(call)
-            return msgspec.msgpack.decode(call.answer)
+            return [await exchange.borrow(request) for request in requests]
 
         return run(main)
 
-    def test_lends_what_is_free_and_no_more(self):
+    def client(self, lent, ledger=None):
+        answer = CreditAnswer({'a': lent}, ledger)
+        return FakeClient({'/peer/v1/credit': msgspec.msgpack.encode(answer)})
+
+    def test_serves_what_the_router_lends(self):
         exchange, _ = make(FakeClient({}), FakeGossip([]))
-        held = HeldCredit(6)
-        held.add('a', 100)
-        held.reserve('a', 30)
-        exchange.held = lambda: held
-        self.assertEqual({'a': 70}, self.lend(exchange, 500))
-        self.assertEqual({'a': 0}, self.lend(exchange, 500))
 
-    def test_asks_the_keeper_first_and_then_the_richest(self):
-        client = FakeClient(
-            {'/peer/v1/credit': msgspec.msgpack.encode({'a': 10})}
-        )
-        exchange, _ = make(client, FakeGossip([0, 0, 0], free=(0, 50, 90)))
+        async def lend(request):
+            await trio.lowlevel.checkpoint()
+            return CreditAnswer(request.urgent_by_organisation, VIEW)
 
-        async def main():
-            return await exchange.borrow({'a': 25})
+        exchange.lend = lend
+        call = Call(
+            '/peer/v1/credit', msgspec.msgpack.encode(asked(70, {'a': 5}))
+        )
+        run(lambda: exchange.serve(call))
+        self.assertEqual(
+            CreditAnswer({'a': 70}, VIEW),
+            msgspec.msgpack.decode(call.answer, type=CreditAnswer),
+        )
 
-        self.assertEqual({'a': 30}, run(main))
+    def test_asks_the_keeper_first_and_then_the_richest(self):
+        client = self.client(10)
+        exchange, _ = make(client, FakeGossip([0, 0, 0], free=(0, 50, 90)))
+        (loan,) = self.borrow(exchange, asked(25))
+        self.assertEqual(Loan({'a': 30}, None), loan)
         self.assertEqual(
             ['10.0.0.0:8748', '10.0.0.2:8748', '10.0.0.1:8748'], client.asked
         )
 
-    def test_silent_lenders_lend_nothing(self):
+    def test_asks_nobody_else_for_more_than_waiting_requests_need(self):
+        client = self.client(10, VIEW)
+        exchange, _ = make(client, FakeGossip([0, 0, 0], free=(0, 50, 90)))
+        (loan,) = self.borrow(exchange, asked(8, {'a': 90}))
+        self.assertEqual(Loan({'a': 10}, VIEW), loan)
+        self.assertEqual(['10.0.0.0:8748'], client.asked)
+
+    def test_silent_lenders_lend_nothing_and_are_not_asked_again(self):
         client = FakeClient({})
         client.down = True
         exchange, _ = make(client, FakeGossip([0], free=(50,)))
-
-        async def main():
-            return await exchange.borrow({'a': 25})
-
-        self.assertEqual({}, run(main))
+        loans = self.borrow(exchange, asked(25), asked(25))
+        self.assertEqual([Loan({}, None)] * 2, loans)
+        self.assertEqual(1, len(client.asked))
 
     def test_serves_records_of_servers(self):
         exchange, beliefs = make(FakeClient({}), FakeGossip([]))
