Leave the watch of the store to a few routers of each failure domain

Ruled out: pauses between watches, as the call that a change ends has been paid by then.

Records of servers are pulled from routers that are ahead, and only the newer ones.

--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -14,6 +14,7 @@
 
 from ..errors import EelgrassError
 from .configuration import ConfigurationHolder
+from .duty import WatchDuty
 from .records import Configuration, ServerEntry
 from .server_records import ServerRecord, ServerRecords
 from .servers import ServerSet
@@ -25,7 +26,9 @@
 
 _RETRY_S: Final = 0.25
 _MAX_DOUBLINGS: Final = 4
-_LONGEST_RETRY_S: Final = 1.0
+# With the second that a silent call takes, shorter than the bound on
+# configurations.
+_LONGEST_RETRY_S: Final = 0.5
 # While the store is away only the configuration's follower asks for it; the
 # other one waits for its success, or so long.
 _LONGEST_WAIT_S: Final = 2.0
@@ -33,6 +36,8 @@
 # renewed in turn, one of them hears of a change within about this time.
 _RENEWAL_S: Final = 0.5
 _SHORTEST_WATCH_S: Final = 2.4
+# A small part of the bound on configurations.
+_DUTY_POLL_S: Final = 0.25
 # The platform's bound.
 _LONGEST_WATCH_S: Final = 30.0
 # A change ends the watches of all routers at once, so their lengths are spread
@@ -140,7 +145,7 @@
     :param store: where to read.
     :param beliefs: what to keep in step.
     :param decoders: names of the kinds.
-    :param routers: number of live routers.
+    :param duty: whether this router has to watch.
     """
 
     def __init__(
@@ -148,16 +153,15 @@
         store: Store,
         beliefs: Beliefs,
         decoders: Decoders,
-        routers: Callable[[], int],
+        duty: WatchDuty,
     ) -> None:
         self._store = store
         self._beliefs = beliefs
         self._decoders = decoders
-        self._routers = routers
+        self._duty = duty
         self._random = random.Random()
         self._reachable: bool | None = None
         self._returned = trio.Event()
-        self.heard_at: float = float('-inf')
 
     async def start(self, nursery: trio.Nursery) -> None:
         """
@@ -240,6 +244,7 @@
             self._note(True, '')
             on_listing(listing)
             return listing.revision
+        await self._wait_for_duty()
         changes, revision = await self._store.watch(
             kind, revision, self._watch_s()
         )
@@ -247,21 +252,28 @@
         on_changes(changes)
         return revision
 
+    async def _wait_for_duty(self) -> None:
+        while not self._duty.must_watch:
+            if not self._reachable:
+                self._turn(True, 'peers reach it')
+            await trio.sleep(_DUTY_POLL_S)
+
     def _watch_s(self) -> float:
-        routers = max(1, self._routers())
-        longest_s = min(_LONGEST_WATCH_S, routers * _RENEWAL_S)
+        longest_s = min(_LONGEST_WATCH_S, self._duty.watchers * _RENEWAL_S)
         part = self._random.uniform(_LEAST_PART, 1)
         return max(_SHORTEST_WATCH_S, longest_s) * part
 
     def _note(self, reachable: bool, why: str) -> None:
         if reachable:
-            self.heard_at = trio.current_time()
-        if reachable == self._reachable:
-            return
+            self._duty.note_contact()
+        if reachable != self._reachable:
+            self._turn(reachable, why)
+
+    def _turn(self, reachable: bool, why: str) -> None:
         self._reachable = reachable
         self._beliefs.servers.note_store(reachable)
         if reachable:
-            _log.info('reaches the store')
+            _log.info('reaches the store', extra={'why': why})
             self._returned.set()
         else:
             self._returned = trio.Event()
--- a/eelgrassfork/gateway/gossip.py
+++ b/eelgrassfork/gateway/gossip.py
@@ -53,6 +53,8 @@
     :param configuration_version: 0 if it knows none.
     :param servers_digest: of its table of backend servers.
     :param free_by_organisation: credit that it could lend, in tokens.
+    :param servers_revision: newest revision in that table.
+    :param store_age_ms: time since some router reached the store.
     :param unix_ms: its clock.
     :param others: some of the routers that it knows.
     """
@@ -65,6 +67,8 @@
     configuration_version: int = 0
     servers_digest: int = 0
     free_by_organisation: dict[str, int] = {}
+    servers_revision: int = 0
+    store_age_ms: int | None = None
     unix_ms: int = 0
     others: tuple[Known, ...] = ()
 
@@ -208,6 +212,21 @@
         :param failure_domain: the one whose router comes first.
         :returns: peers; ``None`` stands for this router.
         """
+        nodes_by_domain = self.nodes_by_domain()
+        domains = sorted(
+            nodes_by_domain, key=lambda domain: domain != failure_domain
+        )
+        return [
+            self._by_node.get(_first(domain, nodes_by_domain[domain]))
+            for domain in domains
+        ]
+
+    def nodes_by_domain(self) -> dict[str, list[str]]:
+        """
+        List the routers that do not drain, this one too.
+
+        :returns: nodes by failure domain.
+        """
         own = self._describe()
         nodes_by_domain: dict[str, list[str]] = {}
         if not own.draining:
@@ -216,13 +235,7 @@
             if peer.heartbeat is not None:
                 domain = peer.heartbeat.failure_domain
                 nodes_by_domain.setdefault(domain, []).append(peer.node)
-        domains = sorted(
-            nodes_by_domain, key=lambda domain: domain != failure_domain
-        )
-        return [
-            self._by_node.get(_first(domain, nodes_by_domain[domain]))
-            for domain in domains
-        ]
+        return nodes_by_domain
 
     def dump(self) -> list[dict[str, object]]:
         """
@@ -245,19 +258,11 @@
         while True:
             body = msgspec.msgpack.encode(self._heartbeat())
             for ip in self._targets():
-                await self._send_to(opened, ip, body)
+                await _send_to(opened, (ip, self._port), body)
             with trio.move_on_after(_INTERVAL_S):
                 await self._now.wait()
             self._now = trio.Event()
 
-    async def _send_to(
-        self, opened: trio.socket.SocketType, ip: str, body: bytes
-    ) -> None:
-        try:
-            await opened.sendto(body, (ip, self._port))
-        except (OSError, trio.ClosedResourceError) as error:
-            _log.debug('no heartbeat left', extra={'ip': ip, 'why': str(error)})
-
     def _heartbeat(self) -> Heartbeat:
         now_s = trio.current_time()
         peers = [
@@ -344,6 +349,17 @@
         return peer
 
 
+async def _send_to(
+    opened: trio.socket.SocketType, address: tuple[str, int], body: bytes
+) -> None:
+    try:
+        await opened.sendto(body, address)
+    except (OSError, trio.ClosedResourceError) as error:
+        _log.debug(
+            'no heartbeat left', extra={'to': address[0], 'why': str(error)}
+        )
+
+
 def _first(domain: str, nodes: list[str]) -> str:
     return rendezvous_order(domain, nodes)[0]
 
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -14,12 +14,13 @@
 from ..http_client import HttpClient
 from ..http_server import HttpServer, ServerLimits
 from .credit_keeper import CreditKeeper, CreditWorld
+from .duty import WatchDuty
 from .exchange import Exchange, ExchangeParts, Target
 from .follower import Beliefs, Decoders, StoreFollower
 from .forwarder import Forwarder, ForwarderParts, Translation
 from .gossip import Gossip, Heartbeat, Peer, unix_ms
 from .node_settings import Bounds, NodeSettings
-from .peer_exchange import PeerExchange
+from .peer_exchange import PeerExchange, knows_more
 from .records import AnswerHead, CallerBounds, Headers
 from .registry import Registry
 from .repeat_budget import RepeatPolicy
@@ -98,12 +99,17 @@
             self._heartbeat,
             self._heard,
         )
+        self._duty = WatchDuty(settings.node, self._gossip.nodes_by_domain)
         self._exchange = PeerExchange(
             self._http, self._gossip, self._beliefs, settings
         )
         self._follower = StoreFollower(
-            self._store, self._beliefs, adapter.decoders, self._routers
+            self._store,
+            self._beliefs,
+            adapter.decoders,
+            self._duty,
         )
+        self._exchange.on_failure = self._duty.volunteer
         self._exchange.reread = self._follower.reread
         self._registry = Registry(
             self._store, self._gossip, settings, self._incarnation
@@ -208,6 +214,8 @@
             'in_progress': self._forwarder.in_progress,
             'configuration_version': self._beliefs.configuration.version,
             'store_reachable': self._follower.reachable,
+            'store_age_ms': self._duty.store_age_ms,
+            'watches_the_store': self._duty.must_watch,
             'servers': self._beliefs.servers.dump(),
             'peers': self._gossip.dump(),
             'credit': self._credit.dump(),
@@ -287,14 +295,13 @@
             self._beliefs.configuration.version,
             self._beliefs.records.digest,
             self._credit.held.free_by_organisation(),
+            self._beliefs.records.newest,
+            self._duty.store_age_ms,
         )
 
     def _heard(self, heartbeat: Heartbeat) -> None:
-        newer = (
-            heartbeat.configuration_version
-            > self._beliefs.configuration.version
-        )
-        if newer or heartbeat.servers_digest != self._beliefs.records.digest:
+        self._duty.note_contact(heartbeat.store_age_ms)
+        if knows_more(heartbeat, self._beliefs):
             self._exchange.look()
 
     def _beliefs_changed(self) -> None:
--- a/eelgrassfork/gateway/peer_exchange.py
+++ b/eelgrassfork/gateway/peer_exchange.py
@@ -17,13 +17,13 @@
 from ..http_client import ClientRequest, ClientTimeouts, HttpClient
 from ..http_server import Call
 from .follower import Beliefs
-from .gossip import Gossip, Peer
+from .gossip import Gossip, Heartbeat, Peer
 from .ledger import add_up
 from .lending import CreditAnswer, CreditRequest, LedgerView, Loan
 from .node_settings import NodeSettings
 from .server_records import ServerRecord
 
-__all__ = ('PeerExchange',)
+__all__ = ('PeerExchange', 'knows_more')
 
 _log = logbook.Logger('peers')
 
@@ -62,6 +62,7 @@
     :param beliefs: what this router believes.
     :param settings: of this router; the port for peers is the same on all.
     :ivar lend: hands over credit of this router, once there is any.
+    :ivar on_failure: told when peers did not tell what they know.
     :ivar reread: reads the configuration from the store.
     """
 
@@ -81,6 +82,7 @@
         self._random = random.Random()
         self._avoided_until_by_node: dict[str, float] = {}
         self.lend: Callable[[CreditRequest], Awaitable[CreditAnswer]] = _nothing
+        self.on_failure: Callable[[], None] = _ignore
         self.reread: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
 
     async def run(self) -> None:
@@ -142,20 +144,25 @@
         if call.path == _CREDIT:
             await call.respond(_OK, await self._lend(call), _BODY)
             return
-        answers_by_path: dict[str, Callable[[], bytes]] = {
+        answers_by_path: dict[str, Callable[[Call], bytes]] = {
             _CONFIGURATION: self._configuration,
             _SERVERS: self._servers,
         }
         answer = answers_by_path.get(call.path)
         if answer is None:
             raise RequestError('unknown_service', 'no such path')
-        await call.respond(_OK, answer(), _BODY)
+        await call.respond(_OK, answer(call), _BODY)
 
-    def _configuration(self) -> bytes:
+    def _configuration(self, call: Call) -> bytes:
         return self._beliefs.configuration.content
 
-    def _servers(self) -> bytes:
-        return msgspec.msgpack.encode(self._beliefs.records.export())
+    def _servers(self, call: Call) -> bytes:
+        after = call.query_by_name.get('after', '-1')
+        try:
+            records = self._beliefs.records.export(int(after))
+        except ValueError:
+            raise RequestError('invalid_request', 'after: no number') from None
+        return msgspec.msgpack.encode(records)
 
     async def _lend(self, call: Call) -> bytes:
         try:
@@ -207,13 +214,40 @@
 
     async def _catch_up(self) -> bool:
         done = await self._catch_up_configuration()
-        digest = self._beliefs.records.digest
-        for peer in self._gossip.spoken():
-            if peer.heartbeat and peer.heartbeat.servers_digest != digest:
-                done = await self._pull(peer, _SERVERS) and done
-                break
+        done = await self._catch_up_servers() and done
+        if not done:
+            self.on_failure()
         return done
 
+    async def _catch_up_servers(self) -> bool:
+        known = self._beliefs.records
+        ahead = self._nearest(
+            peer
+            for peer in self._gossip.spoken()
+            if peer.heartbeat is not None
+            and peer.heartbeat.servers_revision > known.newest
+        )
+        if ahead is not None:
+            return await self._pull(ahead, f'{_SERVERS}?after={known.newest}')
+        different = self._nearest(
+            peer
+            for peer in self._gossip.spoken()
+            if peer.heartbeat is not None
+            and peer.heartbeat.servers_revision == known.newest
+            and peer.heartbeat.servers_digest != known.digest
+        )
+        return different is None or await self._pull(different, _SERVERS)
+
+    def _nearest(self, peers: Iterable[Peer]) -> Peer | None:
+        found = list(peers)
+        near = [
+            peer
+            for peer in found
+            if peer.heartbeat is not None
+            and peer.heartbeat.failure_domain == self._failure_domain
+        ]
+        return self._random.choice(near or found) if found else None
+
     async def _catch_up_configuration(self) -> bool:
         peers = self._gossip.spoken()
         newest = max(map(_configuration_version, peers), default=0)
@@ -228,8 +262,8 @@
         if len(holder.content) > _LARGE_BYTES:
             await self.reread()
         if holder.version < newest:
-            peer = self._random.choice(sources)
-            if not await self._pull(peer, _CONFIGURATION):
+            peer = self._nearest(sources)
+            if peer is None or not await self._pull(peer, _CONFIGURATION):
                 await self.reread()
         return holder.version >= newest
 
@@ -260,6 +294,10 @@
         return True
 
 
+def _ignore() -> None:
+    """Do nothing."""
+
+
 async def _nothing(request: CreditRequest) -> CreditAnswer:
     await trio.lowlevel.checkpoint()
     return CreditAnswer({})
@@ -282,5 +320,23 @@
     return sum(free.get(name, 0) for name in organisations)
 
 
+def knows_more(heartbeat: Heartbeat, beliefs: Beliefs) -> bool:
+    """
+    Tell whether a peer should be asked for what it knows.
+
+    A peer that is behind will ask by itself.
+
+    :param heartbeat: of the peer.
+    :param beliefs: of this router.
+    :returns: whether something newer or different is known there.
+    """
+    records = beliefs.records
+    if heartbeat.configuration_version > beliefs.configuration.version:
+        return True
+    if heartbeat.servers_revision != records.newest:
+        return heartbeat.servers_revision > records.newest
+    return heartbeat.servers_digest != records.digest
+
+
 def _configuration_version(peer: Peer) -> int:
     return peer.heartbeat.configuration_version if peer.heartbeat else 0
--- a/eelgrassfork/gateway/server_records.py
+++ b/eelgrassfork/gateway/server_records.py
@@ -34,12 +34,18 @@
     def __init__(self) -> None:
         self._by_id: dict[str, ServerRecord] = {}
         self._digest = 0
+        self._newest = 0
 
     @property
     def digest(self) -> int:
         """Equal on routers that know the same."""
         return self._digest
 
+    @property
+    def newest(self) -> int:
+        """Highest revision of all records, 0 without any."""
+        return self._newest
+
     def put(self, record: ServerRecord) -> bool:
         """
         Take over a record unless a newer one is known.
@@ -54,6 +60,7 @@
             self._digest ^= _hash(known)
         self._by_id[record.id] = record
         self._digest ^= _hash(record)
+        self._newest = max(self._newest, record.revision)
         return True
 
     def missing_in(self, listed: Iterable[str]) -> list[ServerRecord]:
@@ -70,13 +77,16 @@
             if record.id not in present and not record.removed
         ]
 
-    def export(self) -> list[ServerRecord]:
+    def export(self, after: int = -1) -> list[ServerRecord]:
         """
-        List all records for a peer.
+        List records for a peer.
 
-        :returns: records, also of removed servers.
+        :param after: newest revision that the peer knows.
+        :returns: newer records, also of removed servers.
         """
-        return list(self._by_id.values())
+        return [
+            record for record in self._by_id.values() if record.revision > after
+        ]
 
 
 def _age(record: ServerRecord) -> tuple[int, bool]:
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -12,6 +12,7 @@
 import trio
 import trio.testing
 
+from eelgrassfork.gateway.duty import DutyPolicy, WatchDuty
 from eelgrassfork.gateway.follower import Beliefs, Decoders, StoreFollower
 from eelgrassfork.platform.config_decoder import decode_configuration
 from eelgrassfork.platform.server_entries import decode_entry
@@ -42,8 +43,10 @@
         self.store = MemoryStore()
         self.changes = 0
         self.beliefs = Beliefs(DECODERS, self.note_change)
+        self.nodes = {'d0': [f'n{number}' for number in range(9)]}
+        self.duty = WatchDuty('n1', lambda: self.nodes)
         self.follower = StoreFollower(
-            self.store, self.beliefs, DECODERS, lambda: 9
+            self.store, self.beliefs, DECODERS, self.duty
         )
         self.nursery = nursery
 
@@ -117,14 +120,57 @@
     def test_a_change_does_not_bring_the_watches_of_all_routers_in_step(self):
         # Ninety routers whose watches all ended with one change.  If the
         # store is cut off right after it, one of them must ask again soon.
-        ends = []
-        for seed in range(90):
-            follower = StoreFollower(None, None, DECODERS, lambda: 90)
-            follower._random = random.Random(seed)
-            ends.append(follower._watch_s())
-        ends.sort()
-        gaps = [late - early for early, late in zip([0, *ends], ends)]
-        self.assertLess(max(gaps), CONFIG_BOUND_S)
+        for watchers in (15, 90):
+            nodes = [f'n{number}' for number in range(watchers)]
+            policy = DutyPolicy(all_up_to=watchers)
+            duty = WatchDuty('n1', lambda: {'d0': nodes}, policy)
+            ends = []
+            for seed in range(watchers):
+                follower = StoreFollower(None, None, DECODERS, duty)
+                follower._random = random.Random(seed)
+                ends.append(follower._watch_s())
+            ends.sort()
+            gaps = [late - early for early, late in zip([0, *ends], ends)]
+            self.assertLess(max(gaps), CONFIG_BOUND_S)
+
+    def test_large_fleet_leaves_the_watch_to_a_few(self):
+        async def scenario(setting):
+            setting.nodes['d0'] = [f'n{number}' for number in range(9, 99)]
+            setting.duty.note_contact()
+            calls = []
+            for _ in range(40):
+                setting.duty.note_contact()
+                setting.store.put('other', 'x', b'{}')
+                await trio.sleep(0.25)
+                calls.append(setting.store.calls)
+            return setting.duty.must_watch, calls[-1] - calls[20]
+
+        self.assertEqual((False, 0), run(scenario))
+
+    def test_router_watches_once_nobody_reaches_the_store(self):
+        async def scenario(setting):
+            setting.nodes['d0'] = [f'n{number}' for number in range(9, 99)]
+            for _ in range(40):
+                setting.duty.note_contact()
+                await trio.sleep(0.25)
+            setting.put_version(9)
+            await trio.sleep(CONFIG_BOUND_S)
+            return setting.version
+
+        self.assertEqual(9, run(scenario))
+
+    def test_return_of_the_store_is_learned_from_peers(self):
+        async def scenario(setting):
+            setting.store.down = True
+            await trio.sleep(5)
+            lost = setting.follower.reachable
+            setting.nodes['d0'] = [f'n{number}' for number in range(9, 99)]
+            setting.store.down = False
+            setting.duty.note_contact()
+            await trio.sleep(1)
+            return lost, setting.follower.reachable
+
+        self.assertEqual((False, True), run(scenario))
 
     def test_bad_configuration_leaves_the_old_one_in_force(self):
         async def scenario(setting):
--- a/tests/test_gateway_peer_exchange.py
+++ b/tests/test_gateway_peer_exchange.py
@@ -5,7 +5,7 @@
 Guards against routers that stay behind their peers, or choke one of them.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 
 import msgspec
 import testtools
@@ -22,7 +22,7 @@
     Loan,
 )
 from eelgrassfork.gateway.peer_exchange import PeerExchange
-from eelgrassfork.gateway.server_records import ServerRecord
+from eelgrassfork.gateway.server_records import ServerRecord, ServerRecords
 from eelgrassfork.platform import boot_file
 
 from .gateway_world import configuration
@@ -58,11 +58,13 @@
     def __init__(self, answers_by_path):
         self.answers_by_path = answers_by_path
         self.asked = []
+        self.targets = []
         self.down = False
 
     async def fetch(self, request, timeouts=None):
         await trio.lowlevel.checkpoint()
         self.asked.append(request.address)
+        self.targets.append(request.target)
         if self.down:
             raise EelgrassError('connection_silent', 'no answer')
 
@@ -76,6 +78,7 @@
     def __init__(self, path, body=b''):
         self.path = path
         self.body = body
+        self.query_by_name = {}
         self.answer = None
 
     async def respond(self, status, body, headers):
@@ -152,6 +155,50 @@
         reads, asked, version = run(main)
         self.assertEqual(([1], 1, 9), (reads, len(asked), version))
 
+    def pulled(self, own, theirs):
+        """Give what a router asks for if it knows some revisions only."""
+
+        async def main():
+            client = FakeClient(defaultdict(lambda: msgspec.msgpack.encode([])))
+            gossip = FakeGossip([0])
+            other = ServerRecords()
+            for revision in theirs:
+                other.put(ServerRecord(f's{revision}', revision, False, b''))
+            gossip.peers[0].heartbeat = gossip.peers[0].heartbeat._replace(
+                servers_revision=other.newest, servers_digest=other.digest
+            )
+            exchange, beliefs = make(client, gossip)
+            beliefs.take_servers(
+                [ServerRecord(f's{old}', old, False, b'') for old in own], ''
+            )
+            await exchange._catch_up()
+            return client.targets
+
+        return run(main)
+
+    def test_only_newer_records_of_servers_are_pulled(self):
+        self.assertEqual(
+            ['/peer/v1/servers?after=4'], self.pulled([3, 4], [3, 4, 5])
+        )
+
+    def test_peer_that_is_behind_is_not_asked(self):
+        self.assertEqual([], self.pulled([3, 4, 5], [3, 4]))
+
+    def test_record_missed_before_is_found_by_the_digest(self):
+        self.assertEqual(['/peer/v1/servers'], self.pulled([5], [3, 5]))
+
+    def test_router_watches_itself_where_peers_do_not_answer(self):
+        async def main():
+            client = FakeClient({})
+            client.down = True
+            exchange, _ = make(client, FakeGossip([9]))
+            failures = []
+            exchange.on_failure = lambda: failures.append(1)
+            await exchange._catch_up()
+            return failures
+
+        self.assertEqual([1], run(main))
+
     def test_news_are_pulled_without_being_asked_for(self):
         async def main():
             client = FakeClient(self.newest())
