Count only lent or urgent credit as use at a keeper

Credit asked in advance and not lent was asked for again each time, and counted as use again: keepers held more, which a power cut of all then lost. The test fails without the change.

--- a/eelgrassfork/gateway/lender.py
+++ b/eelgrassfork/gateway/lender.py
@@ -67,15 +67,23 @@
             request.urgent_by_organisation, request.extra_by_organisation
         )
         held.note_spent(request.spent_by_organisation)
+        urgent = request.urgent_by_organisation
         if is_near:
-            self._note_demand(wanted)
+            self._note_demand(urgent)
         is_keeper = self._parts.is_keeper()
         if is_keeper:
-            await self._parts.draw(request.urgent_by_organisation)
+            await self._parts.draw(urgent)
         lent = self._hand_over(request)
-        if not is_near:
-            # Others ask one lender after the other for the same credit.
-            self._note_demand(lent)
+        # What was asked in advance and not lent is asked for again soon, and
+        # peers of other domains ask one lender after the other.
+        counted = urgent if is_near else {}
+        self._note_demand(
+            {
+                name: amount - counted.get(name, 0)
+                for name, amount in lent.items()
+                if amount > counted.get(name, 0)
+            }
+        )
         ledger = self._parts.ledger
         _log.info(
             'lent credit',
--- a/tests/test_gateway_credit_keeper.py
+++ b/tests/test_gateway_credit_keeper.py
@@ -12,7 +12,7 @@
 from eelgrassfork.errors import RequestError
 from eelgrassfork.gateway.credit_keeper import CreditKeeper, CreditWorld
 from eelgrassfork.gateway.ledger import add_up
-from eelgrassfork.gateway.lending import Loan
+from eelgrassfork.gateway.lending import CreditRequest, Loan
 from eelgrassfork.gateway.standby import FleetTime
 
 from .memory_store import MemoryStore
@@ -286,3 +286,17 @@
         outcome, calls, calls_before = run(scenario)
         self.assertEqual('budget_exhausted', outcome)
         self.assertLessEqual(calls - calls_before, 2)
+
+    def test_credit_asked_in_vain_is_no_use(self):
+        async def scenario(fleet, nursery):
+            keeper = await fleet.add(nursery, 'n0')
+            await trio.sleep(2)
+            await reserve(keeper, 95_000)
+            request = CreditRequest('n1', 'd0', {}, {'a': 4000})
+            before = keeper.held.rate('a', trio.current_time())
+            for _ in range(20):
+                await keeper.lender.lend(request)
+            return before, keeper.held.rate('a', trio.current_time())
+
+        before, after = run(scenario)
+        self.assertLess(after, before + 1000)
