Hold less credit in use near the end of a budget

Once less than a tenth of a limit is left to draw, keepers hold 2.5 s in use and the rest on standby, which a restarted process takes over; what the ledger can't replace is freed from standby as it is needed, not all at once.

--- a/eelgrassfork/gateway/credit.py
+++ b/eelgrassfork/gateway/credit.py
@@ -16,6 +16,7 @@
     'Situation',
     'plan_transfer',
     'standby_missing',
+    'standby_tokens',
     'target_tokens',
 )
 
@@ -30,6 +31,9 @@
     :param hold_s: a router holds the use of so many seconds.
     :param keeper_hold_s: the same for a keeper, whose use includes what it
         lends; it lasts until standby credit may be used.
+    :param scarce_hold_s: the same once little is left to draw: a power cut
+        loses what is held, but not what is on standby.
+    :param scarce_part: part of an organisation's limit that is little.
     :param standby_s: use of so many seconds that a keeper puts on standby
         for outages of the store.
     :param first_part: part of an organisation's credit that all keepers
@@ -48,6 +52,8 @@
 
     hold_s: float = 1
     keeper_hold_s: float = 5.5
+    scarce_hold_s: float = 2.5
+    scarce_part: float = 0.1
     standby_s: float = 8
     first_part: float = 0.06
     most_part: float = 0.5
@@ -67,6 +73,7 @@
     :param standby_by_organisation: credit on standby, in tokens.
     :param keepers: number of routers that draw.
     :param is_keeper: whether this router is one of them.
+    :param left_by_organisation: credit that may still be drawn, in tokens.
     """
 
     prepaid_by_organisation: Mapping[str, int]
@@ -74,6 +81,7 @@
     standby_by_organisation: Mapping[str, int]
     keepers: int
     is_keeper: bool
+    left_by_organisation: Mapping[str, int] = {}
 
 
 _LN_2: Final = 0.693
@@ -327,7 +335,7 @@
     :param now_s: time on the clock of trio.
     :returns: tokens.
     """
-    hold_s = policy.keeper_hold_s if situation.is_keeper else policy.hold_s
+    hold_s = _hold_s(organisation, situation, policy)
     by_rate = int(held.rate(organisation, now_s) * hold_s)
     if by_rate or not situation.is_keeper:
         return by_rate
@@ -335,6 +343,40 @@
     return int(prepaid * policy.first_part / situation.keepers)
 
 
+def _hold_s(
+    organisation: str, situation: Situation, policy: CreditPolicy
+) -> float:
+    if not situation.is_keeper:
+        return policy.hold_s
+    prepaid = situation.prepaid_by_organisation.get(organisation, 0)
+    left = situation.left_by_organisation.get(organisation, prepaid)
+    is_scarce = left < prepaid * policy.scarce_part
+    return policy.scarce_hold_s if is_scarce else policy.keeper_hold_s
+
+
+def standby_tokens(
+    held: HeldCredit,
+    organisation: str,
+    situation: Situation,
+    policy: CreditPolicy,
+    now_s: float,
+) -> int:
+    """
+    Compute the credit to have on standby.
+
+    :param held: what is held, and its use.
+    :param organisation: whose credit.
+    :param situation: limits and needs.
+    :param policy: how much to hold.
+    :param now_s: time on the clock of trio.
+    :returns: tokens.
+    """
+    target = target_tokens(held, organisation, situation, policy, now_s)
+    hold_s = _hold_s(organisation, situation, policy)
+    whole_s = policy.keeper_hold_s + policy.standby_s
+    return int(target * (whole_s - hold_s) / hold_s)
+
+
 def standby_missing(
     held: HeldCredit,
     organisation: str,
@@ -352,7 +394,6 @@
     :param now_s: time on the clock of trio.
     :returns: tokens, 0 or more.
     """
-    target = target_tokens(held, organisation, situation, policy, now_s)
-    wanted = int(target * policy.standby_s / policy.keeper_hold_s)
+    wanted = standby_tokens(held, organisation, situation, policy, now_s)
     on_standby = situation.standby_by_organisation.get(organisation, 0)
     return max(0, wanted - on_standby)
--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -109,6 +109,7 @@
                 world.failure_domain,
                 world.is_keeper,
                 self._draw_for,
+                self._policy.scarce_part,
             ),
         )
         self._urgent: Counter[str] = Counter()
@@ -307,6 +308,7 @@
             self._standby.tokens_by_organisation,
             max(1, self._world.keepers()),
             self._world.is_keeper(),
+            {name: self._ledger.left(name) for name in self._world.prepaid()},
         )
 
 
--- a/eelgrassfork/gateway/lender.py
+++ b/eelgrassfork/gateway/lender.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Awaitable, Callable, Mapping
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 import logbook
 import trio
@@ -20,10 +20,6 @@
 
 _log = logbook.Logger('lend')
 
-# Credit is lent only for waiting requests once less than this part of an
-# organisation's limit is left to draw.
-_SCARCE_PART: Final = 0.1
-
 
 class LenderParts(NamedTuple):
     """
@@ -34,6 +30,8 @@
     :param failure_domain: where this router runs.
     :param is_keeper: whether this router draws credit for others.
     :param draw: tries to have so many tokens at hand by organisation.
+    :param scarce_part: credit is lent only for waiting requests once less
+        than this part of an organisation's limit is left to draw.
     """
 
     held: HeldCredit
@@ -42,6 +40,7 @@
     failure_domain: str
     is_keeper: Callable[[], bool]
     draw: Callable[[Mapping[str, int]], Awaitable[None]]
+    scarce_part: float
 
 
 class Lender:
@@ -113,6 +112,6 @@
             name: held.remove(name, amount)
             for name, amount in request.extra_by_organisation.items()
             if self._parts.ledger.left(name)
-            > prepaid.get(name, 0) * _SCARCE_PART
+            > prepaid.get(name, 0) * self._parts.scarce_part
         }
         return add_up(lent, extra)
--- a/eelgrassfork/gateway/standby_keeper.py
+++ b/eelgrassfork/gateway/standby_keeper.py
@@ -16,6 +16,7 @@
     HeldCredit,
     Situation,
     standby_missing,
+    standby_tokens,
     target_tokens,
 )
 from .ledger_writer import LedgerWriter
@@ -102,14 +103,20 @@
                 return
 
     def _targets(self, situation: Situation) -> dict[str, int]:
-        part = self._policy.standby_s / self._policy.keeper_hold_s
         targets = {}
-        for name in self._standby.tokens_by_organisation:
-            target = self._target(name, situation)
-            # Nothing stays on standby of what the ledger can't replace.
-            short = self._held.free(name) < target / 2
-            if not (short and self._ledger.is_known_empty(name, 1)):
-                targets[name] = int(_MOST_STANDBY * part * target)
+        for name, tokens in self._standby.tokens_by_organisation.items():
+            most = _MOST_STANDBY * standby_tokens(
+                self._held,
+                name,
+                situation,
+                self._policy,
+                trio.current_time(),
+            )
+            missing = self._target(name, situation) - self._held.free(name)
+            if missing > 0 and self._ledger.is_known_empty(name, missing):
+                # The ledger can't replace what is used up.
+                most = min(most, tokens - missing)
+            targets[name] = max(0, most)
         return targets
 
     async def _fill(self, situation: Situation) -> bool:
--- a/tests/test_gateway_credit_keeper.py
+++ b/tests/test_gateway_credit_keeper.py
@@ -300,3 +300,41 @@
 
         before, after = run(scenario)
         self.assertLess(after, before + 1000)
+
+    def test_power_cut_near_the_end_of_a_budget_loses_little(self):
+        async def scenario(fleet, nursery):
+            keeper = await fleet.add(nursery, 'n1')
+            while fleet.prepaid - keeper.held.unflushed('a') > 60_000:
+                await reserve(keeper, 500)
+                keeper.held.settle('a', 500, 500)
+                await trio.sleep(0.1)
+                if (
+                    keeper.dump()['ledger']['granted_by_organisation'].get(
+                        'a', 0
+                    )
+                    >= fleet.prepaid * 0.95
+                ):
+                    break
+            await trio.sleep(2)
+            return (
+                keeper.held.free('a'),
+                keeper.dump()['standby_by_organisation']['a'],
+            )
+
+        held, standby = run(scenario, prepaid=400_000)
+        # A use of 5,000 a second: 2.5 s of it are held.
+        self.assertLess(held, 15_000)
+        self.assertGreater(standby, 20_000)
+
+    def test_standby_credit_is_used_up_where_the_ledger_is_empty(self):
+        async def scenario(fleet, nursery):
+            keeper = await fleet.add(nursery, 'n1')
+            served = 0
+            for _ in range(900):
+                if await reserve(keeper, 500) == 'reserved':
+                    keeper.held.settle('a', 500, 500)
+                    served += 500
+                await trio.sleep(0.1)
+            return served
+
+        self.assertGreater(run(scenario, prepaid=400_000), 390_000)
