Share credit when routers lose each other, and collect it afterwards

Each then took itself for the only keeper, what it drew stayed with it, and it was found no more as the keepers of other domains were asked first.

A router that hears nobody draws its share by the number of routers known before; one that no keeper answers holds as much as a keeper for two seconds; surplus goes back to the keeper; lenders beyond the own keeper are those that have most; writers that conflict spread their next tries. Tests replay the cut, and the search for scattered credit.

--- a/eelgrassfork/gateway/credit.py
+++ b/eelgrassfork/gateway/credit.py
@@ -73,6 +73,7 @@
     :param standby_by_organisation: credit on standby, in tokens.
     :param keepers: number of routers that draw.
     :param is_keeper: whether this router is one of them.
+    :param may_stand_by: whether credit can be put on standby.
     :param left_by_organisation: credit that may still be drawn, in tokens.
     """
 
@@ -81,6 +82,7 @@
     standby_by_organisation: Mapping[str, int]
     keepers: int
     is_keeper: bool
+    may_stand_by: bool = True
     left_by_organisation: Mapping[str, int] = {}
 
 
@@ -302,7 +304,7 @@
     urgent = situation.urgent_by_organisation.get(organisation, 0) - free
     missing = -free
     missing += target_tokens(held, organisation, situation, policy, now_s)
-    if situation.is_keeper:
+    if situation.is_keeper and situation.may_stand_by:
         missing += standby_missing(held, organisation, situation, policy, now_s)
     return max(urgent, missing)
 
--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -36,6 +36,11 @@
 _log = logbook.Logger('credit')
 
 _TICK_S: Final = 1.0
+# A router that no keeper answers holds as much as a keeper for so long, as
+# all others may be writing the ledger too.
+_ON_OWN_S: Final = 2.0
+# Use varies from second to second, so surplus is not handed over at once.
+_DEPOSIT_TICKS: Final = 3
 # A request waits for one or two answers of the store, not for its timeout.
 _DRAW_WAIT_S: Final = 0.15
 # The round in progress may have been planned before a need was known.
@@ -48,20 +53,24 @@
     What the keeper needs of the rest of the router.
 
     :param prepaid: limits in tokens by organisation.
+    :param routers: number of routers that were known lately.
     :param keepers: number of routers that draw credit.
     :param is_keeper: whether this router is one of them.
     :param failure_domain: where this router runs.
     :param borrow: asks peers for credit.
+    :param deposit: hands credit over to a keeper; tells whether there is one.
     :param peers_free: free credit of an organisation at peers by their last
         word.
     :param fleet_time: median of the routers' clocks.
     """
 
     prepaid: Callable[[], Tokens]
+    routers: Callable[[], int]
     keepers: Callable[[], int]
     is_keeper: Callable[[], bool]
     failure_domain: str
     borrow: Callable[[CreditRequest], Awaitable[Loan]]
+    deposit: Callable[[CreditRequest], Awaitable[bool]]
     peers_free: Callable[[str], int]
     fleet_time: Callable[[], FleetTime]
 
@@ -112,6 +121,8 @@
                 self._policy.scarce_part,
             ),
         )
+        self._ticks = 0
+        self._on_own_until: float = float('-inf')
         self._urgent: Counter[str] = Counter()
         self._wake = trio.Event()
         self._round_done = trio.Event()
@@ -141,11 +152,13 @@
             await self._draw_for({organisation: amount})
             missing = amount - self.held.free(organisation)
             if 0 < missing <= self._world.peers_free(organisation):
-                await self._borrow(organisation, missing)
-        elif not await self._borrow(
-            organisation, amount - self.held.free(organisation)
-        ):
-            await self._draw_for({organisation: amount})
+                await self._borrow({organisation: missing}, {})
+        else:
+            missing = amount - self.held.free(organisation)
+            extra = {organisation: self._target(organisation)}
+            if not await self._borrow({organisation: missing}, extra):
+                self._on_own_until = trio.current_time() + _ON_OWN_S
+                await self._draw_for({organisation: amount})
         if not self.held.reserve(organisation, amount):
             raise self._refusal(organisation, amount)
 
@@ -184,11 +197,7 @@
         for name, tokens in tokens_by_organisation.items():
             self.held.add(name, tokens)
 
-    async def _borrow(self, organisation: str, missing: int) -> bool:
-        extra = {organisation: self._target(organisation)}
-        return await self._borrow_all({organisation: missing}, extra)
-
-    async def _borrow_all(
+    async def _borrow(
         self, urgent: dict[str, int], extra: dict[str, int]
     ) -> bool:
         request = CreditRequest(
@@ -277,7 +286,31 @@
             if free < target * self._policy.low_part:
                 wanted[name] = target - free
         if wanted:
-            await self._borrow_all({}, wanted)
+            await self._borrow({}, wanted)
+        self._ticks += 1
+        if self._ticks % _DEPOSIT_TICKS == 0:
+            await self._deposit()
+
+    async def _deposit(self) -> None:
+        # What was drawn while peers were out of reach is of use to others.
+        surplus = {
+            name: free - self._target(name)
+            for name, free in self.held.free_by_organisation().items()
+            if free > self._policy.surplus * self._target(name)
+        }
+        handed = {
+            name: self.held.remove(name, amount)
+            for name, amount in surplus.items()
+        }
+        request = CreditRequest(
+            self._node,
+            self._world.failure_domain,
+            {},
+            deposit_by_organisation=handed,
+        )
+        with trio.CancelScope(shield=True):
+            if handed and not await self._world.deposit(request):
+                self._add(handed)
 
     def _target(self, organisation: str) -> int:
         return target_tokens(
@@ -298,6 +331,8 @@
         )
 
     def _situation(self) -> Situation:
+        on_own = trio.current_time() < self._on_own_until
+        sharing = self._world.routers() if on_own else self._world.keepers()
         return Situation(
             self._world.prepaid(),
             {
@@ -306,8 +341,9 @@
                 if amount > 0
             },
             self._standby.tokens_by_organisation,
-            max(1, self._world.keepers()),
-            self._world.is_keeper(),
+            max(1, sharing),
+            on_own or self._world.is_keeper(),
+            self._standby.is_possible and not on_own,
             {name: self._ledger.left(name) for name in self._world.prepaid()},
         )
 
--- a/eelgrassfork/gateway/gossip.py
+++ b/eelgrassfork/gateway/gossip.py
@@ -18,7 +18,15 @@
 from ..names import rendezvous_order
 from .standby import FleetTime
 
-__all__ = ('Gossip', 'Heartbeat', 'Known', 'Peer', 'unix_ms')
+__all__ = (
+    'Gossip',
+    'Heartbeat',
+    'Known',
+    'Peer',
+    'count_keepers',
+    'describe_peers',
+    'unix_ms',
+)
 
 _log = logbook.Logger('gossip')
 
@@ -237,22 +245,13 @@
                 nodes_by_domain.setdefault(domain, []).append(peer.node)
         return nodes_by_domain
 
-    def dump(self) -> list[dict[str, object]]:
+    def known(self) -> list[Peer]:
         """
-        Describe the peers for operators.
+        List the routers heard of in the last minute, without this one.
 
-        :returns: one record a peer.
+        :returns: peers, maybe out of reach.
         """
-        now_s = trio.current_time()
-        return [
-            {
-                'node': peer.node,
-                'ip': peer.ip,
-                'incarnation': peer.incarnation,
-                'heard_s_ago': round(now_s - peer.heard_at, 1),
-            }
-            for peer in self._by_node.values()
-        ]
+        return list(self._by_node.values())
 
     async def _send(self, opened: trio.socket.SocketType) -> None:
         while True:
@@ -360,6 +359,45 @@
         )
 
 
+def count_keepers(gossip: Gossip, failure_domain: str) -> int:
+    """
+    Count the routers that may draw credit for others now.
+
+    Where others are out of reach, each failure domain that was known may
+    have a keeper; a router that hears nobody assumes that nobody does.
+
+    :param gossip: who lives.
+    :param failure_domain: of this router.
+    :returns: at least 1.
+    """
+    known = gossip.known()
+    if known and not gossip.live():
+        return len(known) + 1
+    domains = {
+        peer.heartbeat.failure_domain for peer in known if peer.heartbeat
+    }
+    return len(domains | {failure_domain})
+
+
+def describe_peers(peers: list[Peer]) -> list[dict[str, object]]:
+    """
+    Describe peers for operators.
+
+    :param peers: the peers.
+    :returns: one record a peer.
+    """
+    now_s = trio.current_time()
+    return [
+        {
+            'node': peer.node,
+            'ip': peer.ip,
+            'incarnation': peer.incarnation,
+            'heard_s_ago': round(now_s - peer.heard_at, 1),
+        }
+        for peer in peers
+    ]
+
+
 def _first(domain: str, nodes: list[str]) -> str:
     return rendezvous_order(domain, nodes)[0]
 
--- a/eelgrassfork/gateway/ledger_writer.py
+++ b/eelgrassfork/gateway/ledger_writer.py
@@ -5,6 +5,7 @@
 Writes transfers of one router to the ledger in the store, each once.
 """
 
+import random
 from collections.abc import Callable, Mapping
 from typing import Final
 
@@ -41,6 +42,10 @@
 _NAME: Final = 'ledger'
 _RESOLVE_S: Final = 0.5
 _TRIES: Final = 12
+# A write takes about so long.  Routers that conflict spread their next tries,
+# since each try is a call of the store.
+_CONFLICT_S: Final = 0.004
+_MAX_DOUBLINGS: Final = 4
 # A ledger this old does not prove that nothing is left.
 _FRESH_S: Final = 1.0
 _UNSEEN: Final = (float('-inf'), EMPTY)
@@ -75,6 +80,7 @@
         self._revision: int | None = None
         self._read_at: float = float('-inf')
         self._number = 0
+        self._random = random.Random()
         self._observed_by_organisation: dict[str, tuple[float, Ledger]] = {}
         self.ledger = EMPTY
         self.is_away = False
@@ -192,10 +198,12 @@
     ) -> None:
         if self._revision is None or (reread and self.age_s > _FRESH_S):
             await self._read()
-        for _ in range(_TRIES):
+        for number in range(_TRIES):
             transfer = plan()
             if not any(transfer) or await self._write(transfer):
                 return
+            longest_s = _CONFLICT_S * 2 ** min(number, _MAX_DOUBLINGS)
+            await trio.sleep(self._random.uniform(0, longest_s))
         _log.warning('gave up a write of the ledger after many conflicts')
 
     async def _write(self, transfer: Transfer) -> bool:
--- a/eelgrassfork/gateway/lender.py
+++ b/eelgrassfork/gateway/lender.py
@@ -66,6 +66,8 @@
             request.urgent_by_organisation, request.extra_by_organisation
         )
         held.note_spent(request.spent_by_organisation)
+        for organisation, deposit in request.deposit_by_organisation.items():
+            held.add(organisation, deposit)
         urgent = request.urgent_by_organisation
         if is_near:
             self._note_demand(urgent)
@@ -90,6 +92,7 @@
                 'to': request.borrower,
                 'wanted': wanted,
                 'lent': lent,
+                'deposit': request.deposit_by_organisation,
                 'ledger_age_s': round(ledger.age_s, 2),
             },
         )
--- a/eelgrassfork/gateway/lending.py
+++ b/eelgrassfork/gateway/lending.py
@@ -20,6 +20,7 @@
     :param urgent_by_organisation: tokens that waiting requests need.
     :param extra_by_organisation: tokens to hold for the next requests.
     :param spent_by_organisation: use since the borrower last told of it.
+    :param deposit_by_organisation: tokens that the borrower does not need.
     """
 
     borrower: str
@@ -27,6 +28,7 @@
     urgent_by_organisation: dict[str, int]
     extra_by_organisation: dict[str, int] = {}
     spent_by_organisation: dict[str, int] = {}
+    deposit_by_organisation: dict[str, int] = {}
 
 
 class LedgerView(NamedTuple):
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -13,12 +13,20 @@
 
 from ..http_client import HttpClient
 from ..http_server import HttpServer, ServerLimits
+from .credit_exchange import CreditExchange
 from .credit_keeper import CreditKeeper, CreditWorld
 from .duty import WatchDuty
 from .exchange import Exchange, ExchangeParts, Target
 from .follower import Beliefs, Decoders, StoreFollower
 from .forwarder import Forwarder, ForwarderParts, Translation
-from .gossip import Gossip, Heartbeat, Peer, unix_ms
+from .gossip import (
+    Gossip,
+    Heartbeat,
+    Peer,
+    count_keepers,
+    describe_peers,
+    unix_ms,
+)
 from .node_settings import Bounds, NodeSettings
 from .peer_exchange import PeerExchange, knows_more
 from .records import AnswerHead, CallerBounds, Headers
@@ -100,6 +108,7 @@
             self._heard,
         )
         self._duty = WatchDuty(settings.node, self._gossip.nodes_by_domain)
+        self._loans = CreditExchange(self._http, self._gossip, settings)
         self._exchange = PeerExchange(
             self._http, self._gossip, self._beliefs, settings
         )
@@ -109,13 +118,14 @@
             adapter.decoders,
             self._duty,
         )
+        self._exchange.on_credit = self._loans.serve
         self._exchange.on_failure = self._duty.volunteer
         self._exchange.reread = self._follower.reread
         self._registry = Registry(
             self._store, self._gossip, settings, self._incarnation
         )
         self._credit = self._make_credit()
-        self._exchange.lend = self._credit.lender.lend
+        self._loans.lend = self._credit.lender.lend
         self._sender = self._make_sender()
         self._forwarder = self._make_forwarder()
         self._callers = HttpServer(self._forwarder.forward)
@@ -217,18 +227,20 @@
             'store_age_ms': self._duty.store_age_ms,
             'watches_the_store': self._duty.must_watch,
             'servers': self._beliefs.servers.dump(),
-            'peers': self._gossip.dump(),
+            'peers': describe_peers(self._gossip.known()),
             'credit': self._credit.dump(),
         }
 
     def _make_credit(self) -> CreditKeeper:
         world = CreditWorld(
             self._prepaid,
-            lambda: len(self._keepers()),
+            lambda: len(self._gossip.known()) + 1,
+            lambda: count_keepers(self._gossip, self._settings.failure_domain),
             lambda: None in self._keepers()[:1],
             self._settings.failure_domain,
-            self._exchange.borrow,
-            self._exchange.peers_free,
+            self._loans.borrow,
+            self._loans.deposit,
+            self._loans.peers_free,
             self._gossip.fleet_time,
         )
         return CreditKeeper(
--- a/eelgrassfork/gateway/peer_exchange.py
+++ b/eelgrassfork/gateway/peer_exchange.py
@@ -2,11 +2,11 @@
 eelgrassfork.gateway.peer_exchange
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Newer beliefs and credit that routers ask of one another.
+Newer beliefs that routers pull from one another.
 """
 
 import random
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Final
 
 import logbook
@@ -14,12 +14,15 @@
 import trio
 
 from ..errors import EelgrassError, RequestError
-from ..http_client import ClientRequest, ClientTimeouts, HttpClient
+from ..http_client import (
+    ClientRequest,
+    ClientTimeouts,
+    HttpClient,
+)
 from ..http_server import Call
+from .credit_exchange import CREDIT_PATH
 from .follower import Beliefs
 from .gossip import Gossip, Heartbeat, Peer
-from .ledger import add_up
-from .lending import CreditAnswer, CreditRequest, LedgerView, Loan
 from .node_settings import NodeSettings
 from .server_records import ServerRecord
 
@@ -29,7 +32,6 @@
 
 _CONFIGURATION: Final = '/peer/v1/configuration'
 _SERVERS: Final = '/peer/v1/servers'
-_CREDIT: Final = '/peer/v1/credit'
 _CONNECT_S: Final = 0.25
 _TIMEOUTS: Final = ClientTimeouts(
     connect_s=_CONNECT_S, first_byte_s=0.5, silence_s=1
@@ -40,16 +42,6 @@
 # Takes a twentieth of a second on the slowest links.
 _LARGE_BYTES: Final = 65536
 _RETRY_S: Final = 0.2
-_MAX_LENDERS: Final = 6
-# Longer than a keeper waits for the store, as credit of a lost answer is lost.
-_LEND_S: Final = 0.25
-_CREDIT_TIMEOUTS: Final = ClientTimeouts(
-    connect_s=0.1, first_byte_s=_LEND_S, silence_s=_LEND_S
-)
-# No further peer is asked after so long; the caller waits meanwhile.
-_BORROW_S: Final = 0.2
-# Heartbeats show within this time whether a silent peer is gone.
-_AVOID_S: Final = 2.0
 _BODY: Final = (('content-type', 'application/msgpack'),)
 
 
@@ -61,7 +53,7 @@
     :param gossip: who lives and what they know.
     :param beliefs: what this router believes.
     :param settings: of this router; the port for peers is the same on all.
-    :ivar lend: hands over credit of this router, once there is any.
+    :ivar on_credit: answers calls about credit.
     :ivar on_failure: told when peers did not tell what they know.
     :ivar reread: reads the configuration from the store.
     """
@@ -80,8 +72,7 @@
         self._port = settings.peer_address.rpartition(':')[2]
         self._news = trio.Event()
         self._random = random.Random()
-        self._avoided_until_by_node: dict[str, float] = {}
-        self.lend: Callable[[CreditRequest], Awaitable[CreditAnswer]] = _nothing
+        self.on_credit: Callable[[Call], Awaitable[bytes]] = _nothing
         self.on_failure: Callable[[], None] = _ignore
         self.reread: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
 
@@ -98,42 +89,6 @@
         """Compare with the peers' heartbeats soon."""
         self._news.set()
 
-    async def borrow(self, request: CreditRequest) -> Loan:
-        """
-        Ask peers for credit: keepers first, then those that have most.
-
-        :param request: tokens needed.
-        :returns: tokens that were lent, maybe too few.
-        """
-        lent: dict[str, int] = {}
-        ledger: LedgerView | None = None
-        asked = request
-        end_at = trio.current_time() + _BORROW_S
-        for peer in self._lenders(request.urgent_by_organisation):
-            urgent = _missing(request.urgent_by_organisation, lent)
-            if trio.current_time() >= end_at:
-                break
-            if ledger is not None and not _free(peer, urgent):
-                continue
-            answer = await self._borrow_from(
-                peer, asked._replace(urgent_by_organisation=urgent)
-            )
-            lent = add_up(lent, answer.lent_by_organisation)
-            ledger = ledger or answer.ledger
-            asked = CreditRequest(request.borrower, request.failure_domain, {})
-        return Loan(lent, ledger)
-
-    def peers_free(self, organisation: str) -> int:
-        """
-        Sum up the credit that peers said they had.
-
-        :param organisation: whose credit.
-        :returns: tokens.
-        """
-        return sum(
-            _free(peer, (organisation,)) for peer in self._gossip.spoken()
-        )
-
     async def serve(self, call: Call) -> None:
         """
         Answer a peer.
@@ -141,8 +96,8 @@
         :param call: its call.
         :raises RequestError: ``unknown_service`` for another path.
         """
-        if call.path == _CREDIT:
-            await call.respond(_OK, await self._lend(call), _BODY)
+        if call.path == CREDIT_PATH:
+            await call.respond(_OK, await self.on_credit(call), _BODY)
             return
         answers_by_path: dict[str, Callable[[Call], bytes]] = {
             _CONFIGURATION: self._configuration,
@@ -164,54 +119,6 @@
             raise RequestError('invalid_request', 'after: no number') from None
         return msgspec.msgpack.encode(records)
 
-    async def _lend(self, call: Call) -> bytes:
-        try:
-            request = msgspec.msgpack.decode(call.body, type=CreditRequest)
-        except msgspec.DecodeError as error:
-            raise RequestError('invalid_request', str(error)) from None
-        return msgspec.msgpack.encode(await self.lend(request))
-
-    async def _borrow_from(
-        self, peer: Peer, request: CreditRequest
-    ) -> CreditAnswer:
-        body = msgspec.msgpack.encode(request)
-        call = ClientRequest(
-            f'{peer.ip}:{self._port}', 'POST', _CREDIT, _BODY, body, once=True
-        )
-        try:
-            _, answer = await self._client.fetch(call, _CREDIT_TIMEOUTS)
-            return msgspec.msgpack.decode(answer, type=CreditAnswer)
-        except (EelgrassError, msgspec.DecodeError) as error:
-            # What the peer may have lent counts as used from now on.
-            _log.warning(
-                'could not borrow credit',
-                extra={'peer': peer.node, 'why': str(error)},
-            )
-            self._avoided_until_by_node[peer.node] = (
-                trio.current_time() + _AVOID_S
-            )
-            return CreditAnswer({})
-
-    def _lenders(self, wanted: Iterable[str]) -> list[Peer]:
-        now_s = trio.current_time()
-        keepers = [
-            peer
-            for peer in self._gossip.keepers(self._failure_domain)
-            if peer is not None
-        ]
-        others = [
-            peer
-            for peer in self._gossip.spoken()
-            if peer not in keepers and _free(peer, wanted) > 0
-        ]
-        others.sort(key=lambda peer: _free(peer, wanted), reverse=True)
-        sound = [
-            peer
-            for peer in (*keepers, *others)
-            if self._avoided_until_by_node.get(peer.node, 0) <= now_s
-        ]
-        return sound[:_MAX_LENDERS]
-
     async def _catch_up(self) -> bool:
         done = await self._catch_up_configuration()
         done = await self._catch_up_servers() and done
@@ -294,30 +201,13 @@
         return True
 
 
-def _ignore() -> None:
-    """Do nothing."""
-
-
-async def _nothing(request: CreditRequest) -> CreditAnswer:
+async def _nothing(call: Call) -> bytes:
     await trio.lowlevel.checkpoint()
-    return CreditAnswer({})
+    raise RequestError('not_ready', 'no credit yet')
 
 
-def _missing(
-    wanted: Mapping[str, int], lent: Mapping[str, int]
-) -> dict[str, int]:
-    return {
-        name: amount - lent.get(name, 0)
-        for name, amount in wanted.items()
-        if amount > lent.get(name, 0)
-    }
-
-
-def _free(peer: Peer, organisations: Iterable[str]) -> int:
-    if peer.heartbeat is None:
-        return 0
-    free = peer.heartbeat.free_by_organisation
-    return sum(free.get(name, 0) for name in organisations)
+def _ignore() -> None:
+    """Do nothing."""
 
 
 def knows_more(heartbeat: Heartbeat, beliefs: Beliefs) -> bool:
--- a/eelgrassfork/gateway/standby_keeper.py
+++ b/eelgrassfork/gateway/standby_keeper.py
@@ -65,6 +65,11 @@
         """Credit on standby."""
         return self._standby.tokens_by_organisation
 
+    @property
+    def is_possible(self) -> bool:
+        """Whether credit can be put on standby now."""
+        return self._standby.has_clocks
+
     async def run(self) -> None:
         """Recover what was left, then renew for as long as the task runs."""
         with trio.move_on_after(_CLOCKS_WAIT_S):
--- /dev/null
+++ b/tests/test_gateway_credit_exchange.py
@@ -0,0 +1,112 @@
+"""
+tests.test_gateway_credit_exchange
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against credit that is lost on its way, or asked of the wrong peers.
+"""
+
+import msgspec
+import testtools
+import trio
+
+from eelgrassfork.gateway.credit_exchange import CreditExchange
+from eelgrassfork.gateway.lending import (
+    CreditAnswer,
+    CreditRequest,
+    LedgerView,
+    Loan,
+)
+from eelgrassfork.http_client import ConnectFailed, ConnectionSilent
+from eelgrassfork.platform import boot_file
+
+from .test_gateway_peer_exchange import Call, FakeClient, FakeGossip, run
+from .test_platform_boot_file import TEXT
+
+VIEW = LedgerView({'a': 5}, {'a': 1}, 0.5)
+
+
+def asked(urgent, extra=None):
+    return CreditRequest('n7', 'd0', {'a': urgent}, extra or {})
+
+
+def make(client, gossip):
+    return CreditExchange(client, gossip, boot_file.parse_settings(TEXT))
+
+
+class CreditExchangeTests(testtools.TestCase):
+    def borrow(self, exchange, *requests):
+        async def main():
+            return [await exchange.borrow(request) for request in requests]
+
+        return run(main)
+
+    def client(self, lent, ledger=None):
+        answer = CreditAnswer({'a': lent}, ledger)
+        return FakeClient({'/peer/v1/credit': msgspec.msgpack.encode(answer)})
+
+    def test_serves_what_the_router_lends(self):
+        exchange = make(FakeClient({}), FakeGossip([]))
+
+        async def lend(request):
+            await trio.lowlevel.checkpoint()
+            return CreditAnswer(request.urgent_by_organisation, VIEW)
+
+        exchange.lend = lend
+        call = Call(
+            '/peer/v1/credit', msgspec.msgpack.encode(asked(70, {'a': 5}))
+        )
+        answer = run(lambda: exchange.serve(call))
+        self.assertEqual(
+            CreditAnswer({'a': 70}, VIEW),
+            msgspec.msgpack.decode(answer, type=CreditAnswer),
+        )
+
+    def test_asks_the_keeper_first_and_then_the_richest(self):
+        client = self.client(10)
+        exchange = make(client, FakeGossip([0, 0, 0], free=(0, 50, 90)))
+        (loan,) = self.borrow(exchange, asked(25))
+        self.assertEqual(Loan({'a': 30}, None), loan)
+        self.assertEqual(
+            ['10.0.0.0:8748', '10.0.0.2:8748', '10.0.0.1:8748'], client.asked
+        )
+
+    def test_asks_nobody_else_for_more_than_waiting_requests_need(self):
+        client = self.client(10, VIEW)
+        exchange = make(client, FakeGossip([0, 0, 0], free=(0, 50, 90)))
+        (loan,) = self.borrow(exchange, asked(8, {'a': 90}))
+        self.assertEqual(Loan({'a': 10}, VIEW), loan)
+        self.assertEqual(['10.0.0.0:8748'], client.asked)
+
+    def test_scattered_credit_is_found_where_keepers_have_none(self):
+        client = self.client(0, VIEW)
+        gossip = FakeGossip([0] * 8, free=(0, 0, 0, 0, 0, 70, 90, 80))
+        gossip.keepers = lambda domain: gossip.peers[:5]
+        exchange = make(client, gossip)
+        self.borrow(exchange, asked(25))
+        self.assertEqual(
+            [f'10.0.0.{number}:8748' for number in (0, 6, 7, 5)], client.asked
+        )
+
+    def test_deposit_that_was_not_sent_is_kept(self):
+        async def main():
+            client = FakeClient({})
+            exchange = make(client, FakeGossip([0]))
+            sent = []
+            for error in (
+                ConnectFailed('connect_failed', 'refused', sent=False),
+                ConnectionSilent('connection_silent', 'none', sent=True),
+            ):
+                client.error = error
+                exchange._avoided_until_by_node.clear()
+                sent.append(await exchange.deposit(asked(0)))
+            return sent
+
+        self.assertEqual([False, True], run(main))
+
+    def test_silent_lenders_lend_nothing_and_are_not_asked_again(self):
+        client = FakeClient({})
+        client.down = True
+        exchange = make(client, FakeGossip([0], free=(50,)))
+        loans = self.borrow(exchange, asked(25), asked(25))
+        self.assertEqual([Loan({}, None)] * 2, loans)
+        self.assertEqual(1, len(client.asked))
--- a/tests/test_gateway_credit_keeper.py
+++ b/tests/test_gateway_credit_keeper.py
@@ -57,6 +57,14 @@
                 )
             return Loan(lent, ledger)
 
+        async def deposit(request):
+            await trio.sleep(0.001)
+            for other, keeper in self.keepers_by_node.items():
+                if other != node and not self.cut:
+                    await keeper.lender.lend(request)
+                    return True
+            return False
+
         def peers_free(name):
             return sum(
                 keeper.held.free(name)
@@ -66,10 +74,12 @@
 
         world = CreditWorld(
             lambda: {'a': self.prepaid},
+            lambda: max(2, len(self.keepers_by_node)),
             lambda: 2,
             lambda: is_keeper,
             'd0',
             borrow,
+            deposit,
             peers_free,
             self.fleet_time,
         )
@@ -338,3 +348,53 @@
             return served
 
         self.assertGreater(run(scenario, prepaid=400_000), 390_000)
+
+    def test_routers_cut_off_from_each_other_write_rarely(self):
+        async def scenario(fleet, nursery):
+            fleet.store.latency_s = 0.004
+            await fleet.add(nursery, 'n0')
+            routers = [
+                await fleet.add(nursery, f'n{number}', is_keeper=False)
+                for number in range(1, 31)
+            ]
+
+            async def requests(keeper, outcomes):
+                for _ in range(25):
+                    outcomes.append(await reserve(keeper, 4000))
+                    keeper.held.settle('a', 4000, 4000)
+                    await trio.sleep(0.2)
+
+            async def play():
+                outcomes = []
+                async with trio.open_nursery() as callers:
+                    for keeper in routers:
+                        callers.start_soon(requests, keeper, outcomes)
+                return outcomes
+
+            await play()
+            fleet.cut = True
+            before = fleet.store.writes_by_kind['eelgrassfork-credit']
+            outcomes = await play()
+            writes = fleet.store.writes_by_kind['eelgrassfork-credit']
+            return outcomes, writes - before
+
+        outcomes, writes = run(scenario, prepaid=50_000_000)
+        self.assertGreater(outcomes.count('reserved'), 0.95 * len(outcomes))
+        # A write a request would be one for each.
+        self.assertLess(writes, len(outcomes) / 2)
+
+    def test_credit_drawn_in_isolation_goes_back_to_the_keeper(self):
+        async def scenario(fleet, nursery):
+            keeper = await fleet.add(nursery, 'n0')
+            other = await fleet.add(nursery, 'n1', is_keeper=False)
+            await trio.sleep(2)
+            fleet.cut = True
+            other.held.add('a', 50_000)
+            await trio.sleep(5)
+            kept = other.held.free('a')
+            fleet.cut = False
+            before = keeper.held.free('a')
+            await trio.sleep(5)
+            return kept, other.held.free('a'), keeper.held.free('a') - before
+
+        self.assertEqual((50_000, 0, 50_000), run(scenario))
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -9,7 +9,12 @@
 import testtools
 import trio
 
-from eelgrassfork.gateway.gossip import Gossip, Heartbeat, Known
+from eelgrassfork.gateway.gossip import (
+    Gossip,
+    Heartbeat,
+    Known,
+    count_keepers,
+)
 
 PORT = 17207
 
@@ -76,6 +81,19 @@
         self.assertEqual(keepers[0], keepers[1])
         self.assertEqual(['n3', keepers[0][0]], keepers[2])
 
+    def test_each_of_many_that_hear_nobody_draws_its_share(self):
+        router = Router(1)
+
+        async def scenario():
+            for number in range(2, 92):
+                other = heartbeat(number, f'd{number % 5}')
+                router.gossip._take(msgspec.msgpack.encode(other))
+            whole = count_keepers(router.gossip, 'd0')
+            await trio.sleep(2.1)
+            return whole, count_keepers(router.gossip, 'd0')
+
+        self.assertEqual((5, 91), run(scenario, router))
+
     def test_draining_router_keeps_no_credit_for_others(self):
         routers = [Router(1), Router(2, draining=True)]
 
--- a/tests/test_gateway_peer_exchange.py
+++ b/tests/test_gateway_peer_exchange.py
@@ -15,12 +15,6 @@
 from eelgrassfork.errors import EelgrassError
 from eelgrassfork.gateway.follower import Beliefs
 from eelgrassfork.gateway.gossip import Heartbeat, Peer
-from eelgrassfork.gateway.lending import (
-    CreditAnswer,
-    CreditRequest,
-    LedgerView,
-    Loan,
-)
 from eelgrassfork.gateway.peer_exchange import PeerExchange
 from eelgrassfork.gateway.server_records import ServerRecord, ServerRecords
 from eelgrassfork.platform import boot_file
@@ -60,6 +54,7 @@
         self.asked = []
         self.targets = []
         self.down = False
+        self.error = None
 
     async def fetch(self, request, timeouts=None):
         await trio.lowlevel.checkpoint()
@@ -67,6 +62,8 @@
         self.targets.append(request.target)
         if self.down:
             raise EelgrassError('connection_silent', 'no answer')
+        if self.error is not None:
+            raise self.error
 
         class Answer:
             status = 200
@@ -213,65 +210,7 @@
         self.assertEqual(9, run(main))
 
 
-VIEW = LedgerView({'a': 5}, {'a': 1}, 0.5)
-
-
-def asked(urgent, extra=None):
-    return CreditRequest('n7', 'd0', {'a': urgent}, extra or {})
-
-
-class LendingTests(testtools.TestCase):
-    def borrow(self, exchange, *requests):
-        async def main():
-            return [await exchange.borrow(request) for request in requests]
-
-        return run(main)
-
-    def client(self, lent, ledger=None):
-        answer = CreditAnswer({'a': lent}, ledger)
-        return FakeClient({'/peer/v1/credit': msgspec.msgpack.encode(answer)})
-
-    def test_serves_what_the_router_lends(self):
-        exchange, _ = make(FakeClient({}), FakeGossip([]))
-
-        async def lend(request):
-            await trio.lowlevel.checkpoint()
-            return CreditAnswer(request.urgent_by_organisation, VIEW)
-
-        exchange.lend = lend
-        call = Call(
-            '/peer/v1/credit', msgspec.msgpack.encode(asked(70, {'a': 5}))
-        )
-        run(lambda: exchange.serve(call))
-        self.assertEqual(
-            CreditAnswer({'a': 70}, VIEW),
-            msgspec.msgpack.decode(call.answer, type=CreditAnswer),
-        )
-
-    def test_asks_the_keeper_first_and_then_the_richest(self):
-        client = self.client(10)
-        exchange, _ = make(client, FakeGossip([0, 0, 0], free=(0, 50, 90)))
-        (loan,) = self.borrow(exchange, asked(25))
-        self.assertEqual(Loan({'a': 30}, None), loan)
-        self.assertEqual(
-            ['10.0.0.0:8748', '10.0.0.2:8748', '10.0.0.1:8748'], client.asked
-        )
-
-    def test_asks_nobody_else_for_more_than_waiting_requests_need(self):
-        client = self.client(10, VIEW)
-        exchange, _ = make(client, FakeGossip([0, 0, 0], free=(0, 50, 90)))
-        (loan,) = self.borrow(exchange, asked(8, {'a': 90}))
-        self.assertEqual(Loan({'a': 10}, VIEW), loan)
-        self.assertEqual(['10.0.0.0:8748'], client.asked)
-
-    def test_silent_lenders_lend_nothing_and_are_not_asked_again(self):
-        client = FakeClient({})
-        client.down = True
-        exchange, _ = make(client, FakeGossip([0], free=(50,)))
-        loans = self.borrow(exchange, asked(25), asked(25))
-        self.assertEqual([Loan({}, None)] * 2, loans)
-        self.assertEqual(1, len(client.asked))
-
+class ServingTests(testtools.TestCase):
     def test_serves_records_of_servers(self):
         exchange, beliefs = make(FakeClient({}), FakeGossip([]))
         record = ServerRecord('s1', 4, True, b'')
