--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -122,6 +122,7 @@
             ),
         )
         self._ticks = 0
+        self._was_keeper = False
         self._on_own_until: float = float('-inf')
         self._urgent: Counter[str] = Counter()
         self._wake = trio.Event()
@@ -262,11 +263,21 @@
             done.set()
 
     async def _round(self) -> None:
+        is_keeper = self._world.is_keeper()
+        if is_keeper != self._was_keeper:
+            self._was_keeper = is_keeper
+            _log.info(
+                'draws for others' if is_keeper else 'leaves drawing to others',
+                extra={
+                    'keepers': self._world.keepers(),
+                    'routers': self._world.routers(),
+                },
+            )
         urgent = any(
             amount > self.held.free(name)
             for name, amount in self._urgent.items()
         )
-        if not (urgent or self._world.is_keeper()):
+        if not (urgent or is_keeper):
             await self._refill()
             return
         try:
--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -244,7 +244,7 @@
             self._note(True, '')
             on_listing(listing)
             return listing.revision
-        await self._wait_for_duty()
+        await self._wait_for_duty(kind)
         changes, revision = await self._store.watch(
             kind, revision, self._watch_s()
         )
@@ -252,11 +252,25 @@
         on_changes(changes)
         return revision
 
-    async def _wait_for_duty(self) -> None:
+    async def _wait_for_duty(self, kind: str) -> None:
+        if self._duty.must_watch:
+            return
+        self._log_duty('leaves the watch to others', kind)
         while not self._duty.must_watch:
             if not self._reachable:
                 self._turn(True, 'peers reach it')
             await trio.sleep(_DUTY_POLL_S)
+        self._log_duty('watches the store', kind)
+
+    def _log_duty(self, text: str, kind: str) -> None:
+        _log.info(
+            text,
+            extra={
+                'of': kind,
+                'store_age_ms': self._duty.store_age_ms,
+                'watchers': self._duty.watchers,
+            },
+        )
 
     def _watch_s(self) -> float:
         longest_s = min(_LONGEST_WATCH_S, self._duty.watchers * _RENEWAL_S)
