Hand the credit of a stopping router to a keeper

A router that stopped returned its credit to the ledger, where nobody reached it in the outage that followed, and lost it while the store was silent, as the standby record came first.

--- a/eelgrassfork/gateway/credit.py
+++ b/eelgrassfork/gateway/credit.py
@@ -17,6 +17,7 @@
     'plan_transfer',
     'standby_missing',
     'standby_tokens',
+    'surplus_tokens',
     'target_tokens',
 )
 
@@ -345,6 +346,31 @@
     return int(prepaid * policy.first_part / situation.keepers)
 
 
+def surplus_tokens(
+    held: HeldCredit,
+    situation: Situation,
+    policy: CreditPolicy,
+    now_s: float,
+) -> dict[str, int]:
+    """
+    Compute the credit that a router does not need.
+
+    What was drawn while peers were out of reach is of use to others later.
+
+    :param held: what is held, and its use.
+    :param situation: limits and needs.
+    :param policy: how much to hold.
+    :param now_s: time on the clock of trio.
+    :returns: tokens by organisation.
+    """
+    surplus = {}
+    for name, free in held.free_by_organisation().items():
+        target = target_tokens(held, name, situation, policy, now_s)
+        if free > policy.surplus * target:
+            surplus[name] = free - target
+    return surplus
+
+
 def _hold_s(
     organisation: str, situation: Situation, policy: CreditPolicy
 ) -> float:
--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -19,6 +19,7 @@
     HeldCredit,
     Situation,
     plan_transfer,
+    surplus_tokens,
     target_tokens,
 )
 from .ledger import Transfer
@@ -165,13 +166,17 @@
 
     async def close(self, timeout_s: float) -> None:
         """
-        Return all free credit.
+        Hand all free credit over to a keeper, or return it to the ledger.
+
+        Peers come first, as the store may be away or go away next.
 
         :param timeout_s: longest time for it.
         """
         self._keeping.cancel()
         with trio.move_on_after(timeout_s):
+            await self._deposit(self.held.free_by_organisation())
             await self._standby.release()
+            await self._deposit(self.held.free_by_organisation())
             free = self.held.free_by_organisation()
             await self._ledger.transfer(
                 lambda: Transfer(
@@ -300,18 +305,20 @@
             await self._borrow({}, wanted)
         self._ticks += 1
         if self._ticks % _DEPOSIT_TICKS == 0:
-            await self._deposit()
-
-    async def _deposit(self) -> None:
-        # What was drawn while peers were out of reach is of use to others.
-        surplus = {
-            name: free - self._target(name)
-            for name, free in self.held.free_by_organisation().items()
-            if free > self._policy.surplus * self._target(name)
-        }
+            await self._deposit(
+                surplus_tokens(
+                    self.held,
+                    self._situation(),
+                    self._policy,
+                    trio.current_time(),
+                ),
+            )
+
+    async def _deposit(self, amount_by_organisation: Tokens) -> None:
         handed = {
             name: self.held.remove(name, amount)
-            for name, amount in surplus.items()
+            for name, amount in amount_by_organisation.items()
+            if amount
         }
         request = CreditRequest(
             self._node,
--- a/tests/test_gateway_credit_keeper.py
+++ b/tests/test_gateway_credit_keeper.py
@@ -398,3 +398,17 @@
             return kept, other.held.free('a'), keeper.held.free('a') - before
 
         self.assertEqual((50_000, 0, 50_000), run(scenario))
+
+    def test_stop_while_the_store_is_silent_leaves_credit_with_peers(self):
+        async def scenario(fleet, nursery):
+            stays = await fleet.add(nursery, 'n0')
+            leaves = await fleet.add(nursery, 'n1')
+            await trio.sleep(4)
+            fleet.store.silent = True
+            both = stays.held.free('a') + leaves.held.free('a')
+            await leaves.close(0.6)
+            return both, stays.held.free('a'), leaves.held.free('a')
+
+        both, stays, leaves = run(scenario)
+        self.assertEqual((both, 0), (stays, leaves))
+        self.assertGreater(both, 0)
