--- a/eelgrassfork/gateway/ledger_writer.py
+++ b/eelgrassfork/gateway/ledger_writer.py
@@ -41,6 +41,9 @@
 _KIND: Final = 'eelgrassfork-credit'
 _NAME: Final = 'ledger'
 _RESOLVE_S: Final = 0.5
+# A router that rarely calls the store tries again after so long; a call that
+# fails takes up to one second, and is repeated after half a second.
+_AWAY_S: Final = 2.0
 _TRIES: Final = 12
 # A write takes about so long.  Routers that conflict spread their next tries,
 # since each try is a call of the store.
@@ -61,7 +64,6 @@
     :param held: credit of this router, which transfers change.
     :param prepaid: limits in tokens by organisation.
     :ivar ledger: as last known.
-    :ivar is_away: whether the last call failed.
     """
 
     def __init__(
@@ -83,7 +85,12 @@
         self._random = random.Random()
         self._observed_by_organisation: dict[str, tuple[float, Ledger]] = {}
         self.ledger = EMPTY
-        self.is_away = False
+        self._away_until: float = float('-inf')
+
+    @property
+    def is_away(self) -> bool:
+        """Whether a call failed lately, so that waiting for one is in vain."""
+        return trio.current_time() < self._away_until
 
     def is_known_empty(self, organisation: str, missing: int) -> bool:
         """
@@ -166,7 +173,7 @@
         try:
             await self._transfer(plan, reread)
         except StoreError:
-            self.is_away = True
+            self._away_until = trio.current_time() + _AWAY_S
             raise
 
     def dump(self) -> dict[str, object]:
@@ -224,7 +231,15 @@
         if applied:
             self._add(drawn)
             self._held.note_flushed(transfer.spent_by_organisation)
-            self._log_transfer(transfer, drawn)
+            _log.info(
+                'moved credit',
+                extra={
+                    'drawn': dict(drawn),
+                    'returned': dict(transfer.returned_by_organisation),
+                    'spent': dict(transfer.spent_by_organisation),
+                    'revision': self._revision,
+                },
+            )
         else:
             self._add(returned)
         return applied
@@ -233,19 +248,6 @@
         for name, tokens in tokens_by_organisation.items():
             self._held.add(name, tokens)
 
-    def _log_transfer(
-        self, transfer: Transfer, drawn: Mapping[str, int]
-    ) -> None:
-        _log.info(
-            'moved credit',
-            extra={
-                'drawn': dict(drawn),
-                'returned': dict(transfer.returned_by_organisation),
-                'spent': dict(transfer.spent_by_organisation),
-                'revision': self._revision,
-            },
-        )
-
     async def _replace(self, planned: Ledger, operation: Operation) -> bool:
         content = encode_ledger(planned)
         try:
@@ -256,7 +258,7 @@
             self._adopt(conflict.current)
             return has_applied(self.ledger, self._node, operation)
         except StoreAnswerLost as error:
-            self.is_away = True
+            self._away_until = trio.current_time() + _AWAY_S
             _log.warning(
                 'a write of the ledger has an unknown outcome',
                 extra={'why': error.code, 'revision': self._revision},
@@ -278,6 +280,7 @@
                 self._adopt(conflict.current)
                 return has_applied(self.ledger, self._node, operation)
             except StoreError as error:
+                self._away_until = trio.current_time() + _AWAY_S
                 _log.debug('still unknown', extra={'why': error.code})
                 await trio.sleep(_RESOLVE_S)
             else:
@@ -302,4 +305,4 @@
         self.ledger = decode_ledger(stored.content)
         self._revision = stored.revision
         self._read_at = trio.current_time()
-        self.is_away = False
+        self._away_until = float('-inf')
--- a/tests/test_gateway_credit_keeper.py
+++ b/tests/test_gateway_credit_keeper.py
@@ -412,3 +412,16 @@
         both, stays, leaves = run(scenario)
         self.assertEqual((both, 0), (stays, leaves))
         self.assertGreater(both, 0)
+
+    def test_router_that_saw_an_outage_draws_again_after_it(self):
+        async def scenario(fleet, nursery):
+            fleet.cut = True
+            router = await fleet.add(nursery, 'n1', is_keeper=False)
+            fleet.store.down = True
+            during = await reserve(router, 4000)
+            await trio.sleep(1)
+            fleet.store.down = False
+            await trio.sleep(3)
+            return during, await reserve(router, 4000)
+
+        self.assertEqual(('credit_unreachable', 'reserved'), run(scenario))
