--- a/eelgrassfork/gateway/configuration.py
+++ b/eelgrassfork/gateway/configuration.py
@@ -32,12 +32,14 @@
     :ivar current: ``None`` until one is known.
     :ivar known_at: when it was taken over, on the clock of trio.
     :ivar content: the configuration as it is stored, for peers.
+    :ivar prepaid_by_organisation: limits in tokens of those that have one.
     """
 
     def __init__(self) -> None:
         self.current: Configuration | None = None
         self.known_at: float = 0
         self.content: bytes = b''
+        self.prepaid_by_organisation: dict[str, int] = {}
 
     @property
     def version(self) -> int:
@@ -61,6 +63,13 @@
             return False
         self.current = configuration
         self.content = content
+        self.prepaid_by_organisation = {
+            name: organisation.prepaid_tokens
+            for name, organisation in (
+                configuration.organisations_by_name.items()
+            )
+            if organisation.prepaid_tokens is not None
+        }
         self.known_at = trio.current_time()
         return True
 
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -233,7 +233,7 @@
 
     def _make_credit(self) -> CreditKeeper:
         world = CreditWorld(
-            self._prepaid,
+            lambda: self._beliefs.configuration.prepaid_by_organisation,
             lambda: len(self._gossip.known()) + 1,
             lambda: count_keepers(self._gossip, self._settings.failure_domain),
             lambda: None in self._keepers()[:1],
@@ -279,18 +279,6 @@
             ),
         )
 
-    def _prepaid(self) -> dict[str, int]:
-        configuration = self._beliefs.configuration.current
-        if configuration is None:
-            return {}
-        return {
-            name: organisation.prepaid_tokens
-            for name, organisation in (
-                configuration.organisations_by_name.items()
-            )
-            if organisation.prepaid_tokens is not None
-        }
-
     def _keepers(self) -> list[Peer | None]:
         return self._gossip.keepers(self._settings.failure_domain)
 
