Pass what plans about credit depend on as one view

Four arguments went through nine functions and their docstrings; the refill also rebuilt the situation for each organisation. Same plans; the tests keep their assertions and call the new form.

--- a/eelgrassfork/gateway/credit.py
+++ b/eelgrassfork/gateway/credit.py
@@ -12,6 +12,7 @@
 
 __all__ = (
     'CreditPolicy',
+    'CreditView',
     'HeldCredit',
     'Situation',
     'plan_transfer',
@@ -255,31 +256,39 @@
         return float(0.5 ** (age_s / self._half_life_s))
 
 
-def plan_transfer(
-    held: HeldCredit,
-    ledger: Ledger,
-    situation: Situation,
-    policy: CreditPolicy,
-    now_s: float,
-) -> Transfer:
+class CreditView(NamedTuple):
     """
-    Decide what a router draws, returns and records.
+    What plans about credit depend on.
 
-    :param held: what it holds.
-    :param ledger: as last known.
+    :param held: what a router holds, and its use.
     :param situation: limits and needs.
     :param policy: how much to hold.
     :param now_s: time on the clock of trio.
+    """
+
+    held: HeldCredit
+    situation: Situation
+    policy: CreditPolicy
+    now_s: float
+
+
+def plan_transfer(view: CreditView, ledger: Ledger) -> Transfer:
+    """
+    Decide what a router draws, returns and records.
+
+    :param view: what it depends on.
+    :param ledger: as last known.
     :returns: the transfer; empty if there is nothing to do.
     """
+    held, situation, policy, _ = view
     drawn: dict[str, int] = {}
     returned: dict[str, int] = {}
     is_low = any(situation.urgent_by_organisation.values())
     for name, prepaid in situation.prepaid_by_organisation.items():
         left = remaining(ledger, name, prepaid)
         free = held.free(name)
-        target = target_tokens(held, name, situation, policy, now_s)
-        wanted = _wanted(held, name, situation, policy, now_s)
+        target = target_tokens(view, name)
+        wanted = _wanted(view, name)
         if wanted > target * (1 - policy.refill_part):
             most = int(left * policy.most_part / situation.keepers)
             urgent = situation.urgent_by_organisation.get(name, 0) - free
@@ -289,30 +298,23 @@
             returned[name] = free - target
     if not is_low:
         drawn = {}
-    spent = _unrecorded(held, situation, policy)
+    spent = _unrecorded(view)
     drawn = {key: amount for key, amount in drawn.items() if amount}
     return Transfer(drawn, returned, spent if drawn or returned else {})
 
 
-def _wanted(
-    held: HeldCredit,
-    organisation: str,
-    situation: Situation,
-    policy: CreditPolicy,
-    now_s: float,
-) -> int:
-    free = held.free(organisation)
+def _wanted(view: CreditView, organisation: str) -> int:
+    situation = view.situation
+    free = view.held.free(organisation)
     urgent = situation.urgent_by_organisation.get(organisation, 0) - free
-    missing = -free
-    missing += target_tokens(held, organisation, situation, policy, now_s)
+    missing = target_tokens(view, organisation) - free
     if situation.is_keeper and situation.may_stand_by:
-        missing += standby_missing(held, organisation, situation, policy, now_s)
+        missing += standby_missing(view, organisation)
     return max(urgent, missing)
 
 
-def _unrecorded(
-    held: HeldCredit, situation: Situation, policy: CreditPolicy
-) -> dict[str, int]:
+def _unrecorded(view: CreditView) -> dict[str, int]:
+    held, situation, policy, _ = view
     part = policy.flush_part / situation.keepers
     return {
         name: held.unflushed(name)
@@ -321,59 +323,42 @@
     }
 
 
-def target_tokens(
-    held: HeldCredit,
-    organisation: str,
-    situation: Situation,
-    policy: CreditPolicy,
-    now_s: float,
-) -> int:
+def target_tokens(view: CreditView, organisation: str) -> int:
     """
     Compute the credit to hold for use.
 
-    :param held: what is held, and its use.
+    :param view: what it depends on.
     :param organisation: whose credit.
-    :param situation: limits and needs.
-    :param policy: how much to hold.
-    :param now_s: time on the clock of trio.
     :returns: tokens.
     """
-    hold_s = _hold_s(organisation, situation, policy)
-    by_rate = int(held.rate(organisation, now_s) * hold_s)
+    situation = view.situation
+    rate = view.held.rate(organisation, view.now_s)
+    by_rate = int(rate * _hold_s(view, organisation))
     if by_rate or not situation.is_keeper:
         return by_rate
     prepaid = situation.prepaid_by_organisation.get(organisation, 0)
-    return int(prepaid * policy.first_part / situation.keepers)
+    return int(prepaid * view.policy.first_part / situation.keepers)
 
 
-def surplus_tokens(
-    held: HeldCredit,
-    situation: Situation,
-    policy: CreditPolicy,
-    now_s: float,
-) -> dict[str, int]:
+def surplus_tokens(view: CreditView) -> dict[str, int]:
     """
     Compute the credit that a router does not need.
 
     What was drawn while peers were out of reach is of use to others later.
 
-    :param held: what is held, and its use.
-    :param situation: limits and needs.
-    :param policy: how much to hold.
-    :param now_s: time on the clock of trio.
+    :param view: what it depends on.
     :returns: tokens by organisation.
     """
     surplus = {}
-    for name, free in held.free_by_organisation().items():
-        target = target_tokens(held, name, situation, policy, now_s)
-        if free > policy.surplus * target:
+    for name, free in view.held.free_by_organisation().items():
+        target = target_tokens(view, name)
+        if free > view.policy.surplus * target:
             surplus[name] = free - target
     return surplus
 
 
-def _hold_s(
-    organisation: str, situation: Situation, policy: CreditPolicy
-) -> float:
+def _hold_s(view: CreditView, organisation: str) -> float:
+    _, situation, policy, _ = view
     if not situation.is_keeper:
         return policy.hold_s
     prepaid = situation.prepaid_by_organisation.get(organisation, 0)
@@ -382,46 +367,28 @@
     return policy.scarce_hold_s if is_scarce else policy.keeper_hold_s
 
 
-def standby_tokens(
-    held: HeldCredit,
-    organisation: str,
-    situation: Situation,
-    policy: CreditPolicy,
-    now_s: float,
-) -> int:
+def standby_tokens(view: CreditView, organisation: str) -> int:
     """
     Compute the credit to have on standby.
 
-    :param held: what is held, and its use.
+    :param view: what it depends on.
     :param organisation: whose credit.
-    :param situation: limits and needs.
-    :param policy: how much to hold.
-    :param now_s: time on the clock of trio.
     :returns: tokens.
     """
-    target = target_tokens(held, organisation, situation, policy, now_s)
-    hold_s = _hold_s(organisation, situation, policy)
-    whole_s = policy.keeper_hold_s + policy.standby_s
+    hold_s = _hold_s(view, organisation)
+    whole_s = view.policy.keeper_hold_s + view.policy.standby_s
+    target = target_tokens(view, organisation)
     return int(target * (whole_s - hold_s) / hold_s)
 
 
-def standby_missing(
-    held: HeldCredit,
-    organisation: str,
-    situation: Situation,
-    policy: CreditPolicy,
-    now_s: float,
-) -> int:
+def standby_missing(view: CreditView, organisation: str) -> int:
     """
     Compute the credit that lacks on standby.
 
-    :param held: what is held, and its use.
+    :param view: what it depends on.
     :param organisation: whose credit.
-    :param situation: limits and needs.
-    :param policy: how much to hold.
-    :param now_s: time on the clock of trio.
     :returns: tokens, 0 or more.
     """
-    wanted = standby_tokens(held, organisation, situation, policy, now_s)
-    on_standby = situation.standby_by_organisation.get(organisation, 0)
+    wanted = standby_tokens(view, organisation)
+    on_standby = view.situation.standby_by_organisation.get(organisation, 0)
     return max(0, wanted - on_standby)
--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -16,6 +16,7 @@
 from ..errors import RequestError
 from .credit import (
     CreditPolicy,
+    CreditView,
     HeldCredit,
     Situation,
     plan_transfer,
@@ -80,13 +81,12 @@
     """
     Credit of one router.
 
-    :ivar lender: hands credit over to peers.
-
     :param store: where the ledger is.
     :param node: name of this VM.
     :param incarnation: of this process.
     :param world: rest of the router.
     :param policy: how much to hold.
+    :ivar lender: hands credit over to peers.
     """
 
     def __init__(
@@ -106,10 +106,8 @@
         )
         self._standby = StandbyKeeper(
             Standby(store, node, incarnation, world.fleet_time, self._add),
-            self.held,
             self._ledger,
-            self._situation,
-            self._policy,
+            self._view,
         )
         self.lender = Lender(
             LenderParts(
@@ -157,7 +155,7 @@
                 await self._borrow({organisation: missing}, {})
         else:
             missing = amount - self.held.free(organisation)
-            extra = {organisation: self._target(organisation)}
+            extra = {organisation: target_tokens(self._view(), organisation)}
             if not await self._borrow({organisation: missing}, extra):
                 self._on_own_until = trio.current_time() + _ON_OWN_S
                 await self._draw_for({organisation: amount})
@@ -295,9 +293,10 @@
             _log.error('the ledger is damaged', extra={'error': str(error)})
 
     async def _refill(self) -> None:
+        view = self._view()
         wanted = {}
-        for name in self._world.prepaid():
-            target = self._target(name)
+        for name in view.situation.prepaid_by_organisation:
+            target = target_tokens(view, name)
             free = self.held.free(name)
             if free < target * self._policy.low_part:
                 wanted[name] = target - free
@@ -305,14 +304,7 @@
             await self._borrow({}, wanted)
         self._ticks += 1
         if self._ticks % _DEPOSIT_TICKS == 0:
-            await self._deposit(
-                surplus_tokens(
-                    self.held,
-                    self._situation(),
-                    self._policy,
-                    trio.current_time(),
-                ),
-            )
+            await self._deposit(surplus_tokens(self._view()))
 
     async def _deposit(self, amount_by_organisation: Tokens) -> None:
         handed = {
@@ -330,29 +322,16 @@
             if handed and not await self._world.deposit(request):
                 self._add(handed)
 
-    def _target(self, organisation: str) -> int:
-        return target_tokens(
-            self.held,
-            organisation,
-            self._situation(),
-            self._policy,
-            trio.current_time(),
-        )
-
     def _plan(self) -> Transfer:
-        return plan_transfer(
-            self.held,
-            self._ledger.ledger,
-            self._situation(),
-            self._policy,
-            trio.current_time(),
-        )
+        return plan_transfer(self._view(), self._ledger.ledger)
 
-    def _situation(self) -> Situation:
-        on_own = trio.current_time() < self._on_own_until
+    def _view(self) -> CreditView:
+        now_s = trio.current_time()
+        on_own = now_s < self._on_own_until
+        prepaid = self._world.prepaid()
         sharing = self._world.routers() if on_own else self._world.keepers()
-        return Situation(
-            self._world.prepaid(),
+        situation = Situation(
+            prepaid,
             {
                 name: amount
                 for name, amount in self._urgent.items()
@@ -362,8 +341,9 @@
             max(1, sharing),
             on_own or self._world.is_keeper(),
             self._standby.is_possible and not on_own,
-            {name: self._ledger.left(name) for name in self._world.prepaid()},
+            {name: self._ledger.left(name) for name in prepaid},
         )
+        return CreditView(self.held, situation, self._policy, now_s)
 
 
 def _in_ledger(
--- a/eelgrassfork/gateway/standby_keeper.py
+++ b/eelgrassfork/gateway/standby_keeper.py
@@ -12,9 +12,7 @@
 import trio
 
 from .credit import (
-    CreditPolicy,
-    HeldCredit,
-    Situation,
+    CreditView,
     standby_missing,
     standby_tokens,
     target_tokens,
@@ -40,25 +38,19 @@
     Keeps the standby credit of one router.
 
     :param standby: the credit and its record.
-    :param held: credit in use.
     :param ledger: where more may be drawn.
-    :param situation: limits and needs.
-    :param policy: how much to hold.
+    :param view: tells what its plans depend on.
     """
 
     def __init__(
         self,
         standby: Standby,
-        held: HeldCredit,
         ledger: LedgerWriter,
-        situation: Callable[[], Situation],
-        policy: CreditPolicy,
+        view: Callable[[], CreditView],
     ) -> None:
         self._standby = standby
-        self._held = held
         self._ledger = ledger
-        self._situation = situation
-        self._policy = policy
+        self._view = view
 
     @property
     def tokens_by_organisation(self) -> dict[str, int]:
@@ -78,11 +70,12 @@
         await self._recover()
         while True:
             await trio.sleep(RENEWAL_S)
-            situation = self._situation()
-            if situation.is_keeper and await self._fill(situation):
+            view = self._view()
+            is_keeper = view.situation.is_keeper
+            if is_keeper and await self._fill(view):
                 continue
             await self._standby.renew(
-                self._targets(situation), not situation.is_keeper
+                self._targets(self._view()), not is_keeper
             )
 
     async def watch(self) -> None:
@@ -107,49 +100,28 @@
             else:
                 return
 
-    def _targets(self, situation: Situation) -> dict[str, int]:
+    def _targets(self, view: CreditView) -> dict[str, int]:
         targets = {}
         for name, tokens in self._standby.tokens_by_organisation.items():
-            most = _MOST_STANDBY * standby_tokens(
-                self._held,
-                name,
-                situation,
-                self._policy,
-                trio.current_time(),
-            )
-            missing = self._target(name, situation) - self._held.free(name)
+            most = _MOST_STANDBY * standby_tokens(view, name)
+            missing = target_tokens(view, name) - view.held.free(name)
             if missing > 0 and self._ledger.is_known_empty(name, missing):
                 # The ledger can't replace what is used up.
                 most = min(most, tokens - missing)
             targets[name] = max(0, most)
         return targets
 
-    async def _fill(self, situation: Situation) -> bool:
+    async def _fill(self, view: CreditView) -> bool:
+        held = view.held
         added = {}
-        for name in situation.prepaid_by_organisation:
-            missing = standby_missing(
-                self._held,
-                name,
-                situation,
-                self._policy,
-                trio.current_time(),
-            )
-            target = self._target(name, situation)
-            spare = min(missing, self._held.free(name) - target)
-            if spare > target * (1 - self._policy.refill_part):
-                added[name] = self._held.remove(name, spare)
+        for name in view.situation.prepaid_by_organisation:
+            target = target_tokens(view, name)
+            spare = min(standby_missing(view, name), held.free(name) - target)
+            if spare > target * (1 - view.policy.refill_part):
+                added[name] = held.remove(name, spare)
         if added and await self._standby.put(added):
             # That write has renewed the record as well.
             return True
         for name, tokens in added.items():
-            self._held.add(name, tokens)
+            held.add(name, tokens)
         return False
-
-    def _target(self, organisation: str, situation: Situation) -> int:
-        return target_tokens(
-            self._held,
-            organisation,
-            situation,
-            self._policy,
-            trio.current_time(),
-        )
--- a/tests/test_gateway_credit.py
+++ b/tests/test_gateway_credit.py
@@ -9,6 +9,7 @@
 
 from eelgrassfork.gateway.credit import (
     CreditPolicy,
+    CreditView,
     HeldCredit,
     Situation,
     plan_transfer,
@@ -25,6 +26,10 @@
     return Situation(PREPAID, {}, {}, 4, True)._replace(**changes)
 
 
+def view(held, now_s=29.5, **changes):
+    return CreditView(held, situation(**changes), POLICY, now_s)
+
+
 def held_with_use(tokens_per_s, seconds=30):
     held = HeldCredit(POLICY.rate_half_life_s)
     for second in range(seconds):
@@ -65,7 +70,7 @@
 class PlanTests(testtools.TestCase):
     def test_keeper_fills_up_to_its_use_and_standby(self):
         held = held_with_use(1000)
-        transfer = plan_transfer(held, EMPTY, situation(), POLICY, 29.5)
+        transfer = plan_transfer(view(held), EMPTY)
         wanted = 1000 * (POLICY.keeper_hold_s + POLICY.standby_s)
         self.assertAlmostEqual(
             wanted, transfer.drawn_by_organisation['a'], delta=wanted / 8
@@ -75,18 +80,14 @@
         held = held_with_use(1000)
         held.add('a', 20_000)
         transfer = plan_transfer(
-            held,
-            EMPTY,
-            situation(standby_by_organisation={'a': 9000}),
-            POLICY,
-            29.5,
+            view(held, standby_by_organisation={'a': 9000}), EMPTY
         )
         self.assertFalse(any(transfer))
 
     def test_last_credit_is_not_drawn_by_one_keeper_in_advance(self):
         held = held_with_use(10_000)
         ledger = Ledger({'a': 920_000}, {}, {})
-        transfer = plan_transfer(held, ledger, situation(), POLICY, 29.5)
+        transfer = plan_transfer(view(held), ledger)
         self.assertLessEqual(
             transfer.drawn_by_organisation['a'], 80_000 * 0.5 / 4
         )
@@ -95,11 +96,7 @@
         held = held_with_use(10)
         ledger = Ledger({'a': 980_000}, {}, {})
         transfer = plan_transfer(
-            held,
-            ledger,
-            situation(urgent_by_organisation={'a': 15_000}),
-            POLICY,
-            29.5,
+            view(held, urgent_by_organisation={'a': 15_000}), ledger
         )
         self.assertEqual(15_000, transfer.drawn_by_organisation['a'])
 
@@ -108,27 +105,21 @@
         held.add('a', 50_000)
         ledger = Ledger({'a': 900_000}, {}, {})
         transfer = plan_transfer(
-            held,
-            ledger,
-            situation(standby_by_organisation={'a': 900_000}),
-            POLICY,
-            29.5,
+            view(held, standby_by_organisation={'a': 900_000}), ledger
         )
         self.assertGreater(transfer.returned_by_organisation['a'], 40_000)
 
     def test_other_routers_hold_little(self):
         held = held_with_use(1000)
-        target = target_tokens(
-            held, 'a', situation(is_keeper=False), POLICY, 29.5
-        )
+        target = target_tokens(view(held, is_keeper=False), 'a')
         self.assertLess(target, 1200)
 
     def test_keeper_without_use_holds_a_first_part(self):
         held = HeldCredit(6)
-        target = target_tokens(held, 'a', situation(), POLICY, 0)
+        target = target_tokens(view(held, now_s=0), 'a')
         self.assertEqual(int(1_000_000 * POLICY.first_part / 4), target)
 
     def test_standby_is_filled_up_only_once(self):
         held = held_with_use(1000)
-        full = situation(standby_by_organisation={'a': 99_000})
-        self.assertEqual(0, standby_missing(held, 'a', full, POLICY, 29.5))
+        full = view(held, standby_by_organisation={'a': 99_000})
+        self.assertEqual(0, standby_missing(full, 'a'))
