--- a/eelgrassfork/chat.py
+++ b/eelgrassfork/chat.py
@@ -22,7 +22,7 @@
 from .chat_settlement import Ending, Settlement
 from .claim_records import refusal
 from .errors import RequestError
-from .http_server import Call, CallerGone
+from .http_server import Call, CallerGone, cancel_when_gone
 from .limits import AdmissionRequest, LimitExceeded
 
 __all__ = ('Chat', 'ChatParts')
@@ -226,7 +226,7 @@
     failure: Exception | None = None
     finished = False
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_cancel_when_gone, call, nursery.cancel_scope)
+        nursery.start_soon(cancel_when_gone, call, nursery.cancel_scope)
         try:
             await work()
         except Exception as error:
@@ -240,11 +240,6 @@
         raise CallerGone
 
 
-async def _cancel_when_gone(call: Call, scope: trio.CancelScope) -> None:
-    await call.gone.wait()
-    scope.cancel()
-
-
 async def _cut(call: Call, run: ChatRun, failure: RequestError) -> None:
     if run.whole or not run.request.stream:
         # Its end was on the way, so that no error event can follow.
--- a/eelgrassfork/gateway/forwarder.py
+++ b/eelgrassfork/gateway/forwarder.py
@@ -12,7 +12,7 @@
 import trio
 
 from ..errors import RequestError, error_body
-from ..http_server import Call, CallerGone
+from ..http_server import Call, CallerGone, cancel_when_gone
 from .configuration import Permission, permit
 from .credit_keeper import CreditKeeper
 from .follower import Beliefs
@@ -97,7 +97,7 @@
         deadline = _deadline(call, permission, head)
         sending = Sending(call, head, permission, deadline)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_when_gone, call, nursery.cancel_scope)
+            nursery.start_soon(cancel_when_gone, call, nursery.cancel_scope)
             await self._run(sending)
             nursery.cancel_scope.cancel()
         if call.gone.is_set() or sending.caller_gone:
@@ -208,11 +208,6 @@
         )
 
 
-async def _cancel_when_gone(call: Call, scope: trio.CancelScope) -> None:
-    await call.gone.wait()
-    scope.cancel()
-
-
 def _deadline(call: Call, permission: Permission, head: ForwardHead) -> float:
     longest_s = permission.route.timeout_s
     if head.patience_s is not None:
--- a/eelgrassfork/http_server.py
+++ b/eelgrassfork/http_server.py
@@ -17,7 +17,15 @@
 from .names import new_request_id
 from .transport import TCP, Listening, Transport
 
-__all__ = ('Call', 'CallerGone', 'Handler', 'HttpServer', 'ServerLimits')
+__all__ = (
+    'HOP_BY_HOP',
+    'Call',
+    'CallerGone',
+    'Handler',
+    'HttpServer',
+    'ServerLimits',
+    'cancel_when_gone',
+)
 
 _log = logbook.Logger('http')
 
@@ -26,6 +34,21 @@
 _HEADERS_TOO_LARGE_STATUS: Final = 431
 _JSON: Final = (('content-type', 'application/json'),)
 
+# Headers that concern one connection only.
+HOP_BY_HOP: Final = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    ),
+)
+
 
 class ServerLimits(NamedTuple):
     """Bounds on what one caller may send and how slowly."""
@@ -344,6 +367,17 @@
         await self.send(h11.EndOfMessage())
 
 
+async def cancel_when_gone(call: Call, scope: trio.CancelScope) -> None:
+    """
+    Give up the work for a caller that has left.
+
+    :param call: its call.
+    :param scope: cancelled once the caller is gone.
+    """
+    await call.gone.wait()
+    scope.cancel()
+
+
 def _request_error(error: h11.RemoteProtocolError) -> RequestError:
     if error.error_status_hint == _HEADERS_TOO_LARGE_STATUS:
         return RequestError('headers_too_large', 'the headers are too large')
--- a/eelgrassfork/plain_request.py
+++ b/eelgrassfork/plain_request.py
@@ -19,7 +19,7 @@
 from .bundle_types import Bundle, Caller, Service
 from .claim_records import refusal, refusal_outcome
 from .errors import RequestError
-from .http_server import Call
+from .http_server import HOP_BY_HOP, Call
 from .names import qualify
 
 __all__ = (
@@ -33,19 +33,6 @@
 _MS: Final = 1000
 _TIMEOUT_MS: Final = re.compile('[0-9]{1,9}')
 _UNSUPPORTED: Final = frozenset(('CONNECT', 'TRACE'))
-_HOP_BY_HOP: Final = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    ),
-)
 # The router sets these itself, or they are meant for it alone. A server must
 # not see another method than the one that was checked.
 _NOT_PASSED_ON: Final = frozenset(
@@ -137,7 +124,7 @@
     :returns: what may be passed on.
     """
     named = headers_by_name.get('connection', '').lower().split(',')
-    left_out = _HOP_BY_HOP | _NOT_PASSED_ON | {name.strip() for name in named}
+    left_out = HOP_BY_HOP | _NOT_PASSED_ON | {name.strip() for name in named}
     return {
         name: text
         for name, text in headers_by_name.items()
--- a/eelgrassfork/platform/heads.py
+++ b/eelgrassfork/platform/heads.py
@@ -16,6 +16,7 @@
     PromptPart,
     ServerLoad,
 )
+from ..http_server import HOP_BY_HOP
 
 __all__ = (
     'Added',
@@ -39,21 +40,7 @@
 _LOAD: Final = 'x-replica-load'
 _MISDIRECTED: Final = 421
 
-_PER_CONNECTION: Final = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-        'content-length',
-        'expect',
-    ),
-)
+_PER_CONNECTION: Final = HOP_BY_HOP | {'content-length', 'expect'}
 # Callers may not set what routers tell servers.
 _ROUTERS_ONLY: Final = frozenset(
     (
