--- a/standins/engine.py
+++ b/standins/engine.py
@@ -13,7 +13,7 @@
 import msgspec
 import trio
 
-from eelgrassfork.http_server import Call, HttpServer
+from eelgrassfork.http_server import Call
 from eelgrassfork.transport import TCP, Transport
 
 from .engine_answers import answer_stream, answer_whole
@@ -24,6 +24,7 @@
 from .server_faults import FaultGate, FaultsBody
 from .serving import (
     BadAdminCall,
+    HttpStandin,
     admin_fields,
     respond_error,
     respond_json,
@@ -62,7 +63,7 @@
     pace: float = 1.0
 
 
-class EngineStandin:
+class EngineStandin(HttpStandin):
     """
     A model engine in this process.
 
@@ -75,6 +76,7 @@
     def __init__(
         self, settings: EngineSettings, transport: Transport = TCP
     ) -> None:
+        super().__init__(self._serve, transport)
         self.gate = FaultGate()
         self.generations_by_id: dict[str, Generation] = {}
         self.orders = EngineOrders(settings.model, settings.checks_fencing)
@@ -84,7 +86,6 @@
         self._batch = Batch(settings.slots, self._cache, settings.pace)
         self._load: tuple[int, int, float] = (0, 0, 0)
         self._scope = trio.CancelScope()
-        self._server = HttpServer(self._serve, transport=transport)
         self._answerers: dict[tuple[str, str], _Answerer] = {
             ('POST', '/v1/chat/completions'): self._chat,
             ('GET', '/v1/models'): self._models,
@@ -102,11 +103,6 @@
             ('PUT', _KV): self._import,
         }
 
-    @property
-    def address(self) -> str:
-        """Where it listens, as ``ip:port``."""
-        return self._server.address
-
     async def start(self, nursery: trio.Nursery, host: str, port: int) -> None:
         """
         Listen and run the batch.
@@ -115,13 +111,13 @@
         :param host: IP address to bind.
         :param port: port, or 0 for any free one.
         """
-        await self._server.start(nursery, host, port)
+        await super().start(nursery, host, port)
         nursery.start_soon(self._run)
 
     async def close(self) -> None:
         """Stop at once: generations end and connections break."""
         self._scope.cancel()
-        await self._server.close()
+        await super().close()
 
     def set_faults(self, **changes: Any) -> None:
         """
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -10,7 +10,9 @@
 import msgspec
 import trio
 
-from eelgrassfork.http_server import Call, HttpServer
+from eelgrassfork.http_server import Call
+
+from .serving import HttpStandin
 
 __all__ = ('MetadataStore', 'StoreFaults')
 
@@ -36,7 +38,7 @@
     torn: bool = False
 
 
-class MetadataStore:
+class MetadataStore(HttpStandin):
     """
     Objects by kind and name, with revisions and watches.
 
@@ -44,8 +46,8 @@
     """
 
     def __init__(self, page: int = _PAGE) -> None:
+        super().__init__(self._serve)
         self._page = page
-        self._server = HttpServer(self._serve)
         self._objects_by_key: dict[tuple[str, str], dict[str, Any]] = {}
         self._events: list[_Event] = []
         self._oldest = 0
@@ -54,25 +56,6 @@
         self.faults = StoreFaults()
         self.calls: list[str] = []
 
-    @property
-    def address(self) -> str:
-        """Where it listens, as ``ip:port``."""
-        return self._server.address
-
-    async def start(self, nursery: trio.Nursery, host: str, port: int) -> None:
-        """
-        Listen in the background.
-
-        :param nursery: where connections run.
-        :param host: IP address to bind.
-        :param port: port, or 0 for any free one.
-        """
-        await self._server.start(nursery, host, port)
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._server.close()
-
     def put(self, kind: str, name: str, spec: object) -> int:
         """
         Write as an operator or a server would.
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -11,12 +11,13 @@
 
 import trio
 
-from eelgrassfork.http_server import Call, CallerGone, HttpServer
+from eelgrassfork.http_server import Call, CallerGone
 from eelgrassfork.transport import TCP, Transport
 
 from .server_faults import FaultGate, FaultsBody
 from .serving import (
     BadAdminCall,
+    HttpStandin,
     admin_fields,
     respond_error,
     respond_json,
@@ -28,7 +29,7 @@
 _LOOK_UPS: Final = frozenset(('GET', 'HEAD'))
 
 
-class PlainServiceStandin:
+class PlainServiceStandin(HttpStandin):
     """
     A plain service in this process.
 
@@ -43,6 +44,7 @@
     """
 
     def __init__(self, work_s: float = 0, transport: Transport = TCP) -> None:
+        super().__init__(self._serve, transport)
         self.gate = FaultGate()
         self.count_by_request_id: collections.Counter[str] = (
             collections.Counter()
@@ -51,26 +53,6 @@
         self.orders = 0
         self.look_ups = 0
         self._work_s = work_s
-        self._server = HttpServer(self._serve, transport=transport)
-
-    @property
-    def address(self) -> str:
-        """Where it listens, as ``ip:port``."""
-        return self._server.address
-
-    async def start(self, nursery: trio.Nursery, host: str, port: int) -> None:
-        """
-        Listen.
-
-        :param nursery: where connections run.
-        :param host: IP address to bind.
-        :param port: port, or 0 for any free one.
-        """
-        await self._server.start(nursery, host, port)
-
-    async def close(self) -> None:
-        """Stop listening and cut all connections."""
-        await self._server.close()
 
     def set_faults(self, **changes: Any) -> None:
         """
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -10,9 +10,8 @@
 from typing import Any, Final
 
 import msgspec
-import trio
 
-from eelgrassfork.http_server import Call, HttpServer
+from eelgrassfork.http_server import Call
 from eelgrassfork.platform_types import (
     AnswerLost,
     Conflict,
@@ -26,6 +25,7 @@
 from .platform_core import PlatformCore, RateLimits
 from .serving import (
     BadAdminCall,
+    HttpStandin,
     admin_fields,
     respond_error,
     respond_json,
@@ -64,7 +64,7 @@
     lag_ms: float | msgspec.UnsetType = msgspec.UNSET
 
 
-class PlatformStandin:
+class PlatformStandin(HttpStandin):
     """
     The platform in this process.
 
@@ -76,8 +76,8 @@
     def __init__(
         self, limits: RateLimits | None = None, transport: Transport = TCP
     ) -> None:
+        super().__init__(self._serve, transport)
         self.core = PlatformCore(limits)
-        self._server = HttpServer(self._serve, transport=transport)
         self._answerers: dict[tuple[str, str], _Answerer] = {
             ('GET', '/v1/objects'): self._list,
             ('GET', '/v1/watch'): self._watch,
@@ -92,25 +92,6 @@
             'DELETE': self._delete,
         }
 
-    @property
-    def address(self) -> str:
-        """Where it listens, as ``ip:port``."""
-        return self._server.address
-
-    async def start(self, nursery: trio.Nursery, host: str, port: int) -> None:
-        """
-        Listen.
-
-        :param nursery: where connections run.
-        :param host: IP address to bind.
-        :param port: port, or 0 for any free one.
-        """
-        await self._server.start(nursery, host, port)
-
-    async def close(self) -> None:
-        """Stop listening and cut all connections; the state is kept."""
-        await self._server.close()
-
     def set_faults(self, **changes: Any) -> None:
         """
         Change some faults.
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -7,12 +7,14 @@
 
 import trio
 
-from eelgrassfork.http_server import Call, HttpServer
+from eelgrassfork.http_server import Call
+
+from .serving import HttpStandin
 
 __all__ = ('Replica',)
 
 
-class Replica:
+class Replica(HttpStandin):
     """
     Answers requests as its script says.
 
@@ -28,32 +30,13 @@
     """
 
     def __init__(self, server_id: str, script: list[str]) -> None:
+        super().__init__(self._serve)
         self.server_id = server_id
         self.script = script
         self.runs: list[str] = []
         self.seen: list[dict[str, str]] = []
         self.bodies: list[bytes] = []
         self.cancelled = 0
-        self._server = HttpServer(self._serve)
-
-    @property
-    def address(self) -> str:
-        """Where it listens, as ``ip:port``."""
-        return self._server.address
-
-    async def start(self, nursery: trio.Nursery, host: str, port: int) -> None:
-        """
-        Listen in the background.
-
-        :param nursery: where connections run.
-        :param host: IP address to bind.
-        :param port: port, or 0 for any free one.
-        """
-        await self._server.start(nursery, host, port)
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._server.close()
 
     async def _serve(self, call: Call) -> None:
         headers = call.headers_by_name
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -11,10 +11,12 @@
 import msgspec
 import trio
 
-from eelgrassfork.http_server import Call
+from eelgrassfork.http_server import Call, Handler, HttpServer
+from eelgrassfork.transport import TCP, Transport
 
 __all__ = (
     'BadAdminCall',
+    'HttpStandin',
     'Standin',
     'admin_fields',
     'respond_error',
@@ -38,6 +40,37 @@
         """Listen, and run in the nursery."""
 
 
+class HttpStandin:
+    """
+    A stand-in that answers HTTP requests.
+
+    :param handler: answers each request.
+    :param transport: how connections are accepted.
+    """
+
+    def __init__(self, handler: Handler, transport: Transport = TCP) -> None:
+        self._server = HttpServer(handler, transport=transport)
+
+    @property
+    def address(self) -> str:
+        """Where it listens, as ``ip:port``."""
+        return self._server.address
+
+    async def start(self, nursery: trio.Nursery, host: str, port: int) -> None:
+        """
+        Listen in the background.
+
+        :param nursery: where connections run.
+        :param host: IP address to bind.
+        :param port: port, or 0 for any free one.
+        """
+        await self._server.start(nursery, host, port)
+
+    async def close(self) -> None:
+        """Stop listening and cut all connections; the state is kept."""
+        await self._server.close()
+
+
 def serve_forever(standin: Standin, host: str, port: int) -> None:
     """
     Run a stand-in in this process until it is killed.
