--- a/tests/test_gateway_credit_exchange.py
+++ b/tests/test_gateway_credit_exchange.py
@@ -19,7 +19,8 @@
 from eelgrassfork.http_client import ConnectFailed, ConnectionSilent
 from eelgrassfork.platform import boot_file
 
-from .test_gateway_peer_exchange import Call, FakeClient, FakeGossip, run
+from .mock_clock import run
+from .test_gateway_peer_exchange import Call, FakeClient, FakeGossip
 from .test_platform_boot_file import TEXT
 
 VIEW = LedgerView({'a': 5}, {'a': 1}, 0.5)
--- a/tests/test_gateway_duty.py
+++ b/tests/test_gateway_duty.py
@@ -7,10 +7,11 @@
 
 import testtools
 import trio
-import trio.testing
 
 from eelgrassfork.gateway.duty import DutyPolicy, WatchDuty, is_watcher
 
+from .mock_clock import run
+
 DOMAINS = {
     f'd{domain}': [f'n{domain}-{number}' for number in range(18)]
     for domain in range(5)
@@ -18,11 +19,6 @@
 POLICY = DutyPolicy()
 
 
-def run(function):
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(function, clock=clock)
-
-
 class WatcherTests(testtools.TestCase):
     def watchers(self, nodes_by_domain):
         return [
--- a/tests/test_gateway_ledger_writer.py
+++ b/tests/test_gateway_ledger_writer.py
@@ -7,7 +7,6 @@
 
 import testtools
 import trio
-import trio.testing
 
 from eelgrassfork.gateway.credit import HeldCredit
 from eelgrassfork.gateway.ledger import Transfer
@@ -15,11 +14,7 @@
 from eelgrassfork.gateway.store import StoreUnavailable
 
 from .memory_store import MemoryStore
-
-
-def run(function, *arguments):
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(function, *arguments, clock=clock)
+from .mock_clock import run
 
 
 class Router:
--- a/tests/test_gateway_peer_exchange.py
+++ b/tests/test_gateway_peer_exchange.py
@@ -10,7 +10,6 @@
 import msgspec
 import testtools
 import trio
-import trio.testing
 
 from eelgrassfork.errors import EelgrassError
 from eelgrassfork.gateway.follower import Beliefs
@@ -20,6 +19,7 @@
 from eelgrassfork.platform import boot_file
 
 from .gateway_world import configuration
+from .mock_clock import run
 from .test_gateway_follower import DECODERS
 from .test_platform_boot_file import TEXT
 
@@ -88,11 +88,6 @@
     return PeerExchange(client, gossip, beliefs, settings), beliefs
 
 
-def run(function):
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(function, clock=clock)
-
-
 class CatchUpTests(testtools.TestCase):
     def newest(self):
         return {
--- a/tests/test_gateway_servers.py
+++ b/tests/test_gateway_servers.py
@@ -9,20 +9,16 @@
 
 import testtools
 import trio
-import trio.testing
 
 from eelgrassfork.gateway.records import ServerEntry, ServerLoad
 from eelgrassfork.gateway.servers import Server, ServerSet
 
+from .mock_clock import run
+
 ENTRY = ServerEntry('s1', 'svc', '10.0.0.1:80', 'd0', 6, 100, 5)
 SOURCE = random.Random(3)
 
 
-def run(function):
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(function, clock=clock)
-
-
 def usable(servers):
     return [server.entry.id for server in servers.usable('svc')]
 
--- a/tests/test_gateway_standby.py
+++ b/tests/test_gateway_standby.py
@@ -7,7 +7,6 @@
 
 import testtools
 import trio
-import trio.testing
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -23,6 +22,7 @@
 from eelgrassfork.gateway.store import StoreError
 
 from .memory_store import MemoryStore
+from .mock_clock import run
 
 EPOCH_MS = 1_700_000_000_000
 
@@ -60,11 +60,6 @@
             self.standby.activate_if_due()
 
 
-def run(function, *arguments):
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(function, *arguments, clock=clock)
-
-
 class RuleTests(testtools.TestCase):
     def test_reclaims_only_before_any_use_is_possible(self):
         record = StandbyRecord(1, EPOCH_MS, {'a': 5})
