Keep slow streams that can't go on elsewhere, and bound endless answers

A stream that pauses is left only once another sound server, an attempt and a repeated send are there; the repeated send is taken at that moment. Progress is counted by whole events, so bytes that never become one no longer hold a stream until its deadline. The head of an answer is bounded as a whole, not between bytes; informational answers and bodies are bounded too.

Ruled out: a longer pause for last attempts, which cuts slower streams still.

--- a/eelgrassfork/gateway/exchange.py
+++ b/eelgrassfork/gateway/exchange.py
@@ -5,6 +5,7 @@
 Exchanges one request with one server, and relays its answer.
 """
 
+import math
 import random
 from collections.abc import Callable
 from http import HTTPStatus
@@ -29,7 +30,7 @@
 from .records import AnswerHead, Headers
 from .sending import KeptAnswer, Send, SendFailed, Sending
 
-__all__ = ('Exchange', 'ExchangeParts', 'Target')
+__all__ = ('Exchange', 'ExchangeParts', 'Leave', 'Target')
 
 _log = logbook.Logger('exchange')
 
@@ -66,6 +67,18 @@
     decode: Callable[[int, Headers], AnswerHead]
 
 
+# Takes the right to send the request to another server; asked once the present
+# one is slow.
+Leave = Callable[[], bool]
+
+
+class _Incoming:
+    def __init__(self, response: Response, answer: AnswerHead) -> None:
+        self.response = response
+        self.answer = answer
+        self.progress_at = trio.current_time()
+
+
 class Exchange:
     """
     Sends requests to servers that were chosen.
@@ -78,21 +91,21 @@
         self._random = random.Random()
 
     async def run(
-        self, sending: Sending, send: Send, has_other: bool
+        self, sending: Sending, send: Send, leave: Leave
     ) -> KeptAnswer | None:
         """
         Send a request and relay its answer.
 
         :param sending: the request.
         :param send: the server it goes to.
-        :param has_other: whether another server may be tried after it.
+        :param leave: whether another server may be tried after it.
         :returns: a failure of the server that was not relayed; ``None`` if
             the answer was.
         :raises SendFailed: if there is no answer to relay.
         """
-        response = await self._request(sending, send, has_other)
+        response = await self._request(sending, send, leave)
         try:
-            return await self._relay(sending, send, response)
+            return await self._relay(sending, send, response, leave)
         except HttpClientError as error:
             raise self._lost(send, error) from None
         except (BrokenStream, EventTooLarge) as error:
@@ -102,16 +115,17 @@
             await response.close()
 
     async def _request(
-        self, sending: Sending, send: Send, has_other: bool
+        self, sending: Sending, send: Send, leave: Leave
     ) -> Response:
-        route = sending.permission.route
-        waiting = Waiting(sending.left_s, send.server.latency_s, has_other)
+        send.reached = True
+        waiting = _waiting(sending, send)
         bounds = ClientTimeouts(
             connect_s=_CONNECT_S,
-            first_byte_s=silence_s(route, waiting),
-            silence_s=pause_s(route, sending.left_s),
+            first_byte_s=silence_s(sending.permission.route, waiting),
+            # The deadline of the request ends a body that stalls.
+            silence_s=math.inf,
+            gives_up=leave,
         )
-        send.reached = True
         try:
             return await self._parts.client.request(
                 self._encode(sending, send), bounds
@@ -141,14 +155,20 @@
         )
 
     async def _relay(
-        self, sending: Sending, send: Send, response: Response
+        self,
+        sending: Sending,
+        send: Send,
+        response: Response,
+        leave: Leave,
     ) -> KeptAnswer | None:
         answer = self._check(sending, send, response)
         sending.may_have_run = True
         if not _is_success(answer):
             return await self._failure(sending, send, response, answer)
         if _is_stream(sending, answer):
-            await self._stream(sending, send, response, answer)
+            await self._stream(
+                sending, send, _Incoming(response, answer), leave
+            )
         else:
             body = await response.read()
             self._note_success(send)
@@ -198,25 +218,39 @@
         return KeptAnswer(answer, body, not (is_servers and repeatable))
 
     async def _stream(
-        self,
-        sending: Sending,
-        send: Send,
-        response: Response,
-        answer: AnswerHead,
+        self, sending: Sending, send: Send, incoming: _Incoming, leave: Leave
     ) -> None:
         relay = sending.relay
         relay.begin()
         sending.tokens_per_event = self._tokens_per_event(send)
-        async for chunk in response.chunks():
+        while chunk := await self._next_chunk(sending, send, incoming, leave):
             events = relay.feed(chunk)
             if events:
+                incoming.progress_at = trio.current_time()
                 if not send.is_read:
                     send.mark_read()
                     self._note_success(send)
-                await sending.pass_on(answer, events)
+                await sending.pass_on(incoming.answer, events)
         if not relay.is_whole:
             raise SendFailed('cut', 'the stream ended within an event', False)
-        await sending.finish(answer)
+        await sending.finish(incoming.answer)
+
+    async def _next_chunk(
+        self, sending: Sending, send: Send, incoming: _Incoming, leave: Leave
+    ) -> bytes:
+        # Bytes that complete no event are no progress.
+        while True:
+            longest_s = pause_s(
+                sending.permission.route, _waiting(sending, send)
+            )
+            with trio.move_on_at(incoming.progress_at + longest_s):
+                return await incoming.response.next_chunk()
+            if leave():
+                self._note_failure(send)
+                raise SendFailed(
+                    'silent', f'no event within {longest_s} s', False
+                )
+            incoming.progress_at = trio.current_time()
 
     def _tokens_per_event(self, send: Send) -> int:
         configuration = self._parts.beliefs.configuration.current
@@ -259,6 +293,11 @@
         server.note_success(now_s - send.started_at, now_s)
 
 
+def _waiting(sending: Sending, send: Send) -> Waiting:
+    has_other = sending.reached < sending.permission.route.attempts
+    return Waiting(sending.left_s, send.server.latency_s, has_other)
+
+
 def _is_success(answer: AnswerHead) -> bool:
     return HTTPStatus.OK <= answer.status < HTTPStatus.MULTIPLE_CHOICES
 
--- a/eelgrassfork/gateway/patience.py
+++ b/eelgrassfork/gateway/patience.py
@@ -63,16 +63,18 @@
     return min(left_s, max(shortest_s, usual_s * _SILENCE_FACTOR))
 
 
-def pause_s(route: Route, left_s: float) -> float:
+def pause_s(route: Route, waiting: Waiting) -> float:
     """
-    Compute how long a stream may pause before it goes on elsewhere.
+    Compute how long a stream may go without a whole event.
 
     :param route: route of the request.
-    :param left_s: time until its deadline, in seconds.
-    :returns: seconds; all that is left for streams that can't go on.
+    :param waiting: what else it depends on.
+    :returns: seconds; all that is left where the stream can't go on
+        elsewhere, as a slow stream is better than a cut one.
     """
-    left_s = max(_LEAST_S, left_s)
-    if not (route.repeatable and route.longest_pause_s):
+    left_s = max(_LEAST_S, waiting.left_s)
+    may_leave = route.repeatable and waiting.has_other
+    if not (may_leave and route.longest_pause_s):
         return left_s
     return min(left_s, route.longest_pause_s)
 
--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -7,6 +7,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Final, NamedTuple
 
 import trio
@@ -119,12 +120,12 @@
             if kept is not None:
                 return kept._replace(final=True)
             raise self._no_server(sending, reason)
-        has_other = self._has_other(sending, server)
+        leave = partial(self._may_leave, sending, server.entry.service)
         load = server.load(trio.current_time())
         send = Send(server, reason, load, sending.head.prompt_tokens)
         sending.sends.append(send)
         try:
-            return await self._parts.exchange.run(sending, send, has_other)
+            return await self._parts.exchange.run(sending, send, leave)
         except SendFailed as failure:
             send.outcome = failure.code
             raise
@@ -159,14 +160,15 @@
             server.health = server.health._replace(probe_at=now_s + _TRIAL_S)
         return server, choice.reason
 
-    def _has_other(self, sending: Sending, server: Server) -> bool:
-        if sending.reached + 1 >= sending.permission.route.attempts:
-            return False
-        service = server.entry.service
-        return any(
-            other is not server and other.entry.id not in sending.tried
+    def _may_leave(self, sending: Sending, service: str) -> bool:
+        has_other = any(
+            other.entry.id not in sending.tried and not other.health.ejected
             for other in self._parts.beliefs.servers.usable(service)
         )
+        if not (has_other and _may_repeat(sending, self._budget(service))):
+            return False
+        sending.repeat_granted = True
+        return True
 
     def _service(self, sending: Sending) -> str:
         services = sending.permission.route.services
@@ -216,6 +218,9 @@
         return True
     if sending.reached >= sending.permission.route.attempts:
         return False
+    if sending.repeat_granted:
+        sending.repeat_granted = False
+        return True
     return budget.take(trio.current_time())
 
 
--- a/eelgrassfork/gateway/sending.py
+++ b/eelgrassfork/gateway/sending.py
@@ -110,6 +110,8 @@
     :param permission: its route and organisation.
     :param deadline: when its answer has to be complete, on the clock of trio.
     :ivar may_have_run: whether some server may have run it.
+    :ivar repeat_granted: whether the budget of repeated sends was used for
+        the next send.
     :ivar answered: whether the caller has a final answer.
     :ivar caller_gone: whether the caller left before.
     :ivar first_byte_at: when the answer began; -1 before.
@@ -129,6 +131,7 @@
         self.relay = EventRelay(head.last_event_id)
         self.sends: list[Send] = []
         self.may_have_run = False
+        self.repeat_granted = False
         self.answered = False
         self.caller_gone = False
         self.outcome = 'answered'
--- a/eelgrassfork/http_client.py
+++ b/eelgrassfork/http_client.py
@@ -7,7 +7,7 @@
 
 import math
 import select
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Final, NamedTuple
 
 import h11
@@ -34,6 +34,10 @@
 _MAX_HEADER_BYTES: Final = 65536
 # Fits into the send buffer of a socket, so that sending can't block.
 _SMALL_REQUEST_BYTES: Final = 4096
+# Twice the largest request body; a longer answer has no end that can be waited
+# for.
+_MAX_BODY_BYTES: Final = 16_777_216
+_MAX_INFORMATIONAL: Final = 16
 _BODILESS_METHODS: Final = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
 
@@ -65,12 +69,24 @@
     """No byte came within the bound on silence."""
 
 
+def _at_once() -> bool:
+    return True
+
+
 class ClientTimeouts(NamedTuple):
-    """Bounds on a request, in seconds."""
+    """
+    Bounds on a request, in seconds.
+
+    :param first_byte_s: until the whole head of the answer has come.
+    :param silence_s: between bytes of the body.
+    :param gives_up: asked each time that the head is late; where it says no,
+        the wait begins anew.
+    """
 
     connect_s: float = 1
     first_byte_s: float = 30
     silence_s: float = 10
+    gives_up: Callable[[], bool] = _at_once
 
 
 class ClientRequest(NamedTuple):
@@ -94,6 +110,22 @@
     host: str = ''
 
 
+class _Wait:
+    def __init__(
+        self, wait_s: float, gives_up: Callable[[], bool] = _at_once
+    ) -> None:
+        self._wait_s = wait_s
+        self._gives_up = gives_up
+        self.until = trio.current_time() + wait_s
+
+    def expire(self) -> None:
+        if self._gives_up():
+            raise ConnectionSilent(
+                'connection_silent', f'silent for {self._wait_s} s', sent=True
+            )
+        self.until = trio.current_time() + self._wait_s
+
+
 class _Connection:
     def __init__(self, stream: trio.abc.Stream) -> None:
         self.stream = stream
@@ -106,13 +138,13 @@
         self.reused = False
 
     async def exchange(
-        self, request: ClientRequest, first_byte_s: float
+        self, request: ClientRequest, bounds: ClientTimeouts
     ) -> h11.Response:
         encoded = self._encode(request)
         if len(encoded) <= _SMALL_REQUEST_BYTES:
             await self._send(encoded)
-            return await self._head(first_byte_s)
-        return await self._send_and_listen(encoded, first_byte_s)
+            return await self._head(bounds)
+        return await self._send_and_listen(encoded, bounds)
 
     def is_usable(self, max_idle_s: float) -> bool:
         idle_s = trio.current_time() - self.idle_since
@@ -120,7 +152,7 @@
             self.stream
         )
 
-    async def next_event(self, silence_s: float) -> object:
+    async def next_event(self, wait: _Wait) -> object:
         while True:
             try:
                 event = self.protocol.next_event()
@@ -128,7 +160,7 @@
                 raise _lost(f'not a valid answer: {error}') from None
             if event is not h11.NEED_DATA:
                 return event
-            self.protocol.receive_data(await self._receive(silence_s))
+            self.protocol.receive_data(await self._receive(wait))
 
     async def close(self) -> None:
         with trio.CancelScope(shield=True):
@@ -153,7 +185,7 @@
             raise _lost('the connection broke while sending') from None
 
     async def _send_and_listen(
-        self, encoded: bytes, first_byte_s: float
+        self, encoded: bytes, bounds: ClientTimeouts
     ) -> h11.Response:
         # A server may answer before it has read a long request.  The rest of
         # the request is not sent then, so the connection can't be reused.
@@ -161,7 +193,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_long, encoded)
             try:
-                outcome.append(await self._head(first_byte_s))
+                outcome.append(await self._head(bounds))
             except HttpClientError as error:
                 outcome.append(error)
             nursery.cancel_scope.cancel()
@@ -177,23 +209,24 @@
             return
         self.sent_whole = True
 
-    async def _head(self, first_byte_s: float) -> h11.Response:
-        while True:
-            event = await self.next_event(first_byte_s)
+    async def _head(self, bounds: ClientTimeouts) -> h11.Response:
+        wait = _Wait(bounds.first_byte_s, bounds.gives_up)
+        for _ in range(_MAX_INFORMATIONAL):
+            event = await self.next_event(wait)
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise _lost('the connection was closed before an answer')
+        raise _lost('too many informational answers')
 
-    async def _receive(self, silence_s: float) -> bytes:
-        with trio.move_on_after(silence_s):
-            try:
-                return bytes(await self.stream.receive_some(_RECEIVE_BYTES))
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                raise _lost('the connection broke') from None
-        raise ConnectionSilent(
-            'connection_silent', f'no byte within {silence_s} s', sent=True
-        )
+    async def _receive(self, wait: _Wait) -> bytes:
+        while True:
+            with trio.move_on_at(wait.until):
+                try:
+                    return bytes(await self.stream.receive_some(_RECEIVE_BYTES))
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    raise _lost('the connection broke') from None
+            wait.expire()
 
 
 def _is_readable(stream: trio.abc.Stream) -> bool:
@@ -257,24 +290,40 @@
             answer.
         :raises HttpClientError: if the answer is cut or goes silent.
         """
+        while chunk := await self.next_chunk():
+            yield chunk
+
+    async def next_chunk(self) -> bytes:
+        """
+        Read some bytes of the body; no byte is lost if it is cancelled.
+
+        :returns: the next bytes, empty once the answer is whole.
+        :raises HttpClientError: if the answer is cut or goes silent.
+        """
         while not self._whole:
-            event = await self._connection.next_event(self._silence_s)
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
+            event = await self._connection.next_event(_Wait(self._silence_s))
+            if isinstance(event, h11.EndOfMessage):
                 self._whole = True
-            else:
+            elif not isinstance(event, h11.Data):
                 raise _lost('the answer was cut')
+            elif event.data:
+                return bytes(event.data)
+        return b''
 
     async def read(self) -> bytes:
         """
         Read the whole body.
 
         :returns: the body.
-        :raises HttpClientError: if the answer is cut or goes silent.
+        :raises HttpClientError: if the answer is cut, goes silent or is too
+            long.
         """
-        parts = [chunk async for chunk in self.chunks()]
-        return b''.join(parts)
+        body = bytearray()
+        async for chunk in self.chunks():
+            body += chunk
+            if len(body) > _MAX_BODY_BYTES:
+                raise _lost(f'the body exceeds {_MAX_BODY_BYTES} bytes')
+        return bytes(body)
 
     async def close(self) -> None:
         """Give the connection back if the answer is whole, or close it."""
@@ -436,7 +485,7 @@
         bounds: ClientTimeouts,
     ) -> Response:
         try:
-            head = await connection.exchange(request, bounds.first_byte_s)
+            head = await connection.exchange(request, bounds)
         except BaseException:
             await connection.close()
             raise
--- a/tests/test_gateway_forwarder.py
+++ b/tests/test_gateway_forwarder.py
@@ -9,6 +9,7 @@
 import testtools
 import trio
 
+from eelgrassfork.gateway.repeat_budget import RepeatPolicy
 from eelgrassfork.http_client import ClientRequest, ConnectionLost
 
 from .gateway_world import configuration, run_world
@@ -168,6 +169,37 @@
 
         self.assertEqual(1, run_world(scenario, model=[['torn:3'], ['torn:3']]))
 
+    def test_slow_stream_on_its_last_attempt_is_not_cut(self):
+        async def scenario(world, nursery):
+            response, body = await world.call('/match/x', method='POST')
+            return response.status, body.count(b'id:')
+
+        script = ['torn:1', 'slow:4']
+        self.assertEqual((200, 4), run_world(scenario, model=[script, script]))
+
+    def test_slow_stream_is_kept_where_no_repeated_send_is_left(self):
+        async def scenario(world, nursery):
+            world.node._sender.change_repeat_policy(RepeatPolicy(0, 10, 0))
+            response, body = await world.call('/match/x', method='POST')
+            runs = sum(len(one.runs) for one in world.replicas)
+            return response.status, body.count(b'id:'), runs
+
+        self.assertEqual(
+            (200, 3, 1), run_world(scenario, model=[['slow:3'], ['slow:3']])
+        )
+
+    def test_bytes_that_complete_no_event_do_not_hold_a_stream(self):
+        async def scenario(world, nursery):
+            started_at = trio.current_time()
+            response, body = await world.call('/match/x', method='POST')
+            whole_s = trio.current_time() - started_at
+            return response.status, body.count(b'id:'), whole_s
+
+        script = ['drip', 'stream:3']
+        status, events, whole_s = run_world(scenario, model=[script, script])
+        self.assertEqual((200, 3), (status, events))
+        self.assertLess(whole_s, 1)
+
     def test_credit_is_charged_for_what_was_delivered(self):
         async def scenario(world, nursery):
             await world.call('/match/x', method='POST', x_token_counts='100,40')
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -12,6 +12,7 @@
     ClientRequest,
     ClientTimeouts,
     ConnectionLost,
+    ConnectionSilent,
     HttpClient,
 )
 
@@ -178,3 +179,62 @@
             return first, again, server.connections
 
         self.assertEqual((b'ok', b'ok', 2), run(play, scenario))
+
+
+def endless(head, pieces, pause_s):
+    """Send a head, then the same bytes until the caller closes."""
+
+    async def play(server, stream, number):
+        await server.request(stream)
+        await stream.send_all(head)
+        while True:
+            await stream.send_all(pieces)
+            await trio.sleep(pause_s)
+
+    return play
+
+
+async def fail(client, server, address):
+    started_at = trio.current_time()
+    try:
+        await client.fetch(ClientRequest(address, 'POST', '/'))
+    except (ConnectionLost, ConnectionSilent) as error:
+        return error.code, trio.current_time() - started_at
+    return 'answered', 0
+
+
+class EndlessAnswerTests(testtools.TestCase):
+    def assert_ends(self, play, code):
+        found, seconds = run(play, fail)
+        self.assertEqual(code, found)
+        self.assertLess(seconds, 2)
+
+    def test_head_without_end_is_bounded_in_bytes(self):
+        self.assert_ends(
+            endless(b'HTTP/1.1 200 OK\r\n', b'a: b\r\n' * 1000, 0),
+            'connection_lost',
+        )
+
+    def test_bytes_that_are_no_head_are_bounded(self):
+        self.assert_ends(endless(b'', b'x' * 9000, 0), 'connection_lost')
+
+    def test_head_that_drips_is_bounded_in_time(self):
+        self.assert_ends(
+            endless(b'HTTP/1.1 200 OK\r\nx: ', b'y', 0.05),
+            'connection_silent',
+        )
+
+    def test_informational_answers_without_end_are_bounded(self):
+        self.assert_ends(
+            endless(b'', b'HTTP/1.1 103 Early\r\n\r\n', 0), 'connection_lost'
+        )
+
+    def test_body_without_end_is_bounded_in_bytes(self):
+        self.assert_ends(
+            endless(b'HTTP/1.1 200 OK\r\n\r\n', b'x' * 65536, 0),
+            'connection_lost',
+        )
+
+    def test_chunk_length_without_end_is_bounded(self):
+        head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;'
+        self.assert_ends(endless(head, b'y' * 9000, 0), 'connection_lost')
