Know the own failure domain whole, and others by their size and keeper

- Heartbeats go to three routers of the own domain in turn and one of another domain, and carry views of whole domains.
The bytes a second do not grow with the fleet (test); elections are computed when membership changes.
- A store that is away is asked for by watchers at about ten calls a second and by all other routers together at eight.
Watchers are two a domain.
Their bounds follow the bound on configurations of the settings.
Only watchers and lonely routers register.
- Standby credit is released in steps from 3.5 s after the last renewal, so a restart takes over what can't have been released (before: all within 3.0 s, else nothing).
Keepers hold 4.5 s of use (was 5.5).
- Keepers that have not said what they hold are asked where the own one lacks.

A late restart takes over a part, by the time.

--- a/eelgrassfork/gateway/credit.py
+++ b/eelgrassfork/gateway/credit.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Mapping
+from heapq import nlargest
 from typing import Final, NamedTuple
 
 from .ledger import Ledger, Transfer, remaining
@@ -53,7 +54,7 @@
     """
 
     hold_s: float = 1
-    keeper_hold_s: float = 5.5
+    keeper_hold_s: float = 4.5
     scarce_hold_s: float = 2.5
     scarce_part: float = 0.1
     standby_s: float = 8
@@ -89,6 +90,8 @@
 
 
 _LN_2: Final = 0.693
+# A heartbeat has to fit into one datagram.
+_MOST_SHOWN: Final = 100
 
 
 class _Account:
@@ -131,6 +134,16 @@
             for name, account in self._accounts_by_organisation.items()
         }
 
+    def most_free(self) -> dict[str, int]:
+        """
+        Read the largest amounts of free credit.
+
+        :returns: tokens by organisation; as many as fit into a heartbeat.
+        """
+        free = self.free_by_organisation()
+        names = nlargest(_MOST_SHOWN, free, key=free.__getitem__)
+        return {name: free[name] for name in names if free[name]}
+
     def rate(self, organisation: str, now_s: float) -> float:
         """
         Estimate the use of an organisation at this router.
--- a/eelgrassfork/gateway/credit_exchange.py
+++ b/eelgrassfork/gateway/credit_exchange.py
@@ -20,10 +20,11 @@
     HttpClientError,
 )
 from ..http_server import Call
-from .gossip import Gossip, Peer
 from .ledger import add_up
 from .lending import CreditAnswer, CreditRequest, LedgerView, Loan
 from .node_settings import NodeSettings
+from .peers import Peer
+from .roster import Roster
 
 __all__ = ('CREDIT_PATH', 'CreditExchange')
 
@@ -40,6 +41,8 @@
 _BORROW_S: Final = 0.2
 # Heartbeats show within this time whether a silent peer is gone.
 _AVOID_S: Final = 2.0
+# What a peer said of its credit is of no use after so long.
+_KNOWN_S: Final = 2.0
 _BODY: Final = (('content-type', 'application/msgpack'),)
 
 
@@ -48,17 +51,16 @@
     Borrows credit, hands it over, and serves peers that do the same.
 
     :param client: HTTP client.
-    :param gossip: who lives and what they have.
+    :param roster: who lives and what they have.
     :param settings: of this router; the port for peers is the same on all.
     :ivar lend: hands over credit of this router, once there is any.
     """
 
     def __init__(
-        self, client: HttpClient, gossip: Gossip, settings: NodeSettings
+        self, client: HttpClient, roster: Roster, settings: NodeSettings
     ) -> None:
         self._client = client
-        self._gossip = gossip
-        self._failure_domain = settings.failure_domain
+        self._roster = roster
         self._port = settings.peer_address.rpartition(':')[2]
         self._avoided_until_by_node: dict[str, float] = {}
         self.lend: Callable[[CreditRequest], Awaitable[CreditAnswer]] = _nothing
@@ -78,7 +80,7 @@
             urgent = _missing(request.urgent_by_organisation, lent)
             if trio.current_time() >= end_at:
                 break
-            if ledger is not None and not _free(peer, urgent):
+            if ledger is not None and not _may_have(peer, urgent):
                 continue
             answer = await self._borrow_from(
                 peer, asked._replace(urgent_by_organisation=urgent)
@@ -105,16 +107,21 @@
             return True
         return False
 
-    def peers_free(self, organisation: str) -> int:
+    def may_lend(self, organisation: str, tokens: int) -> bool:
         """
-        Sum up the credit that peers said they had.
+        Tell whether peers may have credit.
 
         :param organisation: whose credit.
-        :returns: tokens.
+        :param tokens: how much is needed.
+        :returns: whether they said that they had so much together, or some
+            keeper has not said what it has.
         """
-        return sum(
-            _free(peer, (organisation,)) for peer in self._gossip.spoken()
+        if any(map(_is_unknown, self._keepers())):
+            return True
+        said = sum(
+            _free(peer, (organisation,)) for peer in self._roster.peers.spoken()
         )
+        return said >= tokens
 
     async def serve(self, call: Call) -> bytes:
         """
@@ -163,22 +170,24 @@
 
     def _lenders(self, wanted: Iterable[str]) -> list[Peer]:
         now_s = trio.current_time()
-        keepers = self._keepers()[:1]
+        keepers = self._keepers()
+        unknown = [peer for peer in keepers[1:] if _is_unknown(peer)]
+        keepers = keepers[:1]
         others = [
             peer
-            for peer in self._gossip.spoken()
+            for peer in self._roster.peers.spoken()
             if peer not in keepers
             and _free(peer, wanted) > 0
             and self._avoided_until_by_node.get(peer.node, 0) <= now_s
         ]
         others.sort(key=lambda peer: _free(peer, wanted), reverse=True)
-        return [*keepers, *others][:_MAX_LENDERS]
+        return [*keepers, *others, *unknown][:_MAX_LENDERS]
 
     def _keepers(self) -> list[Peer]:
         now_s = trio.current_time()
         return [
             peer
-            for peer in self._gossip.keepers(self._failure_domain)
+            for peer in self._roster.keepers()
             if peer is not None
             and self._avoided_until_by_node.get(peer.node, 0) <= now_s
         ]
@@ -199,6 +208,15 @@
     }
 
 
+def _is_unknown(peer: Peer) -> bool:
+    age_s = trio.current_time() - peer.spoke_at
+    return peer.heartbeat is None or age_s > _KNOWN_S
+
+
+def _may_have(peer: Peer, organisations: Iterable[str]) -> bool:
+    return _is_unknown(peer) or _free(peer, organisations) > 0
+
+
 def _free(peer: Peer, organisations: Iterable[str]) -> int:
     if peer.heartbeat is None:
         return 0
--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -61,9 +61,9 @@
     :param failure_domain: where this router runs.
     :param borrow: asks peers for credit.
     :param deposit: hands credit over to a keeper; tells whether there is one.
-    :param peers_free: free credit of an organisation at peers by their last
-        word.
+    :param may_lend: whether peers may have so much credit of an organisation.
     :param fleet_time: median of the routers' clocks.
+    :param is_first: whether no former process ran on this VM.
     """
 
     prepaid: Callable[[], Tokens]
@@ -73,8 +73,9 @@
     failure_domain: str
     borrow: Callable[[CreditRequest], Awaitable[Loan]]
     deposit: Callable[[CreditRequest], Awaitable[bool]]
-    peers_free: Callable[[str], int]
+    may_lend: Callable[[str, int], bool]
     fleet_time: Callable[[], FleetTime]
+    is_first: bool = False
 
 
 class CreditKeeper:
@@ -108,6 +109,7 @@
             Standby(store, node, incarnation, world.fleet_time, self._add),
             self._ledger,
             self._view,
+            world.is_first,
         )
         self.lender = Lender(
             LenderParts(
@@ -151,7 +153,7 @@
         if self._world.is_keeper():
             await self._draw_for({organisation: amount})
             missing = amount - self.held.free(organisation)
-            if 0 < missing <= self._world.peers_free(organisation):
+            if missing > 0 and self._world.may_lend(organisation, missing):
                 await self._borrow({organisation: missing}, {})
         else:
             missing = amount - self.held.free(organisation)
--- /dev/null
+++ b/eelgrassfork/gateway/domain_views.py
@@ -0,0 +1,84 @@
+"""
+eelgrassfork.gateway.domain_views
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Failure domains other than the own one, as routers describe them.
+"""
+
+from typing import Final
+
+import trio
+
+from .heartbeats import DomainView, Heartbeat
+
+__all__ = ('DomainViews',)
+
+# Three heartbeats of several routers in a row do not get lost by chance.
+_CUT_OFF_S: Final = 0.8
+_MS_PER_S: Final = 1000
+
+
+class DomainViews:
+    """
+    The newest view of each failure domain.
+
+    :param failure_domain: the own one, which has no view here.
+    """
+
+    def __init__(self, failure_domain: str) -> None:
+        self._failure_domain = failure_domain
+        self._views_by_domain: dict[str, tuple[float, DomainView]] = {}
+        self._outside_at: float = float('-inf')
+
+    @property
+    def outside_age_ms(self) -> int | None:
+        """Time since another domain was heard; ``None`` if none ever was."""
+        if self._outside_at == float('-inf'):
+            return None
+        return int((trio.current_time() - self._outside_at) * _MS_PER_S)
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether other domains were heard, and none of them lately."""
+        if self._outside_at == float('-inf'):
+            return False
+        return trio.current_time() - self._outside_at > _CUT_OFF_S
+
+    def take(self, heartbeat: Heartbeat, trust_near: bool) -> None:
+        """
+        Take over what a router says of failure domains.
+
+        :param heartbeat: of another router.
+        :param trust_near: whether a router of the own domain may tell that
+            it heard others; in a small fleet each hears them itself.
+        """
+        now_s = trio.current_time()
+        domain = heartbeat.failure_domain
+        if domain != self._failure_domain:
+            self._outside_at = now_s
+        elif heartbeat.outside_age_ms is not None and trust_near:
+            outside_at = now_s - heartbeat.outside_age_ms / _MS_PER_S
+            self._outside_at = max(self._outside_at, outside_at)
+        said = DomainView(domain, 1, heartbeat.node, heartbeat.ip, 0)
+        for view in heartbeat.domains or (said,):
+            self._put(view, now_s - view.age_ms / _MS_PER_S)
+
+    def newest(self, within_s: float) -> list[DomainView]:
+        """
+        List what is known of other failure domains.
+
+        :param within_s: oldest age that counts.
+        :returns: views with their present age.
+        """
+        now_s = trio.current_time()
+        return [
+            view._replace(age_ms=int((now_s - at) * _MS_PER_S))
+            for at, view in self._views_by_domain.values()
+            if now_s - at <= within_s
+        ]
+
+    def _put(self, view: DomainView, at: float) -> None:
+        name = view.failure_domain
+        known_at = self._views_by_domain.get(name, (float('-inf'), None))[0]
+        if name != self._failure_domain and at >= known_at:
+            self._views_by_domain[name] = (at, view)
--- a/eelgrassfork/gateway/duty.py
+++ b/eelgrassfork/gateway/duty.py
@@ -5,83 +5,114 @@
 Decides which routers watch the store for the others.
 
 Each change ends all watches, so that in a large fleet a few routers of each
-failure domain watch, and the others learn of changes from them.  A router
-watches by itself once nobody it hears of has reached the store lately.
+failure domain watch, and the others learn of changes from them.  Once nobody
+that a router hears of has reached the store lately, all routers ask for it in
+turn, at a rate that does not grow with the fleet.
 """
 
-from collections.abc import Callable, Mapping
+import random
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 import trio
 
 from ..names import rendezvous_order
+from .roster import FleetView
 
-__all__ = ('DutyPolicy', 'WatchDuty', 'is_watcher')
-
-Nodes = Mapping[str, list[str]]
+__all__ = ('DutyPolicy', 'WatchDuty', 'count_watchers', 'is_watcher')
 
 _MS_PER_S: Final = 1000
 
 
 class DutyPolicy(NamedTuple):
     """
-    Who watches.
+    Who watches, and who asks for a store that is away.
 
     :param all_up_to: in fleets of so many routers each one watches; they
         send their heartbeats to all, so that few calls would be saved.
     :param watchers: routers of a failure domain that watch.
-    :param longest_silence_s: a router watches by itself when nobody has
-        reached the store for so long; less than half of the bound on
-        configurations.
-    :param volunteer_s: for so long it does so after a peer did not tell it
-        what it knew.
+    :param longest_silence_s: other routers ask for the store when nobody has
+        reached it for so long; at most half of the bound on configurations.
+    :param renewal_s: all watches are renewed in turn, one in so long.
+    :param volunteer_s: for so long a router watches after a peer did not
+        tell what it knew.
+    :param asks_per_s: how often all routers that do not watch ask together
+        for a store that is away.
+    :param retry_s: shortest time between calls of a watcher that fails.
+    :param watcher_retry_s: the same for each watcher of the fleet, so that
+        all of them ask about ten times a second.
+    :param relieved_s: the same while other routers reach the store.
     """
 
     all_up_to: int = 12
-    watchers: int = 3
+    watchers: int = 2
     longest_silence_s: float = 1.2
+    renewal_s: float = 0.5
     volunteer_s: float = 5
+    asks_per_s: float = 8
+    retry_s: float = 0.5
+    watcher_retry_s: float = 0.1
+    relieved_s: float = 4
 
 
-def is_watcher(node: str, nodes_by_domain: Nodes, policy: DutyPolicy) -> bool:
+def is_watcher(node: str, fleet: FleetView, policy: DutyPolicy) -> bool:
     """
     Tell whether a router is one of those that watch.
 
     :param node: name of its VM.
-    :param nodes_by_domain: live routers by failure domain, this one too.
+    :param fleet: the routers that live.
     :param policy: who watches.
     :returns: whether it watches.
     """
-    routers = sum(len(nodes) for nodes in nodes_by_domain.values())
-    if routers <= policy.all_up_to:
+    if node not in fleet.near:
+        return False
+    if fleet.routers <= policy.all_up_to:
         return True
-    return any(
-        node in rendezvous_order(f'watch {domain}', nodes)[: policy.watchers]
-        for domain, nodes in nodes_by_domain.items()
-        if node in nodes
+    return (
+        node in rendezvous_order('watch', list(fleet.near))[: policy.watchers]
     )
 
 
+def count_watchers(fleet: FleetView, policy: DutyPolicy) -> int:
+    """
+    Count the routers that should watch.
+
+    :param fleet: the routers that live.
+    :param policy: who watches.
+    :returns: their number in the whole fleet, at least 1.
+    """
+    if fleet.routers <= policy.all_up_to:
+        return max(1, fleet.routers)
+    return min(fleet.routers, fleet.domains * policy.watchers)
+
+
 class WatchDuty:
     """
     What a router knows of the fleet's contact with the store.
 
     :param node: name of this VM.
-    :param nodes_by_domain: reads the live routers by failure domain.
+    :param fleet: reads the routers that live.
     :param policy: who watches.
+    :param is_seed: whether other routers come to this one first; it does not
+        wait for what they may know.
     """
 
     def __init__(
         self,
         node: str,
-        nodes_by_domain: Callable[[], Nodes],
+        fleet: Callable[[], FleetView],
         policy: DutyPolicy | None = None,
+        is_seed: bool = False,
     ) -> None:
         self._node = node
-        self._nodes_by_domain = nodes_by_domain
+        self._fleet = fleet
         self._policy = policy or DutyPolicy()
+        self._is_seed = is_seed
+        self._random = random.Random()
         self._reached_at: float = float('-inf')
         self._volunteers_until: float = float('-inf')
+        self._asks_at: float | None = None
+        self._elected: tuple[FleetView | None, bool] = (None, False)
 
     @property
     def store_age_ms(self) -> int | None:
@@ -98,19 +129,56 @@
     @property
     def watchers(self) -> int:
         """Number of routers that should watch."""
-        counts = [len(nodes) for nodes in self._nodes_by_domain().values()]
-        if sum(counts) <= self._policy.all_up_to:
-            return sum(counts)
-        return sum(min(count, self._policy.watchers) for count in counts)
+        return count_watchers(self._fleet(), self._policy)
+
+    @property
+    def longest_watch_s(self) -> float:
+        """Length of a watch with which all of them are renewed in turn."""
+        return self.watchers * self._policy.renewal_s
 
     @property
     def must_watch(self) -> bool:
         """Whether this router has to watch the store itself."""
         if trio.current_time() < self._volunteers_until:
             return True
-        if not self.is_store_reached:
-            return True
-        return is_watcher(self._node, self._nodes_by_domain(), self._policy)
+        fleet = self._fleet()
+        if not fleet.is_settled and not self._is_seed:
+            return False
+        known, elected = self._elected
+        if fleet != known:
+            elected = is_watcher(self._node, fleet, self._policy)
+            self._elected = (fleet, elected)
+        return elected
+
+    @property
+    def must_ask(self) -> bool:
+        """Whether it is this router's turn to ask for an absent store."""
+        fleet = self._fleet()
+        if self.is_store_reached or not fleet.is_settled:
+            self._asks_at = None
+            return False
+        now_s = trio.current_time()
+        if self._asks_at is None:
+            mean_s = max(1, fleet.routers) / self._policy.asks_per_s
+            self._asks_at = now_s + self._random.expovariate(1 / mean_s)
+        if now_s < self._asks_at:
+            return False
+        self._asks_at = None
+        return True
+
+    def retry_s(self, failures: int) -> float:
+        """
+        Compute when to call again after a call that failed.
+
+        :param failures: number of failed calls before it, in a row.
+        :returns: seconds.
+        """
+        policy = self._policy
+        longest_s = max(policy.retry_s, self.watchers * policy.watcher_retry_s)
+        if self.is_store_reached:
+            longest_s = max(longest_s, policy.relieved_s)
+        least_s = min(longest_s, policy.retry_s / 2 * 2**failures)
+        return self._random.uniform(least_s / 2, least_s)
 
     def note_contact(self, age_ms: int | None = 0) -> None:
         """
--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -24,17 +24,12 @@
 
 _log = logbook.Logger('follow')
 
-_RETRY_S: Final = 0.25
-_MAX_DOUBLINGS: Final = 4
-# With the second that a silent call takes, shorter than the bound on
-# configurations.
-_LONGEST_RETRY_S: Final = 0.5
+_MAX_DOUBLINGS: Final = 10
 # While the store is away only the configuration's follower asks for it; the
 # other one waits for its success, or so long.
 _LONGEST_WAIT_S: Final = 2.0
-# A watch that hears nothing may be dead.  With the watches of all routers
-# renewed in turn, one of them hears of a change within about this time.
-_RENEWAL_S: Final = 0.5
+# Tells at once whether a store that was away is back.
+_ASK_S: Final = 0.05
 _SHORTEST_WATCH_S: Final = 2.4
 # A small part of the bound on configurations.
 _DUTY_POLL_S: Final = 0.25
@@ -224,10 +219,13 @@
                 failures = 0
 
     async def _pause(self, kind: str, failures: int) -> None:
-        if kind == self._decoders.configuration_kind:
-            doubled = _RETRY_S * 2 ** min(failures, _MAX_DOUBLINGS)
-            longest_s = min(_LONGEST_RETRY_S, doubled)
-            await trio.sleep(longest_s * (1 + self._random.random()) / 2)
+        if self._leads(kind):
+            doublings = min(failures, _MAX_DOUBLINGS)
+            ends_at = trio.current_time() + self._duty.retry_s(doublings)
+            while trio.current_time() < ends_at:
+                self._hear_of_store()
+                left_s = ends_at - trio.current_time()
+                await trio.sleep(min(_DUTY_POLL_S, left_s))
             return
         with trio.move_on_after(_LONGEST_WAIT_S):
             await self._returned.wait()
@@ -239,15 +237,14 @@
         on_listing: Callable[[Listing], None],
         on_changes: Callable[[list[Change]], None],
     ) -> int:
+        await self._wait_for_duty(kind)
         if revision is None:
             listing = await self._store.list_all(kind)
             self._note(True, '')
             on_listing(listing)
             return listing.revision
-        await self._wait_for_duty(kind)
-        changes, revision = await self._store.watch(
-            kind, revision, self._watch_s()
-        )
+        wait_s = self._watch_s() if self._reachable else _ASK_S
+        changes, revision = await self._store.watch(kind, revision, wait_s)
         self._note(True, '')
         on_changes(changes)
         return revision
@@ -257,11 +254,22 @@
             return
         self._log_duty('leaves the watch to others', kind)
         while not self._duty.must_watch:
-            if not self._reachable:
-                self._turn(True, 'peers reach it')
+            if self._leads(kind):
+                self._hear_of_store()
+                if self._duty.must_ask:
+                    self._log_duty('asks for the store', kind)
+                    return
             await trio.sleep(_DUTY_POLL_S)
         self._log_duty('watches the store', kind)
 
+    def _hear_of_store(self) -> None:
+        reached = self._duty.is_store_reached
+        if reached != self._reachable:
+            self._turn(reached, 'by the word of peers')
+
+    def _leads(self, kind: str) -> bool:
+        return kind == self._decoders.configuration_kind
+
     def _log_duty(self, text: str, kind: str) -> None:
         _log.info(
             text,
@@ -273,7 +281,7 @@
         )
 
     def _watch_s(self) -> float:
-        longest_s = min(_LONGEST_WATCH_S, self._duty.watchers * _RENEWAL_S)
+        longest_s = min(_LONGEST_WATCH_S, self._duty.longest_watch_s)
         part = self._random.uniform(_LEAST_PART, 1)
         return max(_SHORTEST_WATCH_S, longest_s) * part
 
--- a/eelgrassfork/gateway/gossip.py
+++ b/eelgrassfork/gateway/gossip.py
@@ -2,126 +2,57 @@
 eelgrassfork.gateway.gossip
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Heartbeats between routers by UDP: who lives, and what is known how newly.
+Heartbeats between routers by UDP.
 """
 
-import random
 import time
 from collections.abc import Callable
 from statistics import median_low
-from typing import Final, NamedTuple
+from typing import Final
 
 import logbook
 import msgspec
 import trio
 
-from ..names import rendezvous_order
+from .heartbeats import Heartbeat
+from .peers import Peer
+from .roster import Place, Roster
 from .standby import FleetTime
 
-__all__ = (
-    'Gossip',
-    'Heartbeat',
-    'Known',
-    'Peer',
-    'count_keepers',
-    'describe_peers',
-    'unix_ms',
-)
+__all__ = ('Gossip', 'describe_peers', 'unix_ms')
 
 _log = logbook.Logger('gossip')
 
 _INTERVAL_S: Final = 0.25
-# Up to so many peers each heartbeat goes to all of them.
-_FAN_OUT: Final = 12
-_SAMPLE: Final = 10
-_SILENT_S: Final = 2.0
-# Three heartbeats of several routers in a row do not get lost by chance.
-_CUT_OFF_S: Final = 0.8
-_FORGET_S: Final = 60.0
 _DATAGRAM_BYTES: Final = 8192
 _MS_PER_S: Final = 1000
 _NS_PER_MS: Final = 1_000_000
 
 
-class Known(NamedTuple):
-    """A router that a heartbeat mentions, and how long ago it was heard of."""
-
-    node: str
-    ip: str
-    incarnation: int
-    age_ms: int
-
-
-class Heartbeat(NamedTuple):
-    """
-    What a router says of itself.
-
-    :param incarnation: start of its process; a later one is newer.
-    :param draining: it is about to stop.
-    :param configuration_version: 0 if it knows none.
-    :param servers_digest: of its table of backend servers.
-    :param free_by_organisation: credit that it could lend, in tokens.
-    :param servers_revision: newest revision in that table.
-    :param store_age_ms: time since some router reached the store.
-    :param unix_ms: its clock.
-    :param others: some of the routers that it knows.
-    """
-
-    node: str
-    ip: str
-    incarnation: int
-    failure_domain: str
-    draining: bool = False
-    configuration_version: int = 0
-    servers_digest: int = 0
-    free_by_organisation: dict[str, int] = {}
-    servers_revision: int = 0
-    store_age_ms: int | None = None
-    unix_ms: int = 0
-    others: tuple[Known, ...] = ()
-
-
-class Peer:
-    """
-    Another router.
-
-    :ivar heartbeat: its last one; ``None`` if others only mentioned it.
-    :ivar heard_at: when it or somebody who had heard it spoke last.
-    """
-
-    def __init__(self, node: str, ip: str, incarnation: int) -> None:
-        self.node = node
-        self.ip = ip
-        self.incarnation = incarnation
-        self.heartbeat: Heartbeat | None = None
-        self.heard_at: float = 0
-        self.spoke_at: float = 0
-
-
 class Gossip:
     """
     Sends and takes heartbeats.
 
-    :param ip: address of this VM.
+    :param own: where this router runs.
     :param port: UDP port, the same on every VM.
-    :param describe: makes this router's heartbeat, without ``others``.
+    :param describe: makes this router's heartbeat, without what is known of
+        others.
     :param on_heartbeat: told of each one that comes.
+    :ivar roster: the routers that are known.
     """
 
     def __init__(
         self,
-        ip: str,
+        own: Place,
         port: int,
         describe: Callable[[], Heartbeat],
         on_heartbeat: Callable[[Heartbeat], None],
     ) -> None:
-        self._ip = ip
+        self._ip = own.ip
         self._port = port
-        self._describe = describe
         self._on_heartbeat = on_heartbeat
-        self._by_node: dict[str, Peer] = {}
+        self.roster = Roster(own, describe)
         self._seed_ips: tuple[str, ...] = ()
-        self._random = random.Random()
         self._socket: trio.socket.SocketType | None = None
         self._decoder = msgspec.msgpack.Decoder(Heartbeat)
         self._now = trio.Event()
@@ -156,33 +87,6 @@
         """Send the next heartbeat now."""
         self._now.set()
 
-    def live(self) -> list[Peer]:
-        """
-        List the routers heard of lately, without this one.
-
-        :returns: peers that do not drain.
-        """
-        oldest = trio.current_time() - _SILENT_S
-        return [
-            peer
-            for peer in self._by_node.values()
-            if peer.heard_at >= oldest
-            and not (peer.heartbeat and peer.heartbeat.draining)
-        ]
-
-    def spoken(self) -> list[Peer]:
-        """
-        List the routers that spoke to this one lately.
-
-        :returns: peers with a heartbeat of their own.
-        """
-        oldest = trio.current_time() - _SILENT_S
-        return [
-            peer
-            for peer in self._by_node.values()
-            if peer.heartbeat is not None and peer.spoke_at >= oldest
-        ]
-
     def fleet_time(self) -> FleetTime:
         """
         Compute the median of the routers' clocks.
@@ -191,103 +95,31 @@
         """
         now_s = trio.current_time()
         clocks = [unix_ms()]
-        for peer in self.spoken():
+        for peer in self.roster.peers.spoken():
             if peer.heartbeat is not None:
                 age_s = now_s - peer.spoke_at
                 clocks.append(peer.heartbeat.unix_ms + int(age_s * _MS_PER_S))
         return FleetTime(median_low(clocks), len(clocks))
 
-    def is_cut_off(self) -> bool:
-        """
-        Tell whether only routers of the own failure domain are heard.
-
-        :returns: ``False`` if there never were others.
-        """
-        own = self._describe().failure_domain
-        spoke_at = [
-            peer.spoke_at
-            for peer in self._by_node.values()
-            if peer.heartbeat and peer.heartbeat.failure_domain != own
-        ]
-        if not spoke_at:
-            return False
-        return trio.current_time() - max(spoke_at) > _CUT_OFF_S
-
-    def keepers(self, failure_domain: str) -> list[Peer | None]:
-        """
-        List the routers that draw credit for others, one a failure domain.
-
-        :param failure_domain: the one whose router comes first.
-        :returns: peers; ``None`` stands for this router.
-        """
-        nodes_by_domain = self.nodes_by_domain()
-        domains = sorted(
-            nodes_by_domain, key=lambda domain: domain != failure_domain
-        )
-        return [
-            self._by_node.get(_first(domain, nodes_by_domain[domain]))
-            for domain in domains
-        ]
-
-    def nodes_by_domain(self) -> dict[str, list[str]]:
-        """
-        List the routers that do not drain, this one too.
-
-        :returns: nodes by failure domain.
-        """
-        own = self._describe()
-        nodes_by_domain: dict[str, list[str]] = {}
-        if not own.draining:
-            nodes_by_domain[own.failure_domain] = [own.node]
-        for peer in self.live():
-            if peer.heartbeat is not None:
-                domain = peer.heartbeat.failure_domain
-                nodes_by_domain.setdefault(domain, []).append(peer.node)
-        return nodes_by_domain
-
-    def known(self) -> list[Peer]:
-        """
-        List the routers heard of in the last minute, without this one.
-
-        :returns: peers, maybe out of reach.
-        """
-        return list(self._by_node.values())
-
     async def _send(self, opened: trio.socket.SocketType) -> None:
         while True:
-            body = msgspec.msgpack.encode(self._heartbeat())
-            for ip in self._targets():
-                await _send_to(opened, (ip, self._port), body)
+            targets = self.roster.targets(self._seed_ips)
+            for failure_domain, ips in targets.items():
+                if ips:
+                    body = _encode(self.roster.heartbeat(failure_domain, False))
+                for ip in ips:
+                    await _send_to(opened, (ip, self._port), body)
             with trio.move_on_after(_INTERVAL_S):
                 await self._now.wait()
             self._now = trio.Event()
 
-    def _heartbeat(self) -> Heartbeat:
-        now_s = trio.current_time()
-        peers = [
-            Known(
-                peer.node,
-                peer.ip,
-                peer.incarnation,
-                int((now_s - peer.heard_at) * _MS_PER_S),
-            )
-            for peer in self._by_node.values()
-            if now_s - peer.heard_at < _SILENT_S
-        ]
-        sample = self._random.sample(peers, min(_SAMPLE, len(peers)))
-        return self._describe()._replace(
-            others=tuple(sample), unix_ms=unix_ms()
-        )
-
-    def _targets(self) -> list[str]:
-        now_s = trio.current_time()
-        for node, peer in list(self._by_node.items()):
-            if now_s - peer.heard_at > _FORGET_S:
-                self._by_node.pop(node)
-        ips = {one.ip for one in self._by_node.values()} | set(self._seed_ips)
-        if len(ips) <= _FAN_OUT:
-            return sorted(ips)
-        return self._random.sample(sorted(ips), _FAN_OUT // 2)
+    async def _introduce(
+        self, opened: trio.socket.SocketType, heartbeat: Heartbeat
+    ) -> None:
+        answer = self.roster.heartbeat(heartbeat.failure_domain, is_new=True)
+        # Two new routers must not answer each other without end.
+        body = _encode(answer._replace(is_new=False))
+        await _send_to(opened, (heartbeat.ip, self._port), body)
 
     async def _receive(self, opened: trio.socket.SocketType) -> None:
         while True:
@@ -299,53 +131,24 @@
                 _log.debug('no heartbeat came', extra={'why': str(error)})
                 await trio.sleep(_INTERVAL_S)
                 continue
-            self._take(body)
+            heartbeat = self._take(body)
+            if heartbeat is not None and heartbeat.is_new:
+                await self._introduce(opened, heartbeat)
 
-    def _take(self, body: bytes) -> None:
+    def _take(self, body: bytes) -> Heartbeat | None:
         try:
             heartbeat = self._decoder.decode(body)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             _log.warning('dropped a bad heartbeat', extra={'why': str(error)})
-            return
-        own = self._describe()
-        now_s = trio.current_time()
-        for known in heartbeat.others:
-            if known.node != own.node:
-                self._mention(known, now_s - known.age_ms / _MS_PER_S)
-        if heartbeat.node == own.node:
-            return
-        peer = self._mention(
-            Known(
-                heartbeat.node, heartbeat.ip, heartbeat.incarnation, age_ms=0
-            ),
-            now_s,
-        )
-        if heartbeat.incarnation < peer.incarnation:
-            return
-        peer.heartbeat = heartbeat
-        peer.spoke_at = now_s
+            return None
+        if not self.roster.take(heartbeat):
+            return None
         self._on_heartbeat(heartbeat)
+        return heartbeat
 
-    def _mention(self, known: Known, heard_at: float) -> Peer:
-        peer = self._by_node.get(known.node)
-        if peer is None:
-            peer = Peer(known.node, known.ip, known.incarnation)
-            self._by_node[known.node] = peer
-            _log.info(
-                'found a router',
-                extra={
-                    'node': known.node,
-                    'ip': known.ip,
-                    'incarnation': known.incarnation,
-                },
-            )
-        if known.incarnation > peer.incarnation:
-            peer.ip = known.ip
-            peer.incarnation = known.incarnation
-            peer.heartbeat = None
-        if known.incarnation == peer.incarnation:
-            peer.heard_at = max(peer.heard_at, heard_at)
-        return peer
+
+def _encode(heartbeat: Heartbeat) -> bytes:
+    return msgspec.msgpack.encode(heartbeat._replace(unix_ms=unix_ms()))
 
 
 async def _send_to(
@@ -359,26 +162,6 @@
         )
 
 
-def count_keepers(gossip: Gossip, failure_domain: str) -> int:
-    """
-    Count the routers that may draw credit for others now.
-
-    Where others are out of reach, each failure domain that was known may
-    have a keeper; a router that hears nobody assumes that nobody does.
-
-    :param gossip: who lives.
-    :param failure_domain: of this router.
-    :returns: at least 1.
-    """
-    known = gossip.known()
-    if known and not gossip.live():
-        return len(known) + 1
-    domains = {
-        peer.heartbeat.failure_domain for peer in known if peer.heartbeat
-    }
-    return len(domains | {failure_domain})
-
-
 def describe_peers(peers: list[Peer]) -> list[dict[str, object]]:
     """
     Describe peers for operators.
@@ -398,10 +181,6 @@
     ]
 
 
-def _first(domain: str, nodes: list[str]) -> str:
-    return rendezvous_order(domain, nodes)[0]
-
-
 def unix_ms() -> int:
     """
     Read the clock of this VM.
--- /dev/null
+++ b/eelgrassfork/gateway/heartbeats.py
@@ -0,0 +1,80 @@
+"""
+eelgrassfork.gateway.heartbeats
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What routers tell each other about themselves and about others.
+"""
+
+from typing import NamedTuple
+
+__all__ = ('DomainView', 'Heartbeat', 'Known')
+
+
+class Known(NamedTuple):
+    """
+    A router that a heartbeat mentions, and how long ago it was heard of.
+
+    :param failure_domain: empty if it is that of the router that speaks.
+    """
+
+    node: str
+    ip: str
+    incarnation: int
+    age_ms: int
+    failure_domain: str = ''
+
+
+class DomainView(NamedTuple):
+    """
+    What is known of a whole failure domain.
+
+    :param routers: number of live routers there.
+    :param keeper: router that draws credit for the others.
+    :param keeper_ip: its address.
+    :param age_ms: time since a router of that domain said so.
+    """
+
+    failure_domain: str
+    routers: int
+    keeper: str
+    keeper_ip: str
+    age_ms: int
+
+
+class Heartbeat(NamedTuple):
+    """
+    What a router says of itself.
+
+    :param incarnation: start of its process; a later one is newer.
+    :param draining: it is about to stop.
+    :param configuration_version: 0 if it knows none.
+    :param servers_digest: of its table of backend servers.
+    :param free_by_organisation: credit that it could lend, in tokens; of
+        keepers only in large fleets.
+    :param servers_revision: newest revision in that table.
+    :param store_age_ms: time since some router reached the store.
+    :param unix_ms: its clock.
+    :param others: some of the routers that it knows.
+    :param domains: all failure domains that it knows, its own first.
+    :param is_new: it knows few routers yet.
+    :param configuration_bytes: size of its configuration as it is stored.
+    :param outside_age_ms: time since its failure domain heard another one;
+        ``None`` if it never did.
+    """
+
+    node: str
+    ip: str
+    incarnation: int
+    failure_domain: str
+    draining: bool = False
+    configuration_version: int = 0
+    servers_digest: int = 0
+    free_by_organisation: dict[str, int] = {}
+    servers_revision: int = 0
+    store_age_ms: int | None = None
+    unix_ms: int = 0
+    others: tuple[Known, ...] = ()
+    domains: tuple[DomainView, ...] = ()
+    is_new: bool = False
+    configuration_bytes: int = 0
+    outside_age_ms: int | None = None
--- a/eelgrassfork/gateway/ledger_writer.py
+++ b/eelgrassfork/gateway/ledger_writer.py
@@ -47,8 +47,10 @@
 _TRIES: Final = 12
 # A write takes about so long.  Routers that conflict spread their next tries,
 # since each try is a call of the store.
-_CONFLICT_S: Final = 0.004
+_CONFLICT_S: Final = 0.006
 _MAX_DOUBLINGS: Final = 4
+# Other keepers have mostly written since then.
+_STALE_S: Final = 0.2
 # A ledger this old does not prove that nothing is left.
 _FRESH_S: Final = 1.0
 _UNSEEN: Final = (float('-inf'), EMPTY)
@@ -207,6 +209,10 @@
             await self._read()
         for number in range(_TRIES):
             transfer = plan()
+            if any(transfer) and self.age_s > _STALE_S:
+                # A read costs less than a write that conflicts.
+                await self._read()
+                transfer = plan()
             if not any(transfer) or await self._write(transfer):
                 return
             longest_s = _CONFLICT_S * 2 ** min(number, _MAX_DOUBLINGS)
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -15,23 +15,18 @@
 from ..http_server import HttpServer, ServerLimits
 from .credit_exchange import CreditExchange
 from .credit_keeper import CreditKeeper, CreditWorld
-from .duty import WatchDuty
+from .duty import DutyPolicy, WatchDuty
 from .exchange import Exchange, ExchangeParts, Target
 from .follower import Beliefs, Decoders, StoreFollower
 from .forwarder import Forwarder, ForwarderParts, Translation
-from .gossip import (
-    Gossip,
-    Heartbeat,
-    Peer,
-    count_keepers,
-    describe_peers,
-    unix_ms,
-)
+from .gossip import Gossip, describe_peers, unix_ms
+from .heartbeats import Heartbeat
 from .node_settings import Bounds, NodeSettings
 from .peer_exchange import PeerExchange, knows_more
 from .records import AnswerHead, CallerBounds, Headers
 from .registry import Registry
 from .repeat_budget import RepeatPolicy
+from .roster import Place
 from .sender import Sender, SenderParts
 from .status_pages import StatusPages
 from .store import Store
@@ -102,15 +97,21 @@
         )
         self._beliefs = Beliefs(adapter.decoders, self._beliefs_changed)
         self._gossip = Gossip(
-            settings.ip,
+            Place(settings.node, settings.ip, settings.failure_domain),
             settings.first_internal_port,
             self._heartbeat,
             self._heard,
         )
-        self._duty = WatchDuty(settings.node, self._gossip.nodes_by_domain)
-        self._loans = CreditExchange(self._http, self._gossip, settings)
+        self._roster = self._gossip.roster
+        self._duty = WatchDuty(
+            settings.node,
+            self._roster.fleet,
+            _duty_policy(settings.bounds),
+            settings.is_seed,
+        )
+        self._loans = CreditExchange(self._http, self._roster, settings)
         self._exchange = PeerExchange(
-            self._http, self._gossip, self._beliefs, settings
+            self._http, self._roster.peers, self._beliefs, settings
         )
         self._follower = StoreFollower(
             self._store,
@@ -122,7 +123,11 @@
         self._exchange.on_failure = self._duty.volunteer
         self._exchange.reread = self._follower.reread
         self._registry = Registry(
-            self._store, self._gossip, settings, self._incarnation
+            self._store,
+            self._gossip,
+            settings,
+            self._incarnation,
+            lambda: self._duty.must_watch,
         )
         self._credit = self._make_credit()
         self._loans.lend = self._credit.lender.lend
@@ -164,6 +169,7 @@
                 'node': settings.node,
                 'incarnation': self._incarnation,
                 'callers': settings.caller_address,
+                'first_start': settings.first_start,
             },
         )
 
@@ -172,6 +178,7 @@
         began_at = trio.current_time()
         end_at = began_at + self._settings.bounds.grace_s - _END_MARGIN_S
         self._draining = True
+        self._roster.draining = True
         self._gossip.hasten()
         _log.info('drains', extra={'in_progress': self._forwarder.in_progress})
         await trio.sleep(_LAST_CALLERS_S)
@@ -227,21 +234,22 @@
             'store_age_ms': self._duty.store_age_ms,
             'watches_the_store': self._duty.must_watch,
             'servers': self._beliefs.servers.dump(),
-            'peers': describe_peers(self._gossip.known()),
+            'peers': describe_peers(list(self._roster.peers.by_node.values())),
             'credit': self._credit.dump(),
         }
 
     def _make_credit(self) -> CreditKeeper:
         world = CreditWorld(
             lambda: self._beliefs.configuration.prepaid_by_organisation,
-            lambda: len(self._gossip.known()) + 1,
-            lambda: count_keepers(self._gossip, self._settings.failure_domain),
-            lambda: None in self._keepers()[:1],
+            lambda: self._roster.routers_known,
+            self._roster.count_keepers,
+            self._is_keeper,
             self._settings.failure_domain,
             self._loans.borrow,
             self._loans.deposit,
-            self._loans.peers_free,
+            self._loans.may_lend,
             self._gossip.fleet_time,
+            self._settings.first_start,
         )
         return CreditKeeper(
             self._store, self._settings.node, self._incarnation, world
@@ -263,7 +271,7 @@
                 self.telemetry,
                 self._settings.failure_domain,
                 _repeat_policy(self._settings.bounds),
-                self._routers,
+                lambda: self._roster.routers_known,
             ),
         )
 
@@ -279,13 +287,14 @@
             ),
         )
 
-    def _keepers(self) -> list[Peer | None]:
-        return self._gossip.keepers(self._settings.failure_domain)
-
-    def _routers(self) -> int:
-        return len(self._gossip.live()) + 1
+    def _is_keeper(self) -> bool:
+        # Routers that hear of nobody yet would all draw at the same moment.
+        is_settled = self._roster.is_settled
+        return is_settled and None in self._roster.keepers()[:1]
 
     def _heartbeat(self) -> Heartbeat:
+        # Few ask another router than a keeper for credit in a large fleet.
+        shows_credit = self._roster.is_small or self._is_keeper()
         return Heartbeat(
             self._settings.node,
             self._settings.ip,
@@ -294,9 +303,10 @@
             self._draining,
             self._beliefs.configuration.version,
             self._beliefs.records.digest,
-            self._credit.held.free_by_organisation(),
+            self._credit.held.most_free() if shows_credit else {},
             self._beliefs.records.newest,
             self._duty.store_age_ms,
+            configuration_bytes=len(self._beliefs.configuration.content),
         )
 
     def _heard(self, heartbeat: Heartbeat) -> None:
@@ -324,7 +334,7 @@
         # Callers are better off with routers of other failure domains while
         # this one reaches neither them nor all services.
         configuration = self._beliefs.configuration.current
-        if configuration is None or not self._gossip.is_cut_off():
+        if configuration is None or not self._roster.is_cut_off:
             return False
         return any(
             self._beliefs.servers.is_out_of_reach(name)
@@ -339,6 +349,15 @@
     await server.start(nursery, host, int(port))
 
 
+def _duty_policy(bounds: Bounds) -> DutyPolicy:
+    # A change is heard of within a renewal, and the silence of the store is
+    # noticed with half of the bound left.
+    return DutyPolicy(
+        longest_silence_s=bounds.config_s / 2,
+        renewal_s=bounds.config_s / 4,
+    )
+
+
 def _repeat_policy(bounds: Bounds) -> RepeatPolicy:
     return RepeatPolicy(
         bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
--- a/eelgrassfork/gateway/node_settings.py
+++ b/eelgrassfork/gateway/node_settings.py
@@ -15,6 +15,8 @@
     Bounds that operators hold the fleet to.
 
     :param grace_s: time between SIGTERM and SIGKILL.
+    :param config_s: time from the store's answer to a new configuration
+        until it is in force everywhere.
     :param retry_ratio: repeated sends of all routers, as a fraction of
         requests.
     :param retry_window_s: time over which repeated sends are counted.
@@ -22,6 +24,7 @@
     """
 
     grace_s: float = 8
+    config_s: float = 2
     retry_ratio: float = 0.2
     retry_window_s: float = 10
     retry_slack: float = 20
@@ -39,6 +42,7 @@
     :param first_internal_port: first port for use between routers.
     :param last_internal_port: last of these ports.
     :param seeds: peer addresses of some VMs; they may be down.
+    :param first_start: whether the whole fleet starts for the first time.
     """
 
     node: str
@@ -52,3 +56,9 @@
     seeds: tuple[str, ...]
     store_address: str
     bounds: Bounds
+    first_start: bool = False
+
+    @property
+    def is_seed(self) -> bool:
+        """Whether no other router can be asked before this one."""
+        return not self.seeds or self.peer_address in self.seeds
--- a/eelgrassfork/gateway/peer_exchange.py
+++ b/eelgrassfork/gateway/peer_exchange.py
@@ -22,8 +22,9 @@
 from ..http_server import Call
 from .credit_exchange import CREDIT_PATH
 from .follower import Beliefs
-from .gossip import Gossip, Heartbeat, Peer
+from .heartbeats import Heartbeat
 from .node_settings import NodeSettings
+from .peers import Peer, PeerTable
 from .server_records import ServerRecord
 
 __all__ = ('PeerExchange', 'knows_more')
@@ -50,7 +51,7 @@
     Pulls what peers know better, and serves what this router knows.
 
     :param client: HTTP client.
-    :param gossip: who lives and what they know.
+    :param peers: who lives and what they know.
     :param beliefs: what this router believes.
     :param settings: of this router; the port for peers is the same on all.
     :ivar on_credit: answers calls about credit.
@@ -61,12 +62,12 @@
     def __init__(
         self,
         client: HttpClient,
-        gossip: Gossip,
+        peers: PeerTable,
         beliefs: Beliefs,
         settings: NodeSettings,
     ) -> None:
         self._client = client
-        self._gossip = gossip
+        self._peers = peers
         self._beliefs = beliefs
         self._failure_domain = settings.failure_domain
         self._port = settings.peer_address.rpartition(':')[2]
@@ -130,7 +131,7 @@
         known = self._beliefs.records
         ahead = self._nearest(
             peer
-            for peer in self._gossip.spoken()
+            for peer in self._peers.spoken()
             if peer.heartbeat is not None
             and peer.heartbeat.servers_revision > known.newest
         )
@@ -138,7 +139,7 @@
             return await self._pull(ahead, f'{_SERVERS}?after={known.newest}')
         different = self._nearest(
             peer
-            for peer in self._gossip.spoken()
+            for peer in self._peers.spoken()
             if peer.heartbeat is not None
             and peer.heartbeat.servers_revision == known.newest
             and peer.heartbeat.servers_digest != known.digest
@@ -156,7 +157,7 @@
         return self._random.choice(near or found) if found else None
 
     async def _catch_up_configuration(self) -> bool:
-        peers = self._gossip.spoken()
+        peers = self._peers.spoken()
         newest = max(map(_configuration_version, peers), default=0)
         holder = self._beliefs.configuration
         if newest <= holder.version:
@@ -166,7 +167,8 @@
         sources = [
             peer for peer in peers if _configuration_version(peer) == newest
         ]
-        if len(holder.content) > _LARGE_BYTES:
+        sizes = [len(holder.content), *map(_configuration_bytes, sources)]
+        if max(sizes) > _LARGE_BYTES:
             await self.reread()
         if holder.version < newest:
             peer = self._nearest(sources)
@@ -228,5 +230,9 @@
     return heartbeat.servers_digest != records.digest
 
 
+def _configuration_bytes(peer: Peer) -> int:
+    return peer.heartbeat.configuration_bytes if peer.heartbeat else 0
+
+
 def _configuration_version(peer: Peer) -> int:
     return peer.heartbeat.configuration_version if peer.heartbeat else 0
--- a/eelgrassfork/gateway/standby.py
+++ b/eelgrassfork/gateway/standby.py
@@ -4,10 +4,10 @@
 
 Credit for outages of the store, which survives the death of its holder.
 
-A holder renews a record of its standby credit in the store.  It uses that
-credit only ``ACTIVATION_S`` after the last renewal that may have taken
-effect.  So whoever starts again on the same VM earlier than that knows that
-nothing of it was used, and takes it over.
+A holder renews a record of its standby credit in the store.  From
+``ACTIVATION_S`` after the last renewal that may have taken effect it may use
+that credit, more of it the more time passes.  So whoever starts again on the
+same VM knows how much of it can't have been used, and takes that over.
 """
 
 from collections.abc import Callable, Mapping
@@ -30,10 +30,11 @@
 __all__ = (
     'ACTIVATION_S',
     'RECLAIM_S',
+    'RELEASE_S',
     'FleetTime',
     'Standby',
     'StandbyRecord',
-    'may_reclaim',
+    'reclaimable_part',
 )
 
 _log = logbook.Logger('standby')
@@ -42,8 +43,12 @@
 RENEWAL_S: Final = 0.8
 # A renewal, the restart of a VM in up to 1.7 s, and the start of the process.
 RECLAIM_S: Final = 3.0
-# Clocks of VMs differ by less than the distance to RECLAIM_S.
-ACTIVATION_S: Final = 3.5
+# Clocks of VMs differ by less than this.
+_CLOCK_MARGIN_S: Final = 0.5
+ACTIVATION_S: Final = RECLAIM_S + _CLOCK_MARGIN_S
+# Standby credit lasts for longer than this, so what is released is enough also
+# where more is used than before.
+RELEASE_S: Final = 5.0
 # With so many clocks one third of them may be wrong.
 _MIN_CLOCKS: Final = 5
 _MS_PER_S: Final = 1000
@@ -75,18 +80,29 @@
     tokens_by_organisation: dict[str, int]
 
 
-def may_reclaim(record: StandbyRecord, started: FleetTime) -> bool:
+def released_part(waited_s: float) -> float:
     """
-    Tell whether the standby credit of a former process is still whole.
+    Compute how much of the standby credit its holder may use.
+
+    :param waited_s: time since the last renewal that may have taken effect.
+    :returns: from 0 to 1.
+    """
+    return min(1, max(0, (waited_s - ACTIVATION_S) / RELEASE_S))
+
+
+def reclaimable_part(record: StandbyRecord, started: FleetTime) -> float:
+    """
+    Compute how much of a former process's credit can't have been used.
 
     :param record: its last record.
     :param started: when the present process started on the same VM, by
         which time the former one was dead.
-    :returns: whether it can't have used any of it.
+    :returns: from 0 to 1.
     """
-    elapsed_ms = started.unix_ms - record.renewed_ms
-    enough = started.clocks >= _MIN_CLOCKS
-    return enough and 0 <= elapsed_ms < RECLAIM_S * _MS_PER_S
+    elapsed_s = (started.unix_ms - record.renewed_ms) / _MS_PER_S
+    if started.clocks < _MIN_CLOCKS or elapsed_s < 0:
+        return 0
+    return 1 - released_part(elapsed_s + _CLOCK_MARGIN_S)
 
 
 class Standby:
@@ -114,6 +130,7 @@
         self._fleet_time = fleet_time
         self._on_free = on_free
         self._tokens: dict[str, int] = {}
+        self._whole: dict[str, int] = {}
         self._revision: int | None = None
         self._stamped_at: float = float('-inf')
         self._uncertain = False
@@ -144,7 +161,8 @@
             return
         started = self._started()
         own = record.incarnation == self._incarnation
-        reclaimed = own or may_reclaim(record, started)
+        part = 1 if own else reclaimable_part(record, started)
+        reclaimed = _cut(record.tokens_by_organisation, part)
         _log.info(
             'found credit of a former process',
             extra={
@@ -156,8 +174,8 @@
             },
         )
         if reclaimed:
-            await self._write(record.tokens_by_organisation)
-            self._tokens = dict(record.tokens_by_organisation)
+            await self._write(reclaimed)
+            self._tokens = reclaimed
 
     async def renew(
         self, target_by_organisation: Mapping[str, int], free: bool
@@ -199,15 +217,25 @@
         return True
 
     def activate_if_due(self) -> None:
-        """Use the credit if no renewal can have taken effect for long."""
+        """Release what no successor on this VM can take over any more."""
         waited_s = trio.current_time() - self._stamped_at
-        if self._tokens and waited_s >= ACTIVATION_S:
+        part = released_part(waited_s)
+        if not part or not self._tokens:
+            return
+        if not self._whole:
+            self._whole = dict(self._tokens)
             _log.warning(
-                'uses its standby credit',
-                extra={'tokens': self._tokens, 'waited_s': round(waited_s, 1)},
+                'begins to use its standby credit',
+                extra={'tokens': self._whole, 'waited_s': round(waited_s, 1)},
             )
-            self._uncertain = True
-            self._free_all()
+        self._uncertain = True
+        kept = _cut(self._whole, 1 - part)
+        freed = {
+            name: tokens - kept.get(name, 0)
+            for name, tokens in self._tokens.items()
+        }
+        self._tokens = kept
+        self._on_free(freed)
 
     def _started(self) -> FleetTime:
         now = self._fleet_time()
@@ -251,6 +279,7 @@
     def _free_all(self) -> None:
         freed = self._tokens
         self._tokens = {}
+        self._whole = {}
         if freed:
             self._on_free(freed)
 
@@ -290,6 +319,11 @@
         )
 
 
+def _cut(tokens: Mapping[str, int], part: float) -> dict[str, int]:
+    kept = {name: int(amount * part) for name, amount in tokens.items()}
+    return {name: amount for name, amount in kept.items() if amount}
+
+
 def _decode(stored: StoredObject) -> StandbyRecord | None:
     try:
         return msgspec.json.decode(stored.content, type=StandbyRecord)
--- a/eelgrassfork/gateway/standby_keeper.py
+++ b/eelgrassfork/gateway/standby_keeper.py
@@ -40,6 +40,7 @@
     :param standby: the credit and its record.
     :param ledger: where more may be drawn.
     :param view: tells what its plans depend on.
+    :param is_first: whether no former process can have left credit.
     """
 
     def __init__(
@@ -47,7 +48,9 @@
         standby: Standby,
         ledger: LedgerWriter,
         view: Callable[[], CreditView],
+        is_first: bool = False,
     ) -> None:
+        self._is_first = is_first
         self._standby = standby
         self._ledger = ledger
         self._view = view
@@ -67,7 +70,8 @@
         with trio.move_on_after(_CLOCKS_WAIT_S):
             while not self._standby.has_clocks:
                 await trio.sleep(_WATCH_S)
-        await self._recover()
+        if not self._is_first:
+            await self._recover()
         while True:
             await trio.sleep(RENEWAL_S)
             view = self._view()
--- a/eelgrassfork/platform/boot_file.py
+++ b/eelgrassfork/platform/boot_file.py
@@ -24,6 +24,8 @@
 PATH_VARIABLE: Final = 'EELGRASSFORK_BOOT'
 _DEFAULT_PATH: Final = '/etc/eelgrassfork/settings.conf'
 
+_MS_PER_S: Final = 1000
+
 _Option = TypeVar('_Option')
 
 
@@ -81,6 +83,7 @@
         seeds=_field(texts_by_field, 'seeds', _addresses, ()),
         store_address=_field(texts_by_field, 'provider.address', _address),
         bounds=_bounds(texts_by_field),
+        first_start=_field(texts_by_field, 'bootstrap', _is_true, False),
     )
 
 
@@ -88,6 +91,7 @@
     known = Bounds()
     return Bounds(
         grace_s=_number(texts_by_field, 'bounds.graceS', known.grace_s),
+        config_s=_seconds(texts_by_field, 'bounds.configMs', known.config_s),
         retry_ratio=_number(
             texts_by_field, 'bounds.retryBudgetRatio', known.retry_ratio
         ),
@@ -104,6 +108,13 @@
     return _field(texts_by_field, name, _positive, default)
 
 
+def _seconds(
+    texts_by_field: dict[str, str], name: str, default: float
+) -> float:
+    default_ms = default * _MS_PER_S
+    return _number(texts_by_field, name, default_ms) / _MS_PER_S
+
+
 def _field(
     texts_by_field: dict[str, str],
     name: str,
@@ -127,6 +138,10 @@
     return text
 
 
+def _is_true(text: str) -> bool:
+    return text == 'true'
+
+
 def _address(text: str) -> str:
     host, _, port = text.rpartition(':')
     if not host or not port.isdecimal():
