Answer callers that wait at a stop, leave those that left, survive odd errors

- A planned stop closed the listening socket with connections in its queue, which reset them.
They are accepted now and get an answer.
- A draining router cut streams that could go on at another server, and told that a request had not run after a server may have run it.
- A target such as //[ ended the whole process.
- The delay of the event loop is measured, shown and logged with each request.

--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -14,6 +14,7 @@
 import trio
 
 from ..errors import RequestError
+from ..supervision import keep_running
 from .credit import (
     CreditPolicy,
     CreditView,
@@ -253,9 +254,12 @@
     async def _keep(self) -> None:
         with self._keeping:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._run)
-                nursery.start_soon(self._standby.run)
-                nursery.start_soon(self._standby.watch)
+                for name, work in (
+                    ('draw credit', self._run),
+                    ('renew standby credit', self._standby.run),
+                    ('release standby credit', self._standby.watch),
+                ):
+                    nursery.start_soon(keep_running, name, work)
 
     async def _run(self) -> None:
         while True:
--- a/eelgrassfork/gateway/domain_views.py
+++ b/eelgrassfork/gateway/domain_views.py
@@ -57,11 +57,12 @@
         if domain != self._failure_domain:
             self._outside_at = now_s
         elif heartbeat.outside_age_ms is not None and trust_near:
-            outside_at = now_s - heartbeat.outside_age_ms / _MS_PER_S
+            age_ms = max(0, heartbeat.outside_age_ms)
+            outside_at = now_s - age_ms / _MS_PER_S
             self._outside_at = max(self._outside_at, outside_at)
         said = DomainView(domain, 1, heartbeat.node, heartbeat.ip, 0)
         for view in heartbeat.domains or (said,):
-            self._put(view, now_s - view.age_ms / _MS_PER_S)
+            self._put(view, now_s - max(0, view.age_ms) / _MS_PER_S)
 
     def newest(self, within_s: float) -> list[DomainView]:
         """
--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -7,12 +7,14 @@
 
 import random
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Final, NamedTuple
 
 import logbook
 import trio
 
 from ..errors import EelgrassError
+from ..supervision import keep_running
 from .configuration import ConfigurationHolder
 from .duty import WatchDuty
 from .records import Configuration, ServerEntry
@@ -164,18 +166,21 @@
 
         :param nursery: where the tasks run.
         """
-        nursery.start_soon(
-            self._follow,
-            self._decoders.configuration_kind,
-            self._list_configuration,
-            self._change_configuration,
-        )
-        nursery.start_soon(
-            self._follow,
-            self._decoders.servers_kind,
-            self._list_servers,
-            self._change_servers,
-        )
+        for follow in (
+            partial(
+                self._follow,
+                self._decoders.configuration_kind,
+                self._list_configuration,
+                self._change_configuration,
+            ),
+            partial(
+                self._follow,
+                self._decoders.servers_kind,
+                self._list_servers,
+                self._change_servers,
+            ),
+        ):
+            nursery.start_soon(keep_running, 'follow the store', follow)
 
     @property
     def reachable(self) -> bool:
--- a/eelgrassfork/gateway/forwarder.py
+++ b/eelgrassfork/gateway/forwarder.py
@@ -49,6 +49,7 @@
     What the forwarder works with.
 
     :param is_isolated: whether callers should try another router.
+    :param loop_delay_s: how far this process is behind with its work.
     """
 
     beliefs: Beliefs
@@ -57,6 +58,7 @@
     telemetry: Telemetry
     translation: Translation
     is_isolated: Callable[[], bool]
+    loop_delay_s: Callable[[], float]
 
 
 class Forwarder:
@@ -131,7 +133,8 @@
         self._note_end(sending, sending.outcome)
 
     def _renew(self, sending: Sending) -> Permission:
-        self._check_open()
+        if not sending.sends:
+            self._check_open()
         return permit(self._configuration, sending.head)
 
     def _check_open(self) -> None:
@@ -204,6 +207,7 @@
                 'sends': [send.log_fields() for send in sending.sends],
                 'first_ms': round(first_s * 1000) if first_s >= 0 else None,
                 'whole_ms': round(whole_s * 1000),
+                'loop_delay_ms': round(self._parts.loop_delay_s() * 1000),
             },
         )
 
--- a/eelgrassfork/gateway/gossip.py
+++ b/eelgrassfork/gateway/gossip.py
@@ -7,6 +7,7 @@
 
 import time
 from collections.abc import Callable
+from functools import partial
 from statistics import median_low
 from typing import Final
 
@@ -14,6 +15,7 @@
 import msgspec
 import trio
 
+from ..supervision import keep_running
 from .heartbeats import Heartbeat
 from .peers import Peer
 from .roster import Place, Roster
@@ -66,8 +68,11 @@
         opened = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
         await opened.bind((self._ip, self._port))
         self._socket = opened
-        nursery.start_soon(self._receive, opened)
-        nursery.start_soon(self._send, opened)
+        for name, work in (
+            ('take heartbeats', partial(self._receive, opened)),
+            ('send heartbeats', partial(self._send, opened)),
+        ):
+            nursery.start_soon(keep_running, name, work)
 
     def close(self) -> None:
         """Close the socket."""
--- /dev/null
+++ b/eelgrassfork/gateway/loop_delay.py
@@ -0,0 +1,36 @@
+"""
+eelgrassfork.gateway.loop_delay
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Measures how far this process is behind with its work.
+"""
+
+from typing import Final
+
+import trio
+
+__all__ = ('LoopDelay',)
+
+_STEP_S: Final = 0.05
+# A short peak counts for a few steps, in which the requests that came
+# meanwhile are read.
+_DECAY: Final = 0.7
+
+
+class LoopDelay:
+    """
+    Delay of a timer, which is what every other step of a request waits too.
+
+    :ivar delay_s: present estimate, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.delay_s: float = 0
+
+    async def run(self) -> None:
+        """Measure for as long as the task runs."""
+        while True:
+            due_at = trio.current_time() + _STEP_S
+            await trio.sleep_until(due_at)
+            late_s = max(0, trio.current_time() - due_at)
+            self.delay_s = max(late_s, self.delay_s * _DECAY)
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -13,6 +13,7 @@
 
 from ..http_client import HttpClient
 from ..http_server import HttpServer, ServerLimits
+from ..supervision import keep_running
 from .credit_exchange import CreditExchange
 from .credit_keeper import CreditKeeper, CreditWorld
 from .duty import DutyPolicy, WatchDuty
@@ -21,6 +22,7 @@
 from .forwarder import Forwarder, ForwarderParts, Translation
 from .gossip import Gossip, describe_peers, unix_ms
 from .heartbeats import Heartbeat
+from .loop_delay import LoopDelay
 from .node_settings import Bounds, NodeSettings
 from .peer_exchange import PeerExchange, knows_more
 from .records import AnswerHead, CallerBounds, Headers
@@ -95,6 +97,12 @@
         self._store = adapter.make_store(
             self._http, self.telemetry.count_store_call
         )
+        self._delay = LoopDelay()
+        self.telemetry.watch(
+            'loop_delay_seconds',
+            'How late timers are, as the process is busy.',
+            lambda: self._delay.delay_s,
+        )
         self._beliefs = Beliefs(adapter.decoders, self._beliefs_changed)
         self._gossip = Gossip(
             Place(settings.node, settings.ip, settings.failure_domain),
@@ -160,9 +168,13 @@
         await self._gossip.start(nursery)
         await self._follower.start(nursery)
         await self._credit.start(nursery)
-        nursery.start_soon(self._exchange.run)
-        nursery.start_soon(self._registry.run)
-        nursery.start_soon(self._tidy)
+        for name, work in (
+            ('catch up with peers', self._exchange.run),
+            ('registry', self._registry.run),
+            ('loop delay', self._delay.run),
+            ('tidy', self._tidy),
+        ):
+            nursery.start_soon(keep_running, name, work)
         _log.info(
             'started',
             extra={
@@ -284,6 +296,7 @@
                 self.telemetry,
                 self._adapter.translation,
                 self._is_isolated,
+                lambda: self._delay.delay_s,
             ),
         )
 
--- a/eelgrassfork/gateway/peers.py
+++ b/eelgrassfork/gateway/peers.py
@@ -110,7 +110,7 @@
         :param known: what was heard, and how long ago.
         :returns: the router.
         """
-        heard_at = trio.current_time() - known.age_ms / _MS_PER_S
+        heard_at = trio.current_time() - max(0, known.age_ms) / _MS_PER_S
         peer = self.by_node.get(known.node)
         if peer is None:
             peer = Peer(known.node, known.ip, known.incarnation)
--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -13,6 +13,7 @@
 import trio
 
 from ..errors import RequestError
+from ..http_server import CallerGone
 from .choice import Candidate, ChoicePolicy, Wish, choose, placement_key
 from .configuration import Permission
 from .exchange import Exchange
@@ -95,7 +96,8 @@
     async def _send(self, sending: Sending, renew: Renew) -> None:
         kept: KeptAnswer | None = None
         while kept is None or not kept.final:
-            sending.permission = renew(sending)
+            _check_caller(sending)
+            sending.permission = _renewed(sending, renew)
             service = self._service(sending)
             budget = self._budget(service)
             if not sending.sends:
@@ -212,6 +214,21 @@
         return return_s(sending.permission.route, self._random.random())
 
 
+def _check_caller(sending: Sending) -> None:
+    # A busy router reads some requests after their callers have left.
+    if sending.call.has_left():
+        raise CallerGone
+
+
+def _renewed(sending: Sending, renew: Renew) -> Permission:
+    try:
+        return renew(sending)
+    except RequestError as error:
+        if not sending.may_have_run:
+            raise
+        raise RequestError('server_failed', error.message, 'unknown') from None
+
+
 def _may_repeat(sending: Sending, budget: RepeatBudget) -> bool:
     if not sending.reached:
         # A failed connection is no send; the tried servers bound the loop.
--- a/eelgrassfork/http_server.py
+++ b/eelgrassfork/http_server.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Awaitable, Callable
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import h11
@@ -15,7 +15,7 @@
 
 from .errors import RequestError, error_body
 from .names import new_request_id
-from .transport import TCP, Listening, Transport
+from .transport import TCP, Listening, TcpListener, Transport, peek
 
 __all__ = (
     'HOP_BY_HOP',
@@ -87,7 +87,12 @@
         received_at: float,
     ) -> None:
         target = request.target.decode('ascii')
-        parts = urlsplit(target)
+        try:
+            parts = urlsplit(target)
+        except ValueError:
+            raise RequestError(
+                'invalid_request', 'the target is no URL'
+            ) from None
         self.method = request.method.decode('ascii')
         self.target = target
         self.path = unquote(parts.path)
@@ -174,6 +179,16 @@
         """End the answer, so that the caller knows it is whole."""
         await self._connection.send(h11.EndOfMessage())
 
+    def has_left(self) -> bool:
+        """
+        Look whether the caller has closed the connection.
+
+        A busy process learns so before it has come to read it.
+
+        :returns: whether it has.
+        """
+        return self.gone.is_set() or self._connection.is_closed_by_caller()
+
     def close_after(self) -> None:
         """Close the connection after the answer, and tell the caller so."""
         self._connection.closing = True
@@ -209,6 +224,16 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 raise CallerGone from None
 
+    def is_closed_by_caller(self) -> bool:
+        if not isinstance(self._stream, trio.SocketStream):
+            return False
+        try:
+            return not peek(self._stream)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     async def close(self) -> None:
         with trio.CancelScope(shield=True):
             await trio.aclose_forcefully(self._stream)
@@ -219,6 +244,10 @@
                 self._h11.start_next_cycle()
         except (CallerGone, h11.LocalProtocolError):
             self.closing = True
+        except Exception:
+            # One connection must not end the others.
+            _log.exception('http: a connection failed')
+            self.closing = True
         finally:
             await self.close()
 
@@ -448,12 +477,21 @@
     async def _run(self, listening: Listening) -> None:
         with self._connections_scope:
             async with trio.open_nursery() as nursery:
-                with self._accepting:
-                    await trio.serve_listeners(
-                        self._serve,
-                        list(listening.listeners),
-                        handler_nursery=nursery,
-                    )
+                for listener in listening.listeners:
+                    nursery.start_soon(self._accept, listener, nursery)
+
+    async def _accept(
+        self, listener: trio.abc.Listener[Any], nursery: trio.Nursery
+    ) -> None:
+        async with listener:
+            with self._accepting:
+                while True:
+                    stream = await listener.accept()
+                    nursery.start_soon(self._serve, stream)
+            # Callers whose connection is established get an answer.
+            if isinstance(listener, TcpListener):
+                for stream in listener.drain():
+                    nursery.start_soon(self._serve, stream)
 
     async def _serve(self, stream: trio.abc.Stream) -> None:
         connection = _Connection(stream, self._limits)
--- a/eelgrassfork/platform/__main__.py
+++ b/eelgrassfork/platform/__main__.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Final
 
@@ -23,6 +24,7 @@
 from ..http_client import HttpClient
 from ..line_writer import LineWriter
 from ..logs import LogOptions, set_up
+from ..supervision import keep_running
 from . import boot_file, heads, server_entries
 from .config_decoder import decode_configuration
 from .store_client import StoreClient
@@ -66,8 +68,10 @@
         lambda: writer.dropped,
     )
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(writer.run)
-        nursery.start_soon(_watch_settings, node, path)
+        nursery.start_soon(keep_running, 'write the log', writer.run)
+        nursery.start_soon(
+            keep_running, 'settings', partial(_watch_settings, node, path)
+        )
         await node.start(nursery)
         await _wait_for_stop(node, path)
         await node.drain()
--- a/eelgrassfork/transport.py
+++ b/eelgrassfork/transport.py
@@ -5,12 +5,24 @@
 How connections are opened and accepted; TCP unless a test replaces it.
 """
 
+import errno
+import socket
+from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, Final, NamedTuple
 
+import logbook
 import trio
 
-__all__ = ('TCP', 'Listening', 'Transport')
+__all__ = ('TCP', 'Listening', 'TcpListener', 'Transport', 'peek')
+
+_log = logbook.Logger('transport')
+
+# Connections that end free descriptors again.
+_NO_DESCRIPTOR: Final = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+)
+_NO_DESCRIPTOR_S: Final = 0.1
 
 
 class Listening(NamedTuple):
@@ -32,10 +44,102 @@
     listen: Callable[[str, int], Awaitable[Listening]]
 
 
+class TcpListener(trio.abc.Listener[trio.SocketStream]):
+    """
+    Accepts all connections that wait, not one for each turn of the loop.
+
+    A busy process would otherwise keep callers in the queue of the kernel,
+    where it can neither refuse them nor see that they have left.
+
+    :param bound: a bound and listening socket.
+    :ivar address: as ``ip:port``.
+    """
+
+    def __init__(self, bound: socket.socket) -> None:
+        bound.setblocking(False)
+        name = bound.getsockname()
+        self.address = f'{name[0]}:{name[1]}'
+        self._bound = bound
+        self._waiting: deque[trio.SocketStream] = deque()
+
+    async def accept(self) -> trio.SocketStream:
+        """
+        Wait for a connection.
+
+        :returns: the next one.
+        :raises trio.ClosedResourceError: if the listener is closed.
+        """
+        while not self._waiting:
+            if self._bound.fileno() < 0:
+                raise trio.ClosedResourceError
+            await trio.lowlevel.wait_readable(self._bound)
+            if not self.accept_waiting():
+                await trio.sleep(_NO_DESCRIPTOR_S)
+        return self._waiting.popleft()
+
+    def accept_waiting(self) -> bool:
+        """
+        Accept the connections that wait in the queue of the kernel.
+
+        :returns: whether there were descriptors for all of them.
+        """
+        while True:
+            try:
+                accepted, _ = self._bound.accept()
+            except BlockingIOError:
+                return True
+            except OSError as error:
+                if error.errno in _NO_DESCRIPTOR:
+                    _log.error('could not accept', extra={'why': str(error)})
+                    return False
+                # The connection was reset while it waited.
+                continue
+            accepted.setblocking(False)
+            self._waiting.append(
+                trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
+            )
+
+    def drain(self) -> list[trio.SocketStream]:
+        """
+        Accept what waits before the listener is closed.
+
+        :returns: connections that :meth:`accept` did not return yet.
+        """
+        self.accept_waiting()
+        drained = list(self._waiting)
+        self._waiting.clear()
+        return drained
+
+    async def aclose(self) -> None:
+        """Close the socket."""
+        self._bound.close()
+        await trio.lowlevel.checkpoint()
+
+
+def peek(stream: trio.SocketStream) -> bytes:
+    """
+    Look at the next byte without taking it.
+
+    :param stream: a connection.
+    :returns: the byte; empty if the other side has closed.
+    :raises BlockingIOError: if nothing has come.
+    :raises OSError: if the connection broke.
+    """
+    borrowed = socket.socket(
+        socket.AF_INET, socket.SOCK_STREAM, fileno=stream.socket.fileno()
+    )
+    try:
+        return borrowed.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    finally:
+        borrowed.detach()
+
+
 async def _listen_tcp(host: str, port: int) -> Listening:
-    listeners = await trio.open_tcp_listeners(port, host=host)
-    name = listeners[0].socket.getsockname()
-    return Listening(f'{name[0]}:{name[1]}', listeners)
+    opened = await trio.open_tcp_listeners(port, host=host)
+    listeners = [
+        TcpListener(socket.socket(fileno=one.socket.detach())) for one in opened
+    ]
+    return Listening(listeners[0].address, listeners)
 
 
 TCP: Final = Transport(trio.open_tcp_stream, _listen_tcp)
--- a/tests/test_gateway_forwarder.py
+++ b/tests/test_gateway_forwarder.py
@@ -11,6 +11,7 @@
 
 from eelgrassfork.gateway.repeat_budget import RepeatPolicy
 from eelgrassfork.http_client import ClientRequest, ConnectionLost
+from eelgrassfork.http_server import Call
 
 from .gateway_world import configuration, run_world
 
@@ -341,6 +342,50 @@
             ([200], 200, 503, 500), run_world(scenario, model=[['stream:100']])
         )
 
+    def test_request_that_may_have_run_is_not_refused_as_not_run(self):
+        async def scenario(world, nursery):
+            # The route goes away while the first server still works on it.
+            wire = configuration(2)
+            wire['routes'] = wire['routes'][1:]
+
+            async def change():
+                await trio.sleep(0.05)
+                world.store.put('config', 'main', wire)
+
+            nursery.start_soon(change)
+            return code_of(await world.call('/look/x'))
+
+        status, _ = run_world(scenario, plain=[['hang'], ['hang']])
+        self.assertIn(status, {502, 504})
+
+    def test_stream_goes_on_elsewhere_while_the_router_drains(self):
+        async def scenario(world, nursery):
+            async def stop():
+                await trio.sleep(0.1)
+                world.node._forwarder.draining = True
+
+            nursery.start_soon(stop)
+            response, body = await world.call('/match/x', method='POST')
+            return response.status, body.count(b'id:')
+
+        script = ['torn:40', 'stream:60']
+        self.assertEqual((200, 60), run_world(scenario, model=[script, script]))
+
+    def test_request_of_a_caller_that_left_is_not_passed_on(self):
+        async def scenario(world, nursery):
+            left = Call.has_left
+            Call.has_left = lambda call: True
+            try:
+                with trio.move_on_after(0.3):
+                    await world.call('/order/x', method='POST')
+            except ConnectionLost:
+                return len(world.replicas[0].runs)
+            finally:
+                Call.has_left = left
+            return len(world.replicas[0].runs)
+
+        self.assertEqual(0, run_world(scenario, plain=[['ok']]))
+
     def test_serves_on_while_the_store_is_away(self):
         async def scenario(world, nursery):
             await trio.sleep(1.2)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -6,11 +6,14 @@
 """
 
 import functools
+import socket
+import time
 
 import h11
 import msgspec
 import testtools
 import trio
+import trio.testing
 
 from eelgrassfork.http_client import (
     ClientRequest,
@@ -20,7 +23,12 @@
     ConnectionSilent,
     HttpClient,
 )
-from eelgrassfork.http_server import Call, HttpServer, ServerLimits
+from eelgrassfork.http_server import (
+    Call,
+    CallerGone,
+    HttpServer,
+    ServerLimits,
+)
 
 LIMITS = ServerLimits(
     max_header_bytes=2048,
@@ -71,7 +79,80 @@
             return b''.join([chunk async for chunk in stream])
 
 
+def read_now(caller):
+    caller.setblocking(False)
+    try:
+        return caller.recv(65536)
+    except OSError as error:
+        return str(error).encode()
+    finally:
+        caller.close()
+
+
 class ServerTests(testtools.TestCase):
+    @run_with_server
+    async def test_target_that_is_no_url_costs_one_connection(
+        self, server, client
+    ):
+        for target in (b'//[', b'http://[::1', b'/%zz?%'):
+            request = b'GET %b HTTP/1.1\r\nHost: h\r\n\r\n' % target
+            with trio.move_on_after(0.5):
+                await raw_exchange(server.address, request)
+        response, _ = await client.fetch(
+            ClientRequest(server.address, 'GET', '/')
+        )
+        self.assertEqual(200, response.status)
+
+    def test_caller_that_left_is_seen_before_its_end_is_read(self):
+        found = []
+
+        async def handler(call):
+            found.append(call.has_left())
+            # The loop is busy, so that nothing is read meanwhile.
+            time.sleep(0.2)
+            found.append(call.has_left())
+            raise CallerGone
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                server = HttpServer(handler)
+                await server.start(nursery, '127.0.0.1', 0)
+                await trio.to_thread.run_sync(leave, server.address)
+                await trio.sleep(0.3)
+                await server.close()
+
+        def leave(address):
+            host, _, port = address.partition(':')
+            caller = socket.create_connection((host, int(port)))
+            caller.sendall(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+            time.sleep(0.05)
+            caller.close()
+
+        trio.run(main)
+        self.assertEqual([False, True], found)
+
+    def test_waiting_callers_are_answered_when_the_listener_closes(self):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                server = HttpServer(echo, LIMITS)
+                await server.start(nursery, '127.0.0.1', 0)
+                host, _, port = server.address.partition(':')
+                await trio.testing.wait_all_tasks_blocked()
+                callers = [
+                    socket.create_connection((host, int(port)))
+                    for _ in range(20)
+                ]
+                for caller in callers:
+                    caller.sendall(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+                server.stop_accepting()
+                await trio.sleep(0.3)
+                answers = [read_now(caller) for caller in callers]
+                await server.close()
+            return answers
+
+        answers = trio.run(main)
+        self.assertEqual({b'HTTP/1.1 200'}, {one[:12] for one in answers})
+
     @run_with_server
     async def test_connection_is_reused_after_whole_answers(
         self, server, client
