Hold credit for the first seconds, for lumps, and while much is left

Use was estimated by a mean that counts the time before the first use as idle, for requests that come in lumps.

The mean starts with the first use. Keepers hold a standard deviation of their use on top, and at least their share of 6% of what is left to draw (before: of the whole, and only before any use); less of it as it shrinks.

Ruled out: more credit at routers that are no keepers; at 0.2 requests a second for an organisation it is held in vain.

--- a/eelgrassfork/gateway/credit.py
+++ b/eelgrassfork/gateway/credit.py
@@ -39,8 +39,11 @@
     :param scarce_part: part of an organisation's limit that is little.
     :param standby_s: use of so many seconds that a keeper puts on standby
         for outages of the store.
-    :param first_part: part of an organisation's credit that all keepers
-        hold together before their use is known.
+    :param ample_part: part of what is left to draw that all keepers hold
+        together at least; while much is left, what a power cut loses is
+        missed by nobody.
+    :param burst: a keeper holds so many standard deviations of its use on
+        top, as requests of small organisations come in lumps.
     :param most_part: most of the credit left that all routers draw together
         in advance.
     :param rate_half_life_s: age at which use counts half for its rate.
@@ -58,7 +61,8 @@
     scarce_hold_s: float = 2.5
     scarce_part: float = 0.1
     standby_s: float = 8
-    first_part: float = 0.06
+    ample_part: float = 0.06
+    burst: float = 1
     most_part: float = 0.5
     rate_half_life_s: float = 6
     low_part: float = 0.85
@@ -90,6 +94,9 @@
 
 
 _LN_2: Final = 0.693
+# One request is not taken for a high rate.
+_LEAST_SEEN_S: Final = 1.0
+_SIZE_WEIGHT: Final = 0.1
 # A heartbeat has to fit into one datagram.
 _MOST_SHOWN: Final = 100
 
@@ -101,6 +108,8 @@
         self.unflushed = 0
         self.rate: float = 0
         self.rated_at: float = 0
+        self.first_at: float | None = None
+        self.request_tokens: float = 0
 
 
 class HeldCredit:
@@ -153,7 +162,21 @@
         :returns: tokens a second.
         """
         account = self._account(organisation)
-        return account.rate * self._decay(account, now_s)
+        if account.first_at is None:
+            return 0
+        # A mean over the past counts the time before the first use as idle.
+        seen_s = now_s - account.first_at + _LEAST_SEEN_S
+        seen_part = 1 - float(0.5 ** (seen_s / self._half_life_s))
+        return account.rate * self._decay(account, now_s) / seen_part
+
+    def request_tokens(self, organisation: str) -> float:
+        """
+        Estimate the size of an organisation's requests.
+
+        :param organisation: whose requests.
+        :returns: tokens; 0 if there were none.
+        """
+        return self._account(organisation).request_tokens
 
     def unflushed(self, organisation: str) -> int:
         """
@@ -176,6 +199,11 @@
         account.rate *= self._decay(account, now_s)
         account.rate += amount * _LN_2 / self._half_life_s
         account.rated_at = now_s
+        if account.first_at is None:
+            account.first_at = now_s
+            account.request_tokens = amount
+        change = amount - account.request_tokens
+        account.request_tokens += change * _SIZE_WEIGHT
 
     def reserve(self, organisation: str, amount: int) -> bool:
         """
@@ -346,11 +374,26 @@
     """
     situation = view.situation
     rate = view.held.rate(organisation, view.now_s)
-    by_rate = int(rate * _hold_s(view, organisation))
-    if by_rate or not situation.is_keeper:
-        return by_rate
+    by_rate = rate * _hold_s(view, organisation)
+    if not situation.is_keeper:
+        return int(by_rate)
+    if _is_scarce(view, organisation):
+        return int(by_rate)
+    request_tokens = view.held.request_tokens(organisation)
+    burst = view.policy.burst * (by_rate * request_tokens) ** 0.5
+    ample = _left(view, organisation) * view.policy.ample_part
+    return int(max(by_rate + burst, ample / situation.keepers))
+
+
+def _left(view: CreditView, organisation: str) -> int:
+    situation = view.situation
     prepaid = situation.prepaid_by_organisation.get(organisation, 0)
-    return int(prepaid * view.policy.first_part / situation.keepers)
+    return situation.left_by_organisation.get(organisation, prepaid)
+
+
+def _is_scarce(view: CreditView, organisation: str) -> bool:
+    prepaid = view.situation.prepaid_by_organisation.get(organisation, 0)
+    return _left(view, organisation) < prepaid * view.policy.scarce_part
 
 
 def surplus_tokens(view: CreditView) -> dict[str, int]:
@@ -374,9 +417,7 @@
     _, situation, policy, _ = view
     if not situation.is_keeper:
         return policy.hold_s
-    prepaid = situation.prepaid_by_organisation.get(organisation, 0)
-    left = situation.left_by_organisation.get(organisation, prepaid)
-    is_scarce = left < prepaid * policy.scarce_part
+    is_scarce = _is_scarce(view, organisation)
     return policy.scarce_hold_s if is_scarce else policy.keeper_hold_s
 
 
