Send callers elsewhere whom a busy router can hardly serve; end stops in time

A request is refused as not run, with the connection closed, where six turns take more than half of its caller's time and the median router is less than half as far behind.

- A stop that is out of time began shielded calls, and the interpreter's teardown took part of the grace time: both end at once now.
- A restarted router asks the store itself where no peer has reached it.

--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -313,6 +313,8 @@
             await self._deposit(surplus_tokens(self._view()))
 
     async def _deposit(self, amount_by_organisation: Tokens) -> None:
+        # A stop whose time is up must not begin another shielded call.
+        await trio.lowlevel.checkpoint()
         handed = {
             name: self.held.remove(name, amount)
             for name, amount in amount_by_organisation.items()
--- a/eelgrassfork/gateway/duty.py
+++ b/eelgrassfork/gateway/duty.py
@@ -112,6 +112,7 @@
         self._reached_at: float = float('-inf')
         self._volunteers_until: float = float('-inf')
         self._asks_at: float | None = None
+        self._is_new = True
         self._elected: tuple[FleetView | None, bool] = (None, False)
 
     @property
@@ -154,10 +155,18 @@
     def must_ask(self) -> bool:
         """Whether it is this router's turn to ask for an absent store."""
         fleet = self._fleet()
-        if self.is_store_reached or not fleet.is_settled:
+        now_s = trio.current_time()
+        if not fleet.is_settled:
+            return False
+        is_new = self._is_new
+        self._is_new = False
+        if self.is_store_reached:
             self._asks_at = None
             return False
-        now_s = trio.current_time()
+        if is_new:
+            # What peers without the store tell may be older than what the
+            # former process on this VM knew.
+            return True
         if self._asks_at is None:
             mean_s = max(1, fleet.routers) / self._policy.asks_per_s
             self._asks_at = now_s + self._random.expovariate(1 / mean_s)
--- a/eelgrassfork/gateway/forwarder.py
+++ b/eelgrassfork/gateway/forwarder.py
@@ -16,6 +16,7 @@
 from .configuration import Permission, permit
 from .credit_keeper import CreditKeeper
 from .follower import Beliefs
+from .overload import Backlog, turns_away
 from .records import Configuration, ForwardHead, Headers
 from .sender import Sender
 from .sending import Sending
@@ -29,7 +30,9 @@
 # Retries reach other routers, so that what binds only this one is mended by
 # coming back at once.
 _ELSEWHERE_S: Final = 0.02
-_LOCAL_CODES: Final = frozenset(('not_ready', 'draining', 'credit_unreachable'))
+_LOCAL_CODES: Final = frozenset(
+    ('not_ready', 'draining', 'router_busy', 'credit_unreachable')
+)
 
 
 class Translation(NamedTuple):
@@ -49,7 +52,7 @@
     What the forwarder works with.
 
     :param is_isolated: whether callers should try another router.
-    :param loop_delay_s: how far this process is behind with its work.
+    :param backlog: how far this router and others are behind.
     """
 
     beliefs: Beliefs
@@ -58,7 +61,7 @@
     telemetry: Telemetry
     translation: Translation
     is_isolated: Callable[[], bool]
-    loop_delay_s: Callable[[], float]
+    backlog: Callable[[], Backlog]
 
 
 class Forwarder:
@@ -93,10 +96,12 @@
             call.request_id = head.request_id
             self._check_open()
             permission = permit(self._configuration, head)
+            longest_s = _longest_s(permission, head)
+            self._check_backlog(longest_s)
         except RequestError as error:
             await self._refuse(call, error, None)
             return
-        deadline = _deadline(call, permission, head)
+        deadline = call.received_at + longest_s
         sending = Sending(call, head, permission, deadline)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(cancel_when_gone, call, nursery.cancel_scope)
@@ -141,6 +146,10 @@
         if self.draining:
             raise RequestError('draining', 'this router is about to stop')
 
+    def _check_backlog(self, patience_s: float) -> None:
+        if turns_away(patience_s, self._parts.backlog()):
+            raise RequestError('router_busy', 'other routers are less behind')
+
     @property
     def _configuration(self) -> Configuration | None:
         return self._parts.beliefs.configuration.current
@@ -178,6 +187,7 @@
                 'why': error.message,
                 'version': self._parts.beliefs.configuration.version,
                 'version_age_s': self._parts.beliefs.configuration.age_s,
+                'loop_delay_ms': round(self._parts.backlog().delay_s * 1000),
             },
         )
 
@@ -207,13 +217,13 @@
                 'sends': [send.log_fields() for send in sending.sends],
                 'first_ms': round(first_s * 1000) if first_s >= 0 else None,
                 'whole_ms': round(whole_s * 1000),
-                'loop_delay_ms': round(self._parts.loop_delay_s() * 1000),
+                'loop_delay_ms': round(self._parts.backlog().delay_s * 1000),
             },
         )
 
 
-def _deadline(call: Call, permission: Permission, head: ForwardHead) -> float:
+def _longest_s(permission: Permission, head: ForwardHead) -> float:
     longest_s = permission.route.timeout_s
-    if head.patience_s is not None:
-        longest_s = min(longest_s, head.patience_s)
-    return call.received_at + longest_s
+    if head.patience_s is None:
+        return longest_s
+    return min(longest_s, head.patience_s)
--- a/eelgrassfork/gateway/heartbeats.py
+++ b/eelgrassfork/gateway/heartbeats.py
@@ -60,6 +60,7 @@
     :param configuration_bytes: size of its configuration as it is stored.
     :param outside_age_ms: time since its failure domain heard another one;
         ``None`` if it never did.
+    :param delay_ms: how far it is behind with its work.
     """
 
     node: str
@@ -78,3 +79,4 @@
     is_new: bool = False
     configuration_bytes: int = 0
     outside_age_ms: int | None = None
+    delay_ms: int = 0
--- a/eelgrassfork/gateway/loop_delay.py
+++ b/eelgrassfork/gateway/loop_delay.py
@@ -11,15 +11,14 @@
 
 __all__ = ('LoopDelay',)
 
-_STEP_S: Final = 0.05
-# A short peak counts for a few steps, in which the requests that came
-# meanwhile are read.
-_DECAY: Final = 0.7
+_STEP_S: Final = 0.1
+# A mean over about half a second, which single pauses move little.
+_WEIGHT: Final = 0.4
 
 
 class LoopDelay:
     """
-    Delay of a timer, which is what every other step of a request waits too.
+    Mean delay of a timer, which every other turn of the loop has too.
 
     :ivar delay_s: present estimate, in seconds.
     """
@@ -33,4 +32,4 @@
             due_at = trio.current_time() + _STEP_S
             await trio.sleep_until(due_at)
             late_s = max(0, trio.current_time() - due_at)
-            self.delay_s = max(late_s, self.delay_s * _DECAY)
+            self.delay_s += _WEIGHT * (late_s - self.delay_s)
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -24,6 +24,7 @@
 from .heartbeats import Heartbeat
 from .loop_delay import LoopDelay
 from .node_settings import Bounds, NodeSettings
+from .overload import Backlog
 from .peer_exchange import PeerExchange, knows_more
 from .records import AnswerHead, CallerBounds, Headers
 from .registry import Registry
@@ -50,6 +51,7 @@
 # lost request.
 _SERVER_IDLE_S: Final = 2.0
 _SERVER_IDLE_CONNECTIONS: Final = 16
+_MS_PER_S: Final = 1000
 
 
 class NodeAdapter(NamedTuple):
@@ -296,10 +298,13 @@
                 self.telemetry,
                 self._adapter.translation,
                 self._is_isolated,
-                lambda: self._delay.delay_s,
+                self._backlog,
             ),
         )
 
+    def _backlog(self) -> Backlog:
+        return Backlog(self._delay.delay_s, self._roster.peers.delays_s())
+
     def _is_keeper(self) -> bool:
         # Routers that hear of nobody yet would all draw at the same moment.
         is_settled = self._roster.is_settled
@@ -320,6 +325,7 @@
             self._beliefs.records.newest,
             self._duty.store_age_ms,
             configuration_bytes=len(self._beliefs.configuration.content),
+            delay_ms=int(self._delay.delay_s * _MS_PER_S),
         )
 
     def _heard(self, heartbeat: Heartbeat) -> None:
--- a/eelgrassfork/gateway/peers.py
+++ b/eelgrassfork/gateway/peers.py
@@ -81,6 +81,18 @@
             if peer.heartbeat is not None and peer.spoke_at >= oldest
         ]
 
+    def delays_s(self) -> list[float]:
+        """
+        List how far routers that spoke lately are behind with their work.
+
+        :returns: seconds.
+        """
+        return [
+            peer.heartbeat.delay_ms / _MS_PER_S
+            for peer in self.spoken()
+            if peer.heartbeat is not None and not peer.heartbeat.draining
+        ]
+
     def take(self, heartbeat: Heartbeat) -> bool:
         """
         Take over what a router says of itself.
--- a/eelgrassfork/platform/__main__.py
+++ b/eelgrassfork/platform/__main__.py
@@ -5,6 +5,7 @@
 The daemon of an entry VM on the users' platform.
 """
 
+import os
 import signal
 import sys
 from collections.abc import Callable
@@ -149,4 +150,8 @@
 
 
 if __name__ == '__main__':
-    sys.exit(main())
+    # The teardown of the interpreter takes a large part of a second on a slow
+    # VM, and SIGKILL may be near; nothing is left to clean up.
+    exit_code = main()
+    sys.stderr.flush()
+    os._exit(exit_code)
--- a/tests/test_gateway_credit_keeper.py
+++ b/tests/test_gateway_credit_keeper.py
@@ -413,6 +413,24 @@
         self.assertEqual((both, 0), (stays, leaves))
         self.assertGreater(both, 0)
 
+    def test_stop_that_is_out_of_time_begins_no_other_call(self):
+        async def scenario(fleet, nursery):
+            keeper = await fleet.add(nursery, 'n0')
+            other = await fleet.add(nursery, 'n1', is_keeper=False)
+            other.held.add('a', 5000)
+            began_at = trio.current_time()
+            with trio.CancelScope() as scope:
+                scope.cancel()
+                await other.close(0.5)
+            return (
+                trio.current_time() - began_at,
+                other.held.free('a'),
+                keeper.held.free('a') > 5000,
+            )
+
+        took_s, kept, _ = run(scenario)
+        self.assertEqual((0, 5000), (took_s, kept))
+
     def test_router_that_saw_an_outage_draws_again_after_it(self):
         async def scenario(fleet, nursery):
             fleet.cut = True
