--- a/eelgrassfork/gateway/forwarder.py
+++ b/eelgrassfork/gateway/forwarder.py
@@ -52,7 +52,8 @@
     What the forwarder works with.
 
     :param is_isolated: whether callers should try another router.
-    :param backlog: how far this router and others are behind.
+    :param loop_delay_s: how far this router is behind with its work.
+    :param delays_elsewhere_s: the same of other routers.
     """
 
     beliefs: Beliefs
@@ -61,7 +62,8 @@
     telemetry: Telemetry
     translation: Translation
     is_isolated: Callable[[], bool]
-    backlog: Callable[[], Backlog]
+    loop_delay_s: Callable[[], float]
+    delays_elsewhere_s: Callable[[], list[float]]
 
 
 class Forwarder:
@@ -147,7 +149,9 @@
             raise RequestError('draining', 'this router is about to stop')
 
     def _check_backlog(self, patience_s: float) -> None:
-        if turns_away(patience_s, self._parts.backlog()):
+        parts = self._parts
+        backlog = Backlog(parts.loop_delay_s(), parts.delays_elsewhere_s)
+        if turns_away(patience_s, backlog):
             raise RequestError('router_busy', 'other routers are less behind')
 
     @property
@@ -187,7 +191,7 @@
                 'why': error.message,
                 'version': self._parts.beliefs.configuration.version,
                 'version_age_s': self._parts.beliefs.configuration.age_s,
-                'loop_delay_ms': round(self._parts.backlog().delay_s * 1000),
+                'loop_delay_ms': round(self._parts.loop_delay_s() * 1000),
             },
         )
 
@@ -217,7 +221,7 @@
                 'sends': [send.log_fields() for send in sending.sends],
                 'first_ms': round(first_s * 1000) if first_s >= 0 else None,
                 'whole_ms': round(whole_s * 1000),
-                'loop_delay_ms': round(self._parts.backlog().delay_s * 1000),
+                'loop_delay_ms': round(self._parts.loop_delay_s() * 1000),
             },
         )
 
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -13,6 +13,7 @@
 
 from ..http_client import HttpClient
 from ..http_server import HttpServer, ServerLimits
+from ..loop_watch import LoopWatch
 from ..supervision import keep_running
 from .credit_exchange import CreditExchange
 from .credit_keeper import CreditKeeper, CreditWorld
@@ -22,9 +23,7 @@
 from .forwarder import Forwarder, ForwarderParts, Translation
 from .gossip import Gossip, describe_peers, unix_ms
 from .heartbeats import Heartbeat
-from .loop_delay import LoopDelay
 from .node_settings import Bounds, NodeSettings
-from .overload import Backlog
 from .peer_exchange import PeerExchange, knows_more
 from .records import AnswerHead, CallerBounds, Headers
 from .registry import Registry
@@ -99,11 +98,11 @@
         self._store = adapter.make_store(
             self._http, self.telemetry.count_store_call
         )
-        self._delay = LoopDelay()
+        self._loop = LoopWatch()
         self.telemetry.watch(
             'loop_delay_seconds',
             'How late timers are, as the process is busy.',
-            lambda: self._delay.delay_s,
+            lambda: self._loop.mean_s,
         )
         self._beliefs = Beliefs(adapter.decoders, self._beliefs_changed)
         self._gossip = Gossip(
@@ -173,7 +172,7 @@
         for name, work in (
             ('catch up with peers', self._exchange.run),
             ('registry', self._registry.run),
-            ('loop delay', self._delay.run),
+            ('loop delay', self._loop.run),
             ('tidy', self._tidy),
         ):
             nursery.start_soon(keep_running, name, work)
@@ -298,13 +297,11 @@
                 self.telemetry,
                 self._adapter.translation,
                 self._is_isolated,
-                self._backlog,
+                lambda: self._loop.mean_s,
+                self._roster.peers.delays_s,
             ),
         )
 
-    def _backlog(self) -> Backlog:
-        return Backlog(self._delay.delay_s, self._roster.peers.delays_s())
-
     def _is_keeper(self) -> bool:
         # Routers that hear of nobody yet would all draw at the same moment.
         is_settled = self._roster.is_settled
@@ -325,7 +322,7 @@
             self._beliefs.records.newest,
             self._duty.store_age_ms,
             configuration_bytes=len(self._beliefs.configuration.content),
-            delay_ms=int(self._delay.delay_s * _MS_PER_S),
+            delay_ms=int(self._loop.mean_s * _MS_PER_S),
         )
 
     def _heard(self, heartbeat: Heartbeat) -> None:
--- a/eelgrassfork/gateway/overload.py
+++ b/eelgrassfork/gateway/overload.py
@@ -10,7 +10,7 @@
 turn, each of them late, while other routers and the servers have room.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from statistics import median
 from typing import Final, NamedTuple
 
@@ -31,11 +31,12 @@
     How far routers are behind with their work.
 
     :param delay_s: mean delay of one turn of the loop here.
-    :param delays_elsewhere_s: the same of other routers by their last word.
+    :param delays_elsewhere_s: reads the same of other routers by their last
+        word.
     """
 
     delay_s: float
-    delays_elsewhere_s: Sequence[float] = ()
+    delays_elsewhere_s: Callable[[], Sequence[float]]
 
 
 def turns_away(patience_s: float, backlog: Backlog) -> bool:
@@ -48,7 +49,9 @@
         are less behind.
     """
     most_s = patience_s * _PART_FOR_ROUTER
-    if not backlog.delays_elsewhere_s or backlog.delay_s * _TURNS <= most_s:
+    if backlog.delay_s * _TURNS <= most_s:
         return False
-    elsewhere_s = median(backlog.delays_elsewhere_s)
-    return elsewhere_s < backlog.delay_s * _LESS_ELSEWHERE
+    delays_s = backlog.delays_elsewhere_s()
+    if not delays_s:
+        return False
+    return median(delays_s) < backlog.delay_s * _LESS_ELSEWHERE
--- a/tests/test_gateway_overload.py
+++ b/tests/test_gateway_overload.py
@@ -21,7 +21,7 @@
 class OverloadTests(testtools.TestCase):
     def refused(self, patience_s, elsewhere):
         return [
-            turns_away(patience_s, Backlog(delay_s, elsewhere))
+            turns_away(patience_s, Backlog(delay_s, lambda: elsewhere))
             for delay_s in BURST_S
         ]
 
