--- a/eelgrassfork/gateway/peers.py
+++ b/eelgrassfork/gateway/peers.py
@@ -14,12 +14,14 @@
 
 from .heartbeats import Heartbeat, Known
 
-__all__ = ('Peer', 'PeerTable')
+__all__ = ('FORGET_S', 'Peer', 'PeerTable')
 
 _log = logbook.Logger('gossip')
 
+# What a router said of itself is of use for eight heartbeats.
 _SPOKE_S: Final = 2.0
-_FORGET_S: Final = 60.0
+# Longer than any cut that routers should find each other after by themselves.
+FORGET_S: Final = 60.0
 _MS_PER_S: Final = 1000
 
 
@@ -39,7 +41,7 @@
         self.incarnation = incarnation
         self.failure_domain = failure_domain
         self.heartbeat: Heartbeat | None = None
-        self.heard_at: float = 0
+        self.heard_at: float = float('-inf')
         self.spoke_at: float = 0
 
 
@@ -177,7 +179,7 @@
 
     def forget(self) -> None:
         """Drop the routers that were not heard of for a minute."""
-        oldest = trio.current_time() - _FORGET_S
+        oldest = trio.current_time() - FORGET_S
         for node, peer in list(self.by_node.items()):
             if peer.heard_at < oldest:
                 self.by_node.pop(node)
--- a/eelgrassfork/gateway/roster.py
+++ b/eelgrassfork/gateway/roster.py
@@ -17,15 +17,18 @@
 from ..names import rendezvous_order
 from .domain_views import DomainViews
 from .heartbeats import DomainView, Heartbeat, Known
-from .peers import Peer, PeerTable
+from .peers import FORGET_S, Peer, PeerTable
 from .targets import NEAR_TARGETS, Targets
 
 __all__ = ('FleetView', 'Place', 'Roster')
 
 # Up to so many other routers each heartbeat goes to all of them.
 _FAN_OUT: Final = 12
+# Routers that a heartbeat mentions.  In large fleets the control traffic of a
+# router stays below 7 KB a second with so many.
 _SAMPLE: Final = 10
 _NEAR_SAMPLE: Final = 7
+# Eight heartbeats in a small fleet.
 _SILENT_S: Final = 2.0
 # Routers of the own failure domain that heartbeats name in a second, on
 # average.  A router is silent once it should have been named so often.
@@ -33,8 +36,9 @@
 _MISSED_MENTIONS: Final = 10
 # Heartbeats between two failure domains come from each router in turn.
 _DOMAIN_SILENT_S: Final = 4.0
-_FORGET_S: Final = 60.0
+# Two heartbeats and the answers to them.
 _SETTLE_S: Final = 0.6
+# A router that knows fewer others asks to be told of more.
 _FEW: Final = 3
 # Membership changes within this time are seen together.
 _CACHE_S: Final = 0.1
@@ -144,7 +148,7 @@
     @property
     def routers_known(self) -> int:
         """Number of routers that lived in the last minute, this one too."""
-        others = [view.routers for view in self._views.newest(_FORGET_S)]
+        others = [view.routers for view in self._views.newest(FORGET_S)]
         own = self._own.failure_domain
         near = sum(
             peer.failure_domain == own for peer in self.peers.by_node.values()
@@ -179,7 +183,7 @@
         """
         if self.peers.by_node and not self.live():
             return self.routers_known
-        return 1 + len(self._views.newest(_FORGET_S))
+        return 1 + len(self._views.newest(FORGET_S))
 
     def targets(self, seed_ips: tuple[str, ...]) -> dict[str, tuple[str, ...]]:
         """
@@ -235,7 +239,7 @@
                 peer.ip if peer else own.ip,
                 0,
             ),
-            *self._views.newest(_FORGET_S),
+            *self._views.newest(FORGET_S),
         )
 
     def _peer(self, view: DomainView) -> Peer:
