Look at a connection in one place

The client polled a connection before it is used again, and the server peeked at it before a send; both look through the transport now. The usual case, a caller that has sent nothing more, costs one system call instead of three. Behaviour is the same.

--- a/eelgrassfork/http_client.py
+++ b/eelgrassfork/http_client.py
@@ -6,7 +6,6 @@
 """
 
 import math
-import select
 from collections.abc import AsyncIterator, Callable
 from typing import Final, NamedTuple
 
@@ -14,7 +13,7 @@
 import trio
 
 from .errors import EelgrassError
-from .transport import TCP, Transport
+from .transport import TCP, Transport, is_readable
 
 __all__ = (
     'ClientRequest',
@@ -147,10 +146,10 @@
         return await self._send_and_listen(encoded, bounds)
 
     def is_usable(self, max_idle_s: float) -> bool:
+        # Bytes or an end that come between two answers belong to no request.
         idle_s = trio.current_time() - self.idle_since
-        return idle_s <= min(max_idle_s, self.kept_s) and not _is_readable(
-            self.stream
-        )
+        is_fresh = idle_s <= min(max_idle_s, self.kept_s)
+        return is_fresh and not is_readable(self.stream)
 
     async def next_event(self, wait: _Wait) -> object:
         while True:
@@ -229,15 +228,6 @@
             wait.expire()
 
 
-def _is_readable(stream: trio.abc.Stream) -> bool:
-    # Bytes or an end that come between two answers belong to no request.
-    if not isinstance(stream, trio.SocketStream):
-        return False
-    poll = select.poll()
-    poll.register(stream.socket.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 def _kept_s(keep_alive: str) -> float:
     for option in keep_alive.split(','):
         name, _, seconds = option.strip().partition('=')
--- a/eelgrassfork/http_server.py
+++ b/eelgrassfork/http_server.py
@@ -15,7 +15,7 @@
 
 from .errors import RequestError, error_body
 from .names import new_request_id
-from .transport import TCP, Listening, TcpListener, Transport, peek
+from .transport import TCP, Listening, TcpListener, Transport, has_ended
 
 __all__ = (
     'HOP_BY_HOP',
@@ -187,7 +187,7 @@
 
         :returns: whether it has.
         """
-        return self.gone.is_set() or self._connection.is_closed_by_caller()
+        return self.gone.is_set() or self._connection.has_ended
 
     def close_after(self) -> None:
         """Close the connection after the answer, and tell the caller so."""
@@ -224,15 +224,9 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 raise CallerGone from None
 
-    def is_closed_by_caller(self) -> bool:
-        if not isinstance(self._stream, trio.SocketStream):
-            return False
-        try:
-            return not peek(self._stream)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+    @property
+    def has_ended(self) -> bool:
+        return has_ended(self._stream)
 
     async def close(self) -> None:
         with trio.CancelScope(shield=True):
--- a/eelgrassfork/transport.py
+++ b/eelgrassfork/transport.py
@@ -6,6 +6,7 @@
 """
 
 import errno
+import select
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
@@ -14,7 +15,14 @@
 import logbook
 import trio
 
-__all__ = ('TCP', 'Listening', 'TcpListener', 'Transport', 'peek')
+__all__ = (
+    'TCP',
+    'Listening',
+    'TcpListener',
+    'Transport',
+    'has_ended',
+    'is_readable',
+)
 
 _log = logbook.Logger('transport')
 
@@ -116,20 +124,38 @@
         await trio.lowlevel.checkpoint()
 
 
-def peek(stream: trio.SocketStream) -> bytes:
+def is_readable(stream: trio.abc.Stream) -> bool:
+    """
+    Look whether bytes or an end of a connection wait to be read.
+
+    :param stream: a connection.
+    :returns: whether they do; ``False`` for streams in memory.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return False
+    poll = select.poll()
+    poll.register(stream.socket.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def has_ended(stream: trio.abc.Stream) -> bool:
     """
-    Look at the next byte without taking it.
+    Look whether the other side of a connection has closed or reset it.
 
     :param stream: a connection.
-    :returns: the byte; empty if the other side has closed.
-    :raises BlockingIOError: if nothing has come.
-    :raises OSError: if the connection broke.
+    :returns: whether it has, and nothing that it sent before is left to read.
     """
+    if not isinstance(stream, trio.SocketStream) or not is_readable(stream):
+        return False
     borrowed = socket.socket(
         socket.AF_INET, socket.SOCK_STREAM, fileno=stream.socket.fileno()
     )
     try:
-        return borrowed.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        return not borrowed.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
     finally:
         borrowed.detach()
 
