Keep one rule for peers that spoke lately; ask for the keeper directly

Credit exchange had the age of a peer's word a second time. Whether this router is the keeper is asked several times a request, and made a list of the views of all failure domains each time. Behaviour is the same.

--- a/eelgrassfork/gateway/credit_exchange.py
+++ b/eelgrassfork/gateway/credit_exchange.py
@@ -41,8 +41,6 @@
 _BORROW_S: Final = 0.2
 # Heartbeats show within this time whether a silent peer is gone.
 _AVOID_S: Final = 2.0
-# What a peer said of its credit is of no use after so long.
-_KNOWN_S: Final = 2.0
 _BODY: Final = (('content-type', 'application/msgpack'),)
 
 
@@ -116,7 +114,7 @@
         :returns: whether they said that they had so much together, or some
             keeper has not said what it has.
         """
-        if any(map(_is_unknown, self._keepers())):
+        if not all(peer.has_spoken for peer in self._keepers()):
             return True
         said = sum(
             _free(peer, (organisation,)) for peer in self._roster.peers.spoken()
@@ -171,17 +169,17 @@
     def _lenders(self, wanted: Iterable[str]) -> list[Peer]:
         now_s = trio.current_time()
         keepers = self._keepers()
-        unknown = [peer for peer in keepers[1:] if _is_unknown(peer)]
-        keepers = keepers[:1]
+        first = keepers[:1]
+        silent = [peer for peer in keepers[1:] if not peer.has_spoken]
         others = [
             peer
             for peer in self._roster.peers.spoken()
-            if peer not in keepers
+            if peer not in first
             and _free(peer, wanted) > 0
             and self._avoided_until_by_node.get(peer.node, 0) <= now_s
         ]
         others.sort(key=lambda peer: _free(peer, wanted), reverse=True)
-        return [*keepers, *others, *unknown][:_MAX_LENDERS]
+        return [*first, *others, *silent][:_MAX_LENDERS]
 
     def _keepers(self) -> list[Peer]:
         now_s = trio.current_time()
@@ -208,13 +206,8 @@
     }
 
 
-def _is_unknown(peer: Peer) -> bool:
-    age_s = trio.current_time() - peer.spoke_at
-    return peer.heartbeat is None or age_s > _KNOWN_S
-
-
 def _may_have(peer: Peer, organisations: Iterable[str]) -> bool:
-    return _is_unknown(peer) or _free(peer, organisations) > 0
+    return not peer.has_spoken or _free(peer, organisations) > 0
 
 
 def _free(peer: Peer, organisations: Iterable[str]) -> int:
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -304,8 +304,7 @@
 
     def _is_keeper(self) -> bool:
         # Routers that hear of nobody yet would all draw at the same moment.
-        is_settled = self._roster.is_settled
-        return is_settled and None in self._roster.keepers()[:1]
+        return self._roster.is_settled and self._roster.is_keeper
 
     def _heartbeat(self) -> Heartbeat:
         # Few ask another router than a keeper for credit in a large fleet.
--- a/eelgrassfork/gateway/peers.py
+++ b/eelgrassfork/gateway/peers.py
@@ -12,7 +12,7 @@
 import logbook
 import trio
 
-from .heartbeats import Heartbeat, Known
+from .heartbeats import DomainView, Heartbeat, Known
 
 __all__ = ('FORGET_S', 'Peer', 'PeerTable')
 
@@ -44,6 +44,12 @@
         self.heard_at: float = float('-inf')
         self.spoke_at: float = 0
 
+    @property
+    def has_spoken(self) -> bool:
+        """Whether it spoke to this router lately."""
+        age_s = trio.current_time() - self.spoke_at
+        return self.heartbeat is not None and age_s <= _SPOKE_S
+
 
 class PeerTable:
     """
@@ -76,12 +82,7 @@
 
         :returns: peers with a heartbeat of their own.
         """
-        oldest = trio.current_time() - _SPOKE_S
-        return [
-            peer
-            for peer in self.by_node.values()
-            if peer.heartbeat is not None and peer.spoke_at >= oldest
-        ]
+        return [peer for peer in self.by_node.values() if peer.has_spoken]
 
     def delays_s(self) -> list[float]:
         """
@@ -95,6 +96,18 @@
             if peer.heartbeat is not None and not peer.heartbeat.draining
         ]
 
+    def keeper_of(self, view: DomainView) -> Peer:
+        """
+        Find the keeper of a failure domain.
+
+        :param view: what is known of the domain.
+        :returns: the peer; one without a heartbeat if it was not heard of.
+        """
+        known = self.by_node.get(view.keeper)
+        if known is not None:
+            return known
+        return Peer(view.keeper, view.keeper_ip, 0, view.failure_domain)
+
     def take(self, heartbeat: Heartbeat) -> bool:
         """
         Take over what a router says of itself.
--- a/eelgrassfork/gateway/roster.py
+++ b/eelgrassfork/gateway/roster.py
@@ -137,6 +137,11 @@
         """Whether only routers of the own failure domain are heard."""
         return self._views.is_cut_off
 
+    @property
+    def is_keeper(self) -> bool:
+        """Whether this router draws credit for its failure domain."""
+        return self._keeper() == self._own.node
+
     @property
     def is_settled(self) -> bool:
         """Whether there was time to hear of the other routers."""
@@ -167,7 +172,7 @@
         return [
             *first,
             *(
-                self._peer(view)
+                self.peers.keeper_of(view)
                 for view in self._views.newest(_DOMAIN_SILENT_S)
             ),
         ]
@@ -242,12 +247,6 @@
             *self._views.newest(FORGET_S),
         )
 
-    def _peer(self, view: DomainView) -> Peer:
-        known = self.peers.by_node.get(view.keeper)
-        if known is not None:
-            return known
-        return Peer(view.keeper, view.keeper_ip, 0, view.failure_domain)
-
     def _keeper(self) -> str:
         near = self._near_nodes()
         elected_by, keeper = self._elected
--- a/tests/test_gateway_roster.py
+++ b/tests/test_gateway_roster.py
@@ -57,6 +57,9 @@
                 if heartbeat.is_new:
                     roster.take(other.heartbeat(heartbeat.failure_domain, True))
 
+    def own_keepers(self):
+        return sum(one.is_keeper for one in self.rosters_by_ip.values())
+
     def keepers(self):
         return {
             peer.node if peer else roster._own.node
@@ -88,9 +91,13 @@
             lost = sorted(fleet.keepers())[0]
             fleet.rosters_by_ip.pop(lost.removeprefix('node-'))
             await fleet.play(5)
-            return lost in fleet.keepers(), len(fleet.keepers())
+            return (
+                lost in fleet.keepers(),
+                len(fleet.keepers()),
+                fleet.own_keepers(),
+            )
 
-        self.assertEqual((False, 3), run(main))
+        self.assertEqual((False, 3, 3), run(main))
 
     def test_router_that_starts_again_knows_the_fleet_at_once(self):
         async def main():
