--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -269,7 +269,7 @@
 
     def _hear_of_store(self) -> None:
         reached = self._duty.is_store_reached
-        if reached != self._reachable:
+        if reached != self.reachable:
             self._turn(reached, 'by the word of peers')
 
     def _leads(self, kind: str) -> bool:
--- a/eelgrassfork/transport.py
+++ b/eelgrassfork/transport.py
@@ -31,6 +31,22 @@
     (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 )
 _NO_DESCRIPTOR_S: Final = 0.1
+# Errors of one connection that waited, which accept(2) of Linux passes on.
+_OF_CONNECTION: Final = frozenset(
+    (
+        errno.ECONNABORTED,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.EINTR,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENONET,
+        errno.ENOPROTOOPT,
+        errno.EOPNOTSUPP,
+        errno.EPERM,
+        errno.EPROTO,
+    ),
+)
 
 
 class Listening(NamedTuple):
@@ -90,6 +106,7 @@
         Accept the connections that wait in the queue of the kernel.
 
         :returns: whether there were descriptors for all of them.
+        :raises OSError: if the listening socket itself is broken.
         """
         while True:
             try:
@@ -100,7 +117,8 @@
                 if error.errno in _NO_DESCRIPTOR:
                     _log.error('could not accept', extra={'why': str(error)})
                     return False
-                # The connection was reset while it waited.
+                if error.errno not in _OF_CONNECTION:
+                    raise
                 continue
             accepted.setblocking(False)
             self._waiting.append(
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -182,6 +182,19 @@
         self.assertEqual((0, 9), (before, newest))
         self.assertLess(calls, 45)
 
+    def test_start_is_no_loss_of_the_store(self):
+        # The fleet has not been heard of yet, and no call has failed.
+        async def scenario(setting):
+            duty = WatchDuty('other', setting.fleet)
+            beliefs = Beliefs(DECODERS, lambda: None)
+            follower = StoreFollower(setting.store, beliefs, DECODERS, duty)
+            turns = []
+            follower._turn = lambda *turn: turns.append(turn)
+            follower._hear_of_store()
+            return turns
+
+        self.assertEqual([], run(scenario))
+
     def test_return_of_the_store_is_learned_from_peers(self):
         async def scenario(setting):
             setting.store.down = True
