End the longer pause of a relieved watcher when nobody relieves it

The contact of its own other watch counted as that of others, and a pause once begun went on after the others had gone silent, so a configuration could come later than the bound. Only contact that peers have newer than the router itself relieves it now, and what is left of a pause is cut to the usual one once it ends.

Ruled out: a shorter pause for all, which turned-away watchers would pay for.

--- a/eelgrassfork/gateway/duty.py
+++ b/eelgrassfork/gateway/duty.py
@@ -22,6 +22,9 @@
 __all__ = ('DutyPolicy', 'WatchDuty', 'count_watchers', 'is_watcher')
 
 _MS_PER_S: Final = 1000
+# What peers repeat of this router's own contact seems newer by the time that
+# a heartbeat is on its way.
+_ECHO_S: Final = 0.25
 
 
 class DutyPolicy(NamedTuple):
@@ -110,6 +113,7 @@
         self._is_seed = is_seed
         self._random = random.Random()
         self._reached_at: float = float('-inf')
+        self._own_reached_at: float = float('-inf')
         self._volunteers_until: float = float('-inf')
         self._asks_at: float | None = None
         self._is_new = True
@@ -175,6 +179,16 @@
         self._asks_at = None
         return True
 
+    @property
+    def longest_retry_s(self) -> float:
+        """Longest time between calls of a watcher that fails."""
+        policy = self._policy
+        longest_s = max(policy.retry_s, self.watchers * policy.watcher_retry_s)
+        is_echo = self._reached_at - self._own_reached_at <= _ECHO_S
+        if is_echo or not self.is_store_reached:
+            return longest_s
+        return max(longest_s, policy.relieved_s)
+
     def retry_s(self, failures: int) -> float:
         """
         Compute when to call again after a call that failed.
@@ -182,13 +196,15 @@
         :param failures: number of failed calls before it, in a row.
         :returns: seconds.
         """
-        policy = self._policy
-        longest_s = max(policy.retry_s, self.watchers * policy.watcher_retry_s)
-        if self.is_store_reached:
-            longest_s = max(longest_s, policy.relieved_s)
-        least_s = min(longest_s, policy.retry_s / 2 * 2**failures)
+        doubled_s = self._policy.retry_s / 2 * 2**failures
+        least_s = min(self.longest_retry_s, doubled_s)
         return self._random.uniform(least_s / 2, least_s)
 
+    def note_own_contact(self) -> None:
+        """Note that this router reached the store."""
+        self.note_contact()
+        self._own_reached_at = trio.current_time()
+
     def note_contact(self, age_ms: int | None = 0) -> None:
         """
         Note that a router reached the store.
--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -226,11 +226,13 @@
     async def _pause(self, kind: str, failures: int) -> None:
         if self._leads(kind):
             doublings = min(failures, _MAX_DOUBLINGS)
-            ends_at = trio.current_time() + self._duty.retry_s(doublings)
-            while trio.current_time() < ends_at:
+            left_s = self._duty.retry_s(doublings)
+            while left_s > 0:
                 self._hear_of_store()
-                left_s = ends_at - trio.current_time()
-                await trio.sleep(min(_DUTY_POLL_S, left_s))
+                step_s = min(_DUTY_POLL_S, left_s)
+                await trio.sleep(step_s)
+                # Others may no longer relieve this router.
+                left_s = min(left_s - step_s, self._duty.longest_retry_s)
             return
         with trio.move_on_after(_LONGEST_WAIT_S):
             await self._returned.wait()
@@ -292,7 +294,7 @@
 
     def _note(self, reachable: bool, why: str) -> None:
         if reachable:
-            self._duty.note_contact()
+            self._duty.note_own_contact()
         if reachable != self._reachable:
             self._turn(reachable, why)
 
--- a/tests/test_gateway_duty.py
+++ b/tests/test_gateway_duty.py
@@ -151,6 +151,19 @@
 
         self.assertGreater(run(main), POLICY.retry_s)
 
+    def test_own_contact_relieves_nobody(self):
+        # Its other watch was answered, so that the store can be asked, and
+        # peers that repeat what they heard from this router know no more.
+        async def main():
+            duty = self.idle()
+            duty.note_own_contact()
+            await trio.sleep(0.3)
+            duty.note_contact(295)
+            longest_s = POLICY.watcher_retry_s * duty.watchers
+            return max(duty.retry_s(10) for _ in range(99)) <= longest_s
+
+        self.assertTrue(run(main))
+
     def test_router_that_has_just_started_waits_for_its_peers(self):
         fleet = FleetView(1, ('n',), 1, is_settled=False)
 
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -182,6 +182,20 @@
         self.assertEqual((0, 9), (before, newest))
         self.assertLess(calls, 45)
 
+    def test_watcher_asks_soon_once_others_no_longer_relieve_it(self):
+        async def scenario(setting):
+            setting.store.down = True
+            for _ in range(40):
+                await trio.sleep(0.25)
+                setting.duty.note_contact()
+            setting.store.down = False
+            setting.put_version(9)
+            await trio.sleep(DutyPolicy().longest_silence_s + 1.2)
+            return setting.version
+
+        for _ in range(20):
+            self.assertEqual(9, run(scenario))
+
     def test_start_is_no_loss_of_the_store(self):
         # The fleet has not been heard of yet, and no call has failed.
         async def scenario(setting):
