Wire what a router knows of fleet and store in one part

FleetMember joins heartbeats, beliefs, watches and the exchange with peers, which GatewayNode wired among requests and credit, so that whole fleets of them can be played in one process without callers. The socket for heartbeats is opened by a function that may be replaced. Behaviour is unchanged.

--- /dev/null
+++ b/eelgrassfork/gateway/fleet_member.py
@@ -0,0 +1,159 @@
+"""
+eelgrassfork.gateway.fleet_member
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The parts of a router that know the fleet, the store and the servers.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+
+from ..http_client import HttpClient
+from ..supervision import keep_running
+from .duty import DutyPolicy, WatchDuty
+from .follower import Beliefs, Decoders, StoreFollower
+from .gossip import Gossip, OpenSocket, open_udp
+from .heartbeats import Heartbeat
+from .node_settings import Bounds, NodeSettings
+from .peer_exchange import PeerExchange, knows_more
+from .roster import Place
+from .store import Store
+
+__all__ = ('FleetMember', 'MemberLinks', 'OwnState')
+
+
+class OwnState(NamedTuple):
+    """
+    What heartbeats tell of this router beside its beliefs.
+
+    :param draining: it is about to stop.
+    :param free_by_organisation: credit that it could lend, in tokens.
+    :param delay_ms: how far it is behind with its work.
+    """
+
+    draining: bool = False
+    free_by_organisation: dict[str, int] = {}
+    delay_ms: int = 0
+
+
+class MemberLinks(NamedTuple):
+    """
+    What a member reaches others by.
+
+    :param store: the platform's store.
+    :param http: client for calls of peers.
+    :param open_socket: opens the socket for heartbeats.
+    """
+
+    store: Store
+    http: HttpClient
+    open_socket: OpenSocket = open_udp
+
+
+class FleetMember:
+    """
+    Wires heartbeats, beliefs, watches and the exchange with peers.
+
+    :param settings: of this router.
+    :param incarnation: of its process.
+    :param links: what it reaches others by.
+    :param decoders: how stored objects are understood.
+    :ivar describe_self: what heartbeats tell of this router.
+    :ivar on_change: told when something newer was taken over.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        incarnation: int,
+        links: MemberLinks,
+        decoders: Decoders,
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self.describe_self: Callable[[], OwnState] = OwnState
+        self.on_change: Callable[[], None] = _ignore
+        self.beliefs = Beliefs(decoders, self._beliefs_changed)
+        self.gossip = Gossip(
+            Place(settings.node, settings.ip, settings.failure_domain),
+            settings.first_internal_port,
+            self._heartbeat,
+            self._heard,
+            links.open_socket,
+        )
+        self.roster = self.gossip.roster
+        self.duty = WatchDuty(
+            settings.node,
+            self.roster.fleet,
+            _duty_policy(settings.bounds),
+            settings.is_seed,
+        )
+        self.exchange = PeerExchange(
+            links.http, self.roster.peers, self.beliefs, settings
+        )
+        self.follower = StoreFollower(
+            links.store, self.beliefs, decoders, self.duty
+        )
+        self.exchange.on_failure = self.duty.volunteer
+        self.exchange.reread = self.follower.reread
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """
+        Speak with peers and follow the store in the background.
+
+        :param nursery: where the tasks run.
+        :raises OSError: if the address for heartbeats can't be bound.
+        """
+        self.gossip.add_seeds(
+            tuple(seed.rpartition(':')[0] for seed in self._settings.seeds)
+        )
+        await self.gossip.start(nursery)
+        await self.follower.start(nursery)
+        nursery.start_soon(
+            keep_running, 'catch up with peers', self.exchange.run
+        )
+
+    def close(self) -> None:
+        """Stop speaking with peers."""
+        self.gossip.close()
+
+    def _heartbeat(self) -> Heartbeat:
+        own = self.describe_self()
+        return Heartbeat(
+            self._settings.node,
+            self._settings.ip,
+            self._incarnation,
+            self._settings.failure_domain,
+            own.draining,
+            self.beliefs.configuration.version,
+            self.beliefs.records.digest,
+            own.free_by_organisation,
+            self.beliefs.records.newest,
+            self.duty.store_age_ms,
+            configuration_bytes=len(self.beliefs.configuration.content),
+            delay_ms=own.delay_ms,
+        )
+
+    def _heard(self, heartbeat: Heartbeat) -> None:
+        self.duty.note_contact(heartbeat.store_age_ms)
+        if knows_more(heartbeat, self.beliefs):
+            self.exchange.look()
+
+    def _beliefs_changed(self) -> None:
+        self.gossip.hasten()
+        self.on_change()
+
+
+def _ignore() -> None:
+    """Do nothing."""
+
+
+def _duty_policy(bounds: Bounds) -> DutyPolicy:
+    # A change is heard of within a renewal, and the silence of the store is
+    # noticed with half of the bound left.
+    return DutyPolicy(
+        longest_silence_s=bounds.config_s / 2,
+        renewal_s=bounds.config_s / 4,
+    )
--- a/eelgrassfork/gateway/gossip.py
+++ b/eelgrassfork/gateway/gossip.py
@@ -6,10 +6,10 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from statistics import median_low
-from typing import Final
+from typing import Final, Protocol
 
 import logbook
 import msgspec
@@ -21,7 +21,14 @@
 from .roster import Place, Roster
 from .standby import FleetTime
 
-__all__ = ('Gossip', 'describe_peers', 'unix_ms')
+__all__ = (
+    'Datagrams',
+    'Gossip',
+    'OpenSocket',
+    'describe_peers',
+    'open_udp',
+    'unix_ms',
+)
 
 _log = logbook.Logger('gossip')
 
@@ -31,6 +38,45 @@
 _NS_PER_MS: Final = 1_000_000
 
 
+class Datagrams(Protocol):
+    """A socket for datagrams."""
+
+    async def sendto(self, body: bytes, address: tuple[str, int], /) -> object:
+        """
+        Send a datagram.
+
+        :raises OSError: if it can't leave.
+        """
+
+    def recvfrom(self, most: int, /) -> Awaitable[tuple[bytes, object]]:
+        """
+        Wait for a datagram.
+
+        :returns: the datagram and who sent it.
+        :raises OSError: if none can be had.
+        """
+
+    def close(self) -> None:
+        """Close the socket."""
+
+
+OpenSocket = Callable[[str, int], Awaitable[Datagrams]]
+
+
+async def open_udp(ip: str, port: int) -> Datagrams:
+    """
+    Bind a UDP socket.
+
+    :param ip: own address.
+    :param port: own port.
+    :returns: the socket.
+    :raises OSError: if the address can't be bound.
+    """
+    opened = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
+    await opened.bind((ip, port))
+    return opened
+
+
 class Gossip:
     """
     Sends and takes heartbeats.
@@ -40,6 +86,7 @@
     :param describe: makes this router's heartbeat, without what is known of
         others.
     :param on_heartbeat: told of each one that comes.
+    :param open_socket: opens the socket.
     :ivar roster: the routers that are known.
     """
 
@@ -49,13 +96,15 @@
         port: int,
         describe: Callable[[], Heartbeat],
         on_heartbeat: Callable[[Heartbeat], None],
+        open_socket: OpenSocket = open_udp,
     ) -> None:
+        self._open_socket = open_socket
         self._ip = own.ip
         self._port = port
         self._on_heartbeat = on_heartbeat
         self.roster = Roster(own, describe)
         self._seed_ips: tuple[str, ...] = ()
-        self._socket: trio.socket.SocketType | None = None
+        self._socket: Datagrams | None = None
         self._decoder = msgspec.msgpack.Decoder(Heartbeat)
         self._now = trio.Event()
 
@@ -65,8 +114,7 @@
 
         :param nursery: where the tasks run.
         """
-        opened = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
-        await opened.bind((self._ip, self._port))
+        opened = await self._open_socket(self._ip, self._port)
         self._socket = opened
         for name, work in (
             ('take heartbeats', partial(self._receive, opened)),
@@ -106,7 +154,7 @@
                 clocks.append(peer.heartbeat.unix_ms + int(age_s * _MS_PER_S))
         return FleetTime(median_low(clocks), len(clocks))
 
-    async def _send(self, opened: trio.socket.SocketType) -> None:
+    async def _send(self, opened: Datagrams) -> None:
         while True:
             targets = self.roster.targets(self._seed_ips)
             for failure_domain, ips in targets.items():
@@ -118,15 +166,13 @@
                 await self._now.wait()
             self._now = trio.Event()
 
-    async def _introduce(
-        self, opened: trio.socket.SocketType, heartbeat: Heartbeat
-    ) -> None:
+    async def _introduce(self, opened: Datagrams, heartbeat: Heartbeat) -> None:
         answer = self.roster.heartbeat(heartbeat.failure_domain, is_new=True)
         # Two new routers must not answer each other without end.
         body = _encode(answer._replace(is_new=False))
         await _send_to(opened, (heartbeat.ip, self._port), body)
 
-    async def _receive(self, opened: trio.socket.SocketType) -> None:
+    async def _receive(self, opened: Datagrams) -> None:
         while True:
             try:
                 body, _ = await opened.recvfrom(_DATAGRAM_BYTES)
@@ -157,7 +203,7 @@
 
 
 async def _send_to(
-    opened: trio.socket.SocketType, address: tuple[str, int], body: bytes
+    opened: Datagrams, address: tuple[str, int], body: bytes
 ) -> None:
     try:
         await opened.sendto(body, address)
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -17,18 +17,15 @@
 from ..supervision import keep_running
 from .credit_exchange import CreditExchange
 from .credit_keeper import CreditKeeper, CreditWorld
-from .duty import DutyPolicy, WatchDuty
 from .exchange import Exchange, ExchangeParts, Target
-from .follower import Beliefs, Decoders, StoreFollower
+from .fleet_member import FleetMember, MemberLinks, OwnState
+from .follower import Decoders
 from .forwarder import Forwarder, ForwarderParts, Translation
-from .gossip import Gossip, describe_peers, unix_ms
-from .heartbeats import Heartbeat
+from .gossip import describe_peers, unix_ms
 from .node_settings import Bounds, NodeSettings
-from .peer_exchange import PeerExchange, knows_more
 from .records import AnswerHead, CallerBounds, Headers
 from .registry import Registry
 from .repeat_budget import RepeatPolicy
-from .roster import Place
 from .sender import Sender, SenderParts
 from .status_pages import StatusPages
 from .store import Store
@@ -104,46 +101,31 @@
             'How late timers are, as the process is busy.',
             lambda: self._loop.mean_s,
         )
-        self._beliefs = Beliefs(adapter.decoders, self._beliefs_changed)
-        self._gossip = Gossip(
-            Place(settings.node, settings.ip, settings.failure_domain),
-            settings.first_internal_port,
-            self._heartbeat,
-            self._heard,
-        )
-        self._roster = self._gossip.roster
-        self._duty = WatchDuty(
-            settings.node,
-            self._roster.fleet,
-            _duty_policy(settings.bounds),
-            settings.is_seed,
-        )
-        self._loans = CreditExchange(self._http, self._roster, settings)
-        self._exchange = PeerExchange(
-            self._http, self._roster.peers, self._beliefs, settings
-        )
-        self._follower = StoreFollower(
-            self._store,
-            self._beliefs,
+        self._member = FleetMember(
+            settings,
+            self._incarnation,
+            MemberLinks(self._store, self._http),
             adapter.decoders,
-            self._duty,
         )
-        self._exchange.on_credit = self._loans.serve
-        self._exchange.on_failure = self._duty.volunteer
-        self._exchange.reread = self._follower.reread
+        self._member.describe_self = self._own_state
+        self._member.on_change = self._beliefs_changed
+        self._beliefs = self._member.beliefs
+        self._roster = self._member.roster
+        self._loans = CreditExchange(self._http, self._roster, settings)
+        self._member.exchange.on_credit = self._loans.serve
         self._registry = Registry(
             self._store,
-            self._gossip,
+            self._member.gossip,
             settings,
             self._incarnation,
-            lambda: self._duty.must_watch,
+            lambda: self._member.duty.must_watch,
         )
         self._credit = self._make_credit()
         self._loans.lend = self._credit.lender.lend
         self._sender = self._make_sender()
         self._forwarder = self._make_forwarder()
         self._callers = HttpServer(self._forwarder.forward)
-        self._peers = HttpServer(self._exchange.serve)
+        self._peers = HttpServer(self._member.exchange.serve)
         pages = StatusPages(self.telemetry, self._is_ready, self.dump)
         self._ready = HttpServer(pages.answer_ready)
         self._metrics = HttpServer(pages.answer_metrics)
@@ -163,14 +145,9 @@
         await self._metrics.start(
             nursery, settings.ip, self._adapter.metrics_port
         )
-        self._gossip.add_seeds(
-            tuple(seed.rpartition(':')[0] for seed in settings.seeds)
-        )
-        await self._gossip.start(nursery)
-        await self._follower.start(nursery)
+        await self._member.start(nursery)
         await self._credit.start(nursery)
         for name, work in (
-            ('catch up with peers', self._exchange.run),
             ('registry', self._registry.run),
             ('loop delay', self._loop.run),
             ('tidy', self._tidy),
@@ -192,7 +169,7 @@
         end_at = began_at + self._settings.bounds.grace_s - _END_MARGIN_S
         self._draining = True
         self._roster.draining = True
-        self._gossip.hasten()
+        self._member.gossip.hasten()
         _log.info('drains', extra={'in_progress': self._forwarder.in_progress})
         await trio.sleep(_LAST_CALLERS_S)
         self._forwarder.draining = True
@@ -227,7 +204,7 @@
         """Close listeners and connections."""
         for server in (self._callers, self._peers, self._ready, self._metrics):
             await server.close()
-        self._gossip.close()
+        self._member.close()
         await self._http.close()
         await self._servers_http.close()
 
@@ -243,9 +220,9 @@
             'draining': self._draining,
             'in_progress': self._forwarder.in_progress,
             'configuration_version': self._beliefs.configuration.version,
-            'store_reachable': self._follower.reachable,
-            'store_age_ms': self._duty.store_age_ms,
-            'watches_the_store': self._duty.must_watch,
+            'store_reachable': self._member.follower.reachable,
+            'store_age_ms': self._member.duty.store_age_ms,
+            'watches_the_store': self._member.duty.must_watch,
             'servers': self._beliefs.servers.dump(),
             'peers': describe_peers(list(self._roster.peers.by_node.values())),
             'credit': self._credit.dump(),
@@ -261,7 +238,7 @@
             self._loans.borrow,
             self._loans.deposit,
             self._loans.may_lend,
-            self._gossip.fleet_time,
+            self._member.gossip.fleet_time,
             self._settings.first_start,
         )
         return CreditKeeper(
@@ -306,31 +283,16 @@
         # Routers that hear of nobody yet would all draw at the same moment.
         return self._roster.is_settled and self._roster.is_keeper
 
-    def _heartbeat(self) -> Heartbeat:
+    def _own_state(self) -> OwnState:
         # Few ask another router than a keeper for credit in a large fleet.
         shows_credit = self._roster.is_small or self._is_keeper()
-        return Heartbeat(
-            self._settings.node,
-            self._settings.ip,
-            self._incarnation,
-            self._settings.failure_domain,
+        return OwnState(
             self._draining,
-            self._beliefs.configuration.version,
-            self._beliefs.records.digest,
             self._credit.held.most_free() if shows_credit else {},
-            self._beliefs.records.newest,
-            self._duty.store_age_ms,
-            configuration_bytes=len(self._beliefs.configuration.content),
-            delay_ms=int(self._loop.mean_s * _MS_PER_S),
+            int(self._loop.mean_s * _MS_PER_S),
         )
 
-    def _heard(self, heartbeat: Heartbeat) -> None:
-        self._duty.note_contact(heartbeat.store_age_ms)
-        if knows_more(heartbeat, self._beliefs):
-            self._exchange.look()
-
     def _beliefs_changed(self) -> None:
-        self._gossip.hasten()
         configuration = self._beliefs.configuration.current
         if configuration is not None:
             self.telemetry.configuration_version.set(configuration.version)
@@ -364,15 +326,6 @@
     await server.start(nursery, host, int(port))
 
 
-def _duty_policy(bounds: Bounds) -> DutyPolicy:
-    # A change is heard of within a renewal, and the silence of the store is
-    # noticed with half of the bound left.
-    return DutyPolicy(
-        longest_silence_s=bounds.config_s / 2,
-        renewal_s=bounds.config_s / 4,
-    )
-
-
 def _repeat_policy(bounds: Bounds) -> RepeatPolicy:
     return RepeatPolicy(
         bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
