Log whose contact with the store a decision rests on

A line said how long ago some router had reached the store, not whether this one had, nor the version that it held; the three hypotheses on the incident looked the same.

--- a/eelgrassfork/gateway/duty.py
+++ b/eelgrassfork/gateway/duty.py
@@ -125,6 +125,12 @@
         age_s = trio.current_time() - self._reached_at
         return None if age_s == float('inf') else int(age_s * _MS_PER_S)
 
+    @property
+    def own_age_ms(self) -> int | None:
+        """Time since this router itself reached the store."""
+        age_s = trio.current_time() - self._own_reached_at
+        return None if age_s == float('inf') else int(age_s * _MS_PER_S)
+
     @property
     def is_store_reached(self) -> bool:
         """Whether some router has reached the store lately."""
@@ -189,6 +195,19 @@
             return longest_s
         return max(longest_s, policy.relieved_s)
 
+    def dump(self) -> dict[str, int | None]:
+        """
+        Describe the contact with the store, for logs.
+
+        :returns: age of the last contact that is known of and of the own
+            one, and the number of routers that should watch.
+        """
+        return {
+            'store_age_ms': self.store_age_ms,
+            'own_age_ms': self.own_age_ms,
+            'watchers': self.watchers,
+        }
+
     def retry_s(self, failures: int) -> float:
         """
         Compute when to call again after a call that failed.
--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -282,8 +282,8 @@
             text,
             extra={
                 'of': kind,
-                'store_age_ms': self._duty.store_age_ms,
-                'watchers': self._duty.watchers,
+                'version': self._beliefs.configuration.version,
+                **self._duty.dump(),
             },
         )
 
@@ -301,12 +301,17 @@
     def _turn(self, reachable: bool, why: str) -> None:
         self._reachable = reachable
         self._beliefs.servers.note_store(reachable)
+        known = {
+            'why': why,
+            'version': self._beliefs.configuration.version,
+            **self._duty.dump(),
+        }
         if reachable:
-            _log.info('reaches the store', extra={'why': why})
             self._returned.set()
+            _log.info('reaches the store', extra=known)
         else:
             self._returned = trio.Event()
-            _log.warning('lost the store', extra={'why': why})
+            _log.warning('lost the store', extra=known)
 
     def _list_configuration(self, listing: Listing) -> None:
         for stored in listing.objects:
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -222,6 +222,7 @@
             'configuration_version': self._beliefs.configuration.version,
             'store_reachable': self._member.follower.reachable,
             'store_age_ms': self._member.duty.store_age_ms,
+            'store_own_age_ms': self._member.duty.own_age_ms,
             'watches_the_store': self._member.duty.must_watch,
             'servers': self._beliefs.servers.dump(),
             'peers': describe_peers(list(self._roster.peers.by_node.values())),
