--- /dev/null
+++ b/tests/belief_world.py
@@ -0,0 +1,377 @@
+"""
+tests.belief_world
+~~~~~~~~~~~~~~~~~~
+
+Routers of a whole fleet in one process, without callers or credit.
+
+They believe what they read from the store's stand-in and hear from each
+other over links that fail as a scenario says, on a clock that jumps.
+"""
+
+import random
+from typing import NamedTuple
+
+import msgspec
+import trio
+
+from eelgrassfork.errors import EelgrassError
+from eelgrassfork.gateway.fleet_member import FleetMember, MemberLinks, OwnState
+from eelgrassfork.gateway.node_settings import Bounds, NodeSettings
+from eelgrassfork.gateway.store import StoreAnswerLost, StoreUnavailable
+
+from .gateway_world import configuration
+from .memory_store import MemoryStore
+from .test_gateway_follower import DECODERS, ENTRY
+
+HEARTBEAT_PORT = 7200
+PEER_PORT = 8748
+# As the client of the store gives up.
+CONNECT_S = 0.5
+ANSWER_S = 1
+# As the exchange with peers gives up.
+PEER_S = 0.75
+LATENCY_S = 0.0005
+STORE_LATENCY_S = 0.004
+# Shorter than on the sites, so that plays are short.
+HISTORY_S = 5
+
+
+class Shape(NamedTuple):
+    """
+    Size and bounds of a fleet, by default those of a grown site.
+
+    :param config_s: an acknowledged configuration is in force after it.
+    :param contact_s: a router is in touch after so long without a fault.
+    :param stretch_s: on top while the store turns some routers away.
+    """
+
+    domains: int = 3
+    size: int = 8
+    config_s: float = 3
+    contact_s: float = 4
+    stretch_s: float = 6
+
+
+class Answer:
+    """Head of an answer of a peer."""
+
+    status = 200
+
+
+class PeerCall:
+    """A call of a peer, as the HTTP server makes it."""
+
+    def __init__(self, target):
+        self.path, _, query = target.partition('?')
+        pairs = [one.partition('=') for one in query.split('&') if one]
+        self.query_by_name = {name: text for name, _, text in pairs}
+        self.body = b''
+        self.answer = b''
+
+    async def respond(self, status, body, headers):
+        self.answer = body
+        await trio.lowlevel.checkpoint()
+
+
+class Router:
+    """One VM and the process on it."""
+
+    def __init__(self, world, node, ip, domain):
+        self.world = world
+        self.node = node
+        self.ip = ip
+        self.domain = domain
+        self.lateness_s = 0
+        self.store_cut = ''
+        self.member = None
+        self.scope = None
+        self.touched_at = float('-inf')
+        self.draining = False
+
+    @property
+    def version(self):
+        return self.member.beliefs.configuration.version if self.member else 0
+
+    async def start(self):
+        world = self.world
+        settings = NodeSettings(
+            self.node,
+            self.domain,
+            self.ip,
+            f'{self.ip}:1',
+            f'{self.ip}:2',
+            f'{self.ip}:{PEER_PORT}',
+            HEARTBEAT_PORT,
+            HEARTBEAT_PORT + 1,
+            world.seeds,
+            'store',
+            Bounds(config_s=world.shape.config_s),
+        )
+        incarnation = int(trio.current_time() * 1000)
+        links = MemberLinks(RouterStore(self), self, self.open_socket)
+        self.draining = False
+        self.member = FleetMember(settings, incarnation, links, DECODERS)
+        self.member.describe_self = lambda: OwnState(self.draining)
+        self.member.beliefs.take_configuration = self.watch_taking()
+        self.touched_at = trio.current_time()
+        world.nursery.start_soon(self.run)
+
+    def watch_taking(self):
+        take = self.member.beliefs.take_configuration
+
+        def taking(content, source):
+            before = self.version
+            take(content, source)
+            if self.version < before:
+                self.world.broken.append(f'{self.node} went back')
+
+        return taking
+
+    async def run(self):
+        with trio.CancelScope() as self.scope:
+            async with trio.open_nursery() as nursery:
+                await self.member.start(nursery)
+
+    def kill(self):
+        if self.member is not None:
+            self.scope.cancel()
+            self.world.inboxes_by_ip.pop(self.ip, None)
+            self.member = None
+        self.touched_at = trio.current_time()
+
+    async def open_socket(self, ip, port):
+        return Socket(self)
+
+    async def fetch(self, request, timeouts):
+        """Call a peer, in place of an HTTP client."""
+        ip = request.address.partition(':')[0]
+        peer = self.world.routers_by_ip.get(ip)
+        await trio.sleep(LATENCY_S + peer.late_s())
+        if not self.world.is_open(self, peer):
+            await trio.sleep(PEER_S)
+            raise EelgrassError('connection_silent', 'no answer')
+        if peer.member is None:
+            raise EelgrassError('connect_failed', 'refused')
+        call = PeerCall(request.target)
+        await peer.member.exchange.serve(call)
+        await trio.sleep(LATENCY_S + self.late_s())
+        return Answer, call.answer
+
+    def late_s(self):
+        if not self.lateness_s:
+            return 0
+        return self.world.random.expovariate(1 / self.lateness_s)
+
+
+class Socket:
+    """Heartbeats of one router."""
+
+    def __init__(self, router):
+        self.router = router
+        self.world = router.world
+        send, receive = trio.open_memory_channel(10_000)
+        self.inbox = receive
+        self.world.inboxes_by_ip[router.ip] = send
+
+    async def sendto(self, body, address):
+        target = self.world.routers_by_ip.get(address[0])
+        if target is not None and self.world.is_open(self.router, target):
+            if self.world.random.random() >= self.world.lost:
+                self.world.nursery.start_soon(self.deliver, body, target)
+        await trio.lowlevel.checkpoint()
+
+    async def deliver(self, body, target):
+        await trio.sleep(LATENCY_S + target.late_s())
+        inbox = self.world.inboxes_by_ip.get(target.ip)
+        if inbox is not None:
+            inbox.send_nowait(body)
+
+    async def recvfrom(self, most):
+        return await self.inbox.receive(), None
+
+    def close(self):
+        self.world.inboxes_by_ip.pop(self.router.ip, None)
+
+
+class RouterStore:
+    """The store as one router reaches it."""
+
+    def __init__(self, router):
+        self.router = router
+        self.world = router.world
+
+    async def get(self, kind, name):
+        return await self.call(self.world.store.get, ANSWER_S, kind, name)
+
+    async def list_all(self, kind):
+        return await self.call(self.world.store.list_all, ANSWER_S, kind)
+
+    async def watch(self, kind, after_revision, wait_s):
+        watch = self.world.store.watch
+        allowed_s = wait_s + ANSWER_S
+        return await self.call(watch, allowed_s, kind, after_revision, wait_s)
+
+    async def call(self, method, allowed_s, *arguments):
+        self.world.calls += 1
+        cut = self.cut()
+        if cut == 'refuse':
+            await trio.sleep(STORE_LATENCY_S)
+            raise StoreUnavailable('store_refused', 'turned away')
+        if cut:
+            await trio.sleep(CONNECT_S)
+            raise StoreUnavailable('connect_failed', 'no connection')
+        with trio.move_on_after(allowed_s):
+            await trio.sleep(STORE_LATENCY_S + self.router.late_s())
+            silences = self.world.silences
+            answer = await method(*arguments)
+            # Bytes that a partition holds up arrive after it.
+            while self.cut():
+                await self.world.changed.wait()
+            if silences != self.world.silences:
+                await trio.sleep_forever()
+            return answer
+        raise StoreAnswerLost('connection_silent', 'no answer')
+
+    def cut(self):
+        return self.world.store_down or self.router.store_cut
+
+
+class World:
+    """
+    A fleet, its store, and what separates them.
+
+    :ivar lost: share of the heartbeats that are lost.
+    :ivar store_down: how the store fails for all: ``refuse``, ``silent`` or
+        empty.
+    :ivar broken: what went wrong.
+    """
+
+    def __init__(self, shape, seed):
+        self.shape = shape
+        self.random = random.Random(seed)
+        self.store = MemoryStore()
+        self.store.latency_s = STORE_LATENCY_S
+        self.routers = []
+        for domain in range(shape.domains):
+            for number in range(shape.size):
+                ip = f'10.{domain}.0.{number}'
+                node = f'n{domain}-{number}'
+                self.routers.append(Router(self, node, ip, f'd{domain}'))
+        self.routers_by_ip = {router.ip: router for router in self.routers}
+        self.inboxes_by_ip = {}
+        first = self.routers[:: shape.size][:3]
+        self.seeds = tuple(f'{router.ip}:{PEER_PORT}' for router in first)
+        self.lost = 0.01
+        self.calls = 0
+        self.silences = 0
+        self.cut_domains = set()
+        self.changed = trio.Event()
+        self.broken = []
+        self.nursery = None
+        self.store_down = ''
+        self.acknowledged = []
+        self.unstable_at = float('-inf')
+        self.away_at = float('-inf')
+        self.restarted = set()
+
+    def is_open(self, one, other):
+        if one.domain == other.domain:
+            return True
+        return not self.cut_domains & {one.domain, other.domain}
+
+    def change(self):
+        """Let waiting answers look again."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def put_version(self, version):
+        """Write a configuration as an operator; it is acknowledged at once."""
+        self.store.put('config', 'main', configuration(version))
+        self.acknowledged.append((trio.current_time(), version))
+
+    def silence(self):
+        """Make all open connections to the store silent for good."""
+        self.silences += 1
+        for router in self.routers:
+            router.touched_at = trio.current_time()
+
+    async def start(self, nursery):
+        """Start all routers, and let them find each other."""
+        self.nursery = nursery
+        self.put_version(1)
+        self.store.put('servers', 's1', ENTRY)
+        nursery.start_soon(self.compact)
+        for router in self.routers:
+            await router.start()
+        await trio.sleep(6)
+        nursery.start_soon(self.check)
+
+    async def compact(self):
+        while True:
+            await trio.sleep(HISTORY_S / 2)
+            revision = self.store.revision
+            await trio.sleep(HISTORY_S / 2)
+            self.store.oldest = max(self.store.oldest, revision)
+
+    async def check(self):
+        """Look for routers in touch that are behind what must be in force."""
+        while True:
+            await trio.sleep(0.05)
+            self.look()
+
+    def look(self):
+        now_s = trio.current_time()
+        shape = self.shape
+        if self.store_down:
+            self.unstable_at = self.away_at = now_s
+        if any(router.store_cut for router in self.routers):
+            self.unstable_at = now_s
+        calm = now_s - self.unstable_at >= shape.contact_s
+        served = now_s - self.away_at >= shape.contact_s
+        if not served:
+            return
+        bound_s = shape.config_s + (0 if calm else shape.stretch_s)
+        due = max(
+            version
+            for at, version in self.acknowledged
+            if now_s - at >= bound_s
+        )
+        for router in self.routers:
+            if router.store_cut == 'silent':
+                router.touched_at = now_s
+            calm_s = now_s - router.touched_at
+            if router.member is None or calm_s < shape.contact_s:
+                continue
+            if router.version < due:
+                self.note_behind(router, due)
+
+    def note_behind(self, router, due):
+        duty = router.member.duty
+        line = (
+            f'{router.node} at {router.version}, {due} is due; '
+            f'watches {duty.must_watch}, store age {duty.store_age_ms} ms'
+        )
+        if len(self.broken) < 5:
+            self.broken.append(f'{trio.current_time():.2f} {line}')
+
+    def entry(self, number, **changes):
+        """Write an entry of a server."""
+        text = msgspec.json.encode({**ENTRY, **changes})
+        return self.store.put('servers', f's{number}', text)
+
+
+async def play(shape, seed, scenario):
+    """
+    Play a scenario in a fleet.
+
+    :param shape: of the fleet.
+    :param seed: of all chance outside the routers.
+    :param scenario: takes the world, and ends the play when it returns.
+    :returns: the world.
+    """
+    world = World(shape, seed)
+    async with trio.open_nursery() as nursery:
+        await world.start(nursery)
+        await scenario(world)
+        nursery.cancel_scope.cancel()
+    return world
