Read the configuration when it is a router's turn to ask for the store

Callers met an old configuration where the routers that watch had died: the others ask for the store in turn, but with the revision of their last watch. The store had forgotten it, answered that history is gone, and the router left the listing to its next turn, which at 74 routers comes nine seconds later.

A router that does not watch now drops its revision and lists, which costs the same one call.

--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -244,7 +244,10 @@
         on_listing: Callable[[Listing], None],
         on_changes: Callable[[list[Change]], None],
     ) -> int:
-        await self._wait_for_duty(kind)
+        if not self._duty.must_watch:
+            # The store may have forgotten what came after this revision.
+            revision = None
+            await self._wait_for_duty(kind)
         if revision is None:
             listing = await self._store.list_all(kind)
             self._note(True, '')
@@ -257,8 +260,6 @@
         return revision
 
     async def _wait_for_duty(self, kind: str) -> None:
-        if self._duty.must_watch:
-            return
         self._log_duty('leaves the watch to others', kind)
         while not self._duty.must_watch:
             if self._leads(kind):
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -182,6 +182,26 @@
         self.assertEqual((0, 9), (before, newest))
         self.assertLess(calls, 45)
 
+    def test_question_after_lost_history_reads_the_configuration(self):
+        # Routers that had not watched for long asked from a revision that the
+        # store had forgotten, and left the reading to their next turn.
+        async def scenario(setting):
+            duty = WatchDuty('other', lambda: FleetView(20, ('n1', 'n2')))
+            known = Beliefs(DECODERS, lambda: None)
+            store = MemoryStore()
+            store.put('config', 'main', configuration(3))
+            follower = StoreFollower(store, known, DECODERS, duty)
+            await follower.start(setting.nursery)
+            await trio.sleep(0.5)
+            store.put('config', 'main', configuration(9))
+            store.compact()
+            before = store.calls
+            while known.configuration.version < 9:
+                await trio.sleep(0.05)
+            return store.calls - before
+
+        self.assertEqual(1, run(scenario))
+
     def test_watcher_asks_soon_once_others_no_longer_relieve_it(self):
         async def scenario(setting):
             setting.store.down = True
