Let a reading of the store vouch only for what was read

A router that is not elected to watch believes that its configuration is the newest for as long as some router has reached the store lately.

Cause: the contact was told as an age, over and over, and proved nothing about the configuration of the one who heard it. - An age does not hold the time on the way and in the socket of a busy router, and each relay loses it again.

Change: a reading has a number of the router that read, and counts when it is heard of first only; its age then grows as fast as time. There is one for each kind of object. A router takes it over only if it knows at least the configuration, or exactly the entries, of the one who tells. An answer vouches for the time at which the store was asked. A read of the servers is asked for in turn like one of the configuration. The guess about echoes of the own contact goes, as a reading names its router.

--- a/eelgrassfork/gateway/duty.py
+++ b/eelgrassfork/gateway/duty.py
@@ -12,20 +12,16 @@
 
 import random
 from collections.abc import Callable
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 import trio
 
 from ..names import rendezvous_order
 from .roster import FleetView
+from .store_contact import StoreContact
 
 __all__ = ('DutyPolicy', 'WatchDuty', 'count_watchers', 'is_watcher')
 
-_MS_PER_S: Final = 1000
-# What peers repeat of this router's own contact seems newer by the time that
-# a heartbeat is on its way.
-_ECHO_S: Final = 0.25
-
 
 class DutyPolicy(NamedTuple):
     """
@@ -91,10 +87,11 @@
 
 class WatchDuty:
     """
-    What a router knows of the fleet's contact with the store.
+    Whether a router has to read one kind of object itself.
 
     :param node: name of this VM.
     :param fleet: reads the routers that live.
+    :param contact: how newly objects of the kind were read.
     :param policy: who watches.
     :param is_seed: whether other routers come to this one first; it does not
         wait for what they may know.
@@ -104,6 +101,7 @@
         self,
         node: str,
         fleet: Callable[[], FleetView],
+        contact: StoreContact,
         policy: DutyPolicy | None = None,
         is_seed: bool = False,
     ) -> None:
@@ -112,30 +110,16 @@
         self._policy = policy or DutyPolicy()
         self._is_seed = is_seed
         self._random = random.Random()
-        self._reached_at: float = float('-inf')
-        self._own_reached_at: float = float('-inf')
+        self.contact = contact
         self._volunteers_until: float = float('-inf')
         self._asks_at: float | None = None
         self._is_new = True
         self._elected: tuple[FleetView | None, bool] = (None, False)
 
-    @property
-    def store_age_ms(self) -> int | None:
-        """Time since some router reached the store; ``None`` if unknown."""
-        age_s = trio.current_time() - self._reached_at
-        return None if age_s == float('inf') else int(age_s * _MS_PER_S)
-
-    @property
-    def own_age_ms(self) -> int | None:
-        """Time since this router itself reached the store."""
-        age_s = trio.current_time() - self._own_reached_at
-        return None if age_s == float('inf') else int(age_s * _MS_PER_S)
-
     @property
     def is_store_reached(self) -> bool:
-        """Whether some router has reached the store lately."""
-        age_s = trio.current_time() - self._reached_at
-        return age_s <= self._policy.longest_silence_s
+        """Whether some router has read objects of the kind lately."""
+        return self._is_recent(self.contact.read_at)
 
     @property
     def watchers(self) -> int:
@@ -190,21 +174,24 @@
         """Longest time between calls of a watcher that fails."""
         policy = self._policy
         longest_s = max(policy.retry_s, self.watchers * policy.watcher_retry_s)
-        is_echo = self._reached_at - self._own_reached_at <= _ECHO_S
-        if is_echo or not self.is_store_reached:
+        if not self._is_recent(self.contact.others_read_at):
             return longest_s
         return max(longest_s, policy.relieved_s)
 
-    def dump(self) -> dict[str, int | None]:
+    def dump(self) -> dict[str, object]:
         """
-        Describe the contact with the store, for logs.
+        Describe the contact with the store, for logs and operators.
 
-        :returns: age of the last contact that is known of and of the own
-            one, and the number of routers that should watch.
+        :returns: age and router of the newest reading that is known of, age
+            of the own one, whether this router has to watch, and how many
+            should.
         """
+        newest = self.contact.newest()
         return {
-            'store_age_ms': self.store_age_ms,
-            'own_age_ms': self.own_age_ms,
+            'reader': newest.node if newest else None,
+            'watches': self.must_watch,
+            'store_age_ms': self.contact.age_ms,
+            'own_age_ms': self.contact.own_age_ms,
             'watchers': self.watchers,
         }
 
@@ -219,22 +206,11 @@
         least_s = min(self.longest_retry_s, doubled_s)
         return self._random.uniform(least_s / 2, least_s)
 
-    def note_own_contact(self) -> None:
-        """Note that this router reached the store."""
-        self.note_contact()
-        self._own_reached_at = trio.current_time()
-
-    def note_contact(self, age_ms: int | None = 0) -> None:
-        """
-        Note that a router reached the store.
-
-        :param age_ms: how long ago; ``None`` if it does not know.
-        """
-        if age_ms is not None:
-            reached_at = trio.current_time() - age_ms / _MS_PER_S
-            self._reached_at = max(self._reached_at, reached_at)
-
     def volunteer(self) -> None:
         """Watch for a while, as a peer did not tell what it knew."""
         now_s = trio.current_time()
         self._volunteers_until = now_s + self._policy.volunteer_s
+
+    def _is_recent(self, read_at: float) -> bool:
+        age_s = trio.current_time() - read_at
+        return age_s <= self._policy.longest_silence_s
--- a/eelgrassfork/gateway/fleet_member.py
+++ b/eelgrassfork/gateway/fleet_member.py
@@ -13,13 +13,14 @@
 from ..http_client import HttpClient
 from ..supervision import keep_running
 from .duty import DutyPolicy, WatchDuty
-from .follower import Beliefs, Decoders, StoreFollower
+from .follower import Beliefs, Decoders, Duties, StoreFollower
 from .gossip import Gossip, OpenSocket, open_udp
 from .heartbeats import Heartbeat
 from .node_settings import Bounds, NodeSettings
 from .peer_exchange import PeerExchange, knows_more
 from .roster import Place
 from .store import Store
+from .store_contact import StoreContact
 
 __all__ = ('FleetMember', 'MemberLinks', 'OwnState')
 
@@ -84,19 +85,14 @@
             links.open_socket,
         )
         self.roster = self.gossip.roster
-        self.duty = WatchDuty(
-            settings.node,
-            self.roster.fleet,
-            _duty_policy(settings.bounds),
-            settings.is_seed,
-        )
+        self.duties = Duties(self._make_duty(), self._make_duty())
         self.exchange = PeerExchange(
             links.http, self.roster.peers, self.beliefs, settings
         )
         self.follower = StoreFollower(
-            links.store, self.beliefs, decoders, self.duty
+            links.store, self.beliefs, decoders, self.duties
         )
-        self.exchange.on_failure = self.duty.volunteer
+        self.exchange.on_failure = self._volunteer
         self.exchange.reread = self.follower.reread
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -119,6 +115,20 @@
         """Stop speaking with peers."""
         self.gossip.close()
 
+    def _make_duty(self) -> WatchDuty:
+        settings = self._settings
+        return WatchDuty(
+            settings.node,
+            self.roster.fleet,
+            StoreContact(settings.node, self._incarnation),
+            _duty_policy(settings.bounds),
+            settings.is_seed,
+        )
+
+    def _volunteer(self) -> None:
+        for duty in self.duties:
+            duty.volunteer()
+
     def _heartbeat(self) -> Heartbeat:
         own = self.describe_self()
         return Heartbeat(
@@ -131,13 +141,25 @@
             self.beliefs.records.digest,
             own.free_by_organisation,
             self.beliefs.records.newest,
-            self.duty.store_age_ms,
+            self.duties.configuration.contact.newest(),
             configuration_bytes=len(self.beliefs.configuration.content),
             delay_ms=own.delay_ms,
+            servers_read=self.duties.servers.contact.newest(),
         )
 
     def _heard(self, heartbeat: Heartbeat) -> None:
-        self.duty.note_contact(heartbeat.store_age_ms)
+        # A reading only vouches for a router that knows what was read.
+        records = self.beliefs.records
+        if (
+            heartbeat.configuration_version
+            <= self.beliefs.configuration.version
+        ):
+            self.duties.configuration.contact.take(heartbeat.configuration_read)
+        if (heartbeat.servers_revision, heartbeat.servers_digest) == (
+            records.newest,
+            records.digest,
+        ):
+            self.duties.servers.contact.take(heartbeat.servers_read)
         if knows_more(heartbeat, self.beliefs):
             self.exchange.look()
 
--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -22,7 +22,7 @@
 from .servers import ServerSet
 from .store import Change, HistoryGone, Listing, Store, StoreError
 
-__all__ = ('Beliefs', 'Decoders', 'StoreFollower')
+__all__ = ('Beliefs', 'Decoders', 'Duties', 'StoreFollower')
 
 _log = logbook.Logger('follow')
 
@@ -58,6 +58,13 @@
     server: Callable[[str, bytes], ServerEntry | None]
 
 
+class Duties(NamedTuple):
+    """Whether this router has to read each kind of object itself."""
+
+    configuration: WatchDuty
+    servers: WatchDuty
+
+
 class Beliefs:
     """
     What a router believes, from the store and from peers alike.
@@ -142,7 +149,7 @@
     :param store: where to read.
     :param beliefs: what to keep in step.
     :param decoders: names of the kinds.
-    :param duty: whether this router has to watch.
+    :param duties: whether this router has to watch.
     """
 
     def __init__(
@@ -150,12 +157,16 @@
         store: Store,
         beliefs: Beliefs,
         decoders: Decoders,
-        duty: WatchDuty,
+        duties: Duties,
     ) -> None:
         self._store = store
         self._beliefs = beliefs
         self._decoders = decoders
-        self._duty = duty
+        self._duties_by_kind = {
+            decoders.configuration_kind: duties.configuration,
+            decoders.servers_kind: duties.servers,
+        }
+        self._leading = duties.configuration
         self._random = random.Random()
         self._reachable: bool | None = None
         self._returned = trio.Event()
@@ -189,6 +200,7 @@
 
     async def reread(self) -> None:
         """Read the configuration at once, as its watch may be silent."""
+        asked_at = trio.current_time()
         try:
             stored = await self._store.get(
                 self._decoders.configuration_kind,
@@ -199,6 +211,7 @@
             return
         if stored is not None:
             self._beliefs.take_configuration(stored.content, 'store')
+        self._leading.contact.note_own(asked_at)
 
     async def _follow(
         self,
@@ -206,11 +219,16 @@
         on_listing: Callable[[Listing], None],
         on_changes: Callable[[list[Change]], None],
     ) -> None:
+        duty = self._duties_by_kind[kind]
         revision: int | None = None
         failures = 0
         while True:
+            if not duty.must_watch:
+                # The store may have forgotten what came after this revision.
+                revision = None
+                await self._wait_for_duty(kind)
             try:
-                revision = await self._step(
+                revision = await self._read(
                     kind, revision, on_listing, on_changes
                 )
             except HistoryGone:
@@ -221,57 +239,63 @@
                 await self._pause(kind, failures)
                 failures += 1
             else:
+                self._note(True, '')
                 failures = 0
 
     async def _pause(self, kind: str, failures: int) -> None:
-        if self._leads(kind):
-            doublings = min(failures, _MAX_DOUBLINGS)
-            left_s = self._duty.retry_s(doublings)
-            while left_s > 0:
-                self._hear_of_store()
-                step_s = min(_DUTY_POLL_S, left_s)
-                await trio.sleep(step_s)
-                # Others may no longer relieve this router.
-                left_s = min(left_s - step_s, self._duty.longest_retry_s)
+        if not self._leads(kind):
+            with trio.move_on_after(_LONGEST_WAIT_S):
+                await self._returned.wait()
             return
-        with trio.move_on_after(_LONGEST_WAIT_S):
-            await self._returned.wait()
-
-    async def _step(
+        doublings = min(failures, _MAX_DOUBLINGS)
+        left_s = self._leading.retry_s(doublings)
+        while left_s > 0:
+            self._hear_of_store()
+            step_s = min(_DUTY_POLL_S, left_s)
+            await trio.sleep(step_s)
+            # Others may no longer relieve this router.
+            left_s = min(left_s - step_s, self._leading.longest_retry_s)
+
+    async def _read(
         self,
         kind: str,
         revision: int | None,
         on_listing: Callable[[Listing], None],
         on_changes: Callable[[list[Change]], None],
     ) -> int:
-        if not self._duty.must_watch:
-            # The store may have forgotten what came after this revision.
-            revision = None
-            await self._wait_for_duty(kind)
+        # An answer may be held up on its way, so it only vouches for the time
+        # at which the store was asked, or let the watch end.
+        read_at = trio.current_time()
         if revision is None:
             listing = await self._store.list_all(kind)
-            self._note(True, '')
             on_listing(listing)
-            return listing.revision
-        wait_s = self._watch_s() if self._reachable else _ASK_S
-        changes, revision = await self._store.watch(kind, revision, wait_s)
-        self._note(True, '')
-        on_changes(changes)
+            revision = listing.revision
+        else:
+            wait_s = self._watch_s() if self._reachable else _ASK_S
+            changes, revision = await self._store.watch(kind, revision, wait_s)
+            on_changes(changes)
+            ended_at = read_at + wait_s
+            if not changes and trio.current_time() >= ended_at:
+                read_at = ended_at
+        self._duties_by_kind[kind].contact.note_own(read_at)
         return revision
 
     async def _wait_for_duty(self, kind: str) -> None:
+        duty = self._duties_by_kind[kind]
         self._log_duty('leaves the watch to others', kind)
-        while not self._duty.must_watch:
+        while not duty.must_watch:
             if self._leads(kind):
                 self._hear_of_store()
-                if self._duty.must_ask:
-                    self._log_duty('asks for the store', kind)
-                    return
+            # While the store is away, asking for one kind is enough.
+            may_ask = self._leads(kind) or self.reachable
+            if may_ask and duty.must_ask:
+                self._log_duty('asks for the store', kind)
+                return
             await trio.sleep(_DUTY_POLL_S)
         self._log_duty('watches the store', kind)
 
     def _hear_of_store(self) -> None:
-        reached = self._duty.is_store_reached
+        reached = self._leading.is_store_reached
         if reached != self.reachable:
             self._turn(reached, 'by the word of peers')
 
@@ -284,18 +308,16 @@
             extra={
                 'of': kind,
                 'version': self._beliefs.configuration.version,
-                **self._duty.dump(),
+                **self._duties_by_kind[kind].dump(),
             },
         )
 
     def _watch_s(self) -> float:
-        longest_s = min(_LONGEST_WATCH_S, self._duty.longest_watch_s)
+        longest_s = min(_LONGEST_WATCH_S, self._leading.longest_watch_s)
         part = self._random.uniform(_LEAST_PART, 1)
         return max(_SHORTEST_WATCH_S, longest_s) * part
 
     def _note(self, reachable: bool, why: str) -> None:
-        if reachable:
-            self._duty.note_own_contact()
         if reachable != self._reachable:
             self._turn(reachable, why)
 
@@ -305,7 +327,7 @@
         known = {
             'why': why,
             'version': self._beliefs.configuration.version,
-            **self._duty.dump(),
+            **self._leading.dump(),
         }
         if reachable:
             self._returned.set()
--- a/eelgrassfork/gateway/heartbeats.py
+++ b/eelgrassfork/gateway/heartbeats.py
@@ -7,7 +7,7 @@
 
 from typing import NamedTuple
 
-__all__ = ('DomainView', 'Heartbeat', 'Known')
+__all__ = ('DomainView', 'Heartbeat', 'Known', 'Reading')
 
 
 class Known(NamedTuple):
@@ -24,6 +24,20 @@
     failure_domain: str = ''
 
 
+class Reading(NamedTuple):
+    """
+    A reading of the store, as routers tell it on.
+
+    :param node: VM whose router read.
+    :param number: rises with each reading of that VM.
+    :param age_ms: the answer held all changes up to so long ago.
+    """
+
+    node: str
+    number: int
+    age_ms: int
+
+
 class DomainView(NamedTuple):
     """
     What is known of a whole failure domain.
@@ -52,7 +66,8 @@
     :param free_by_organisation: credit that it could lend, in tokens; of
         keepers only in large fleets.
     :param servers_revision: newest revision in that table.
-    :param store_age_ms: time since some router reached the store.
+    :param configuration_read: newest reading of the configuration that the
+        one in force includes, by whichever router.
     :param unix_ms: its clock.
     :param others: some of the routers that it knows.
     :param domains: all failure domains that it knows, its own first.
@@ -61,6 +76,8 @@
     :param outside_age_ms: time since its failure domain heard another one;
         ``None`` if it never did.
     :param delay_ms: how far it is behind with its work.
+    :param servers_read: newest reading of the entries of backend servers
+        that its table includes.
     """
 
     node: str
@@ -72,7 +89,7 @@
     servers_digest: int = 0
     free_by_organisation: dict[str, int] = {}
     servers_revision: int = 0
-    store_age_ms: int | None = None
+    configuration_read: Reading | None = None
     unix_ms: int = 0
     others: tuple[Known, ...] = ()
     domains: tuple[DomainView, ...] = ()
@@ -80,3 +97,4 @@
     configuration_bytes: int = 0
     outside_age_ms: int | None = None
     delay_ms: int = 0
+    servers_read: Reading | None = None
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -118,7 +118,7 @@
             self._member.gossip,
             settings,
             self._incarnation,
-            lambda: self._member.duty.must_watch,
+            lambda: self._member.duties.configuration.must_watch,
         )
         self._credit = self._make_credit()
         self._loans.lend = self._credit.lender.lend
@@ -221,9 +221,10 @@
             'in_progress': self._forwarder.in_progress,
             'configuration_version': self._beliefs.configuration.version,
             'store_reachable': self._member.follower.reachable,
-            'store_age_ms': self._member.duty.store_age_ms,
-            'store_own_age_ms': self._member.duty.own_age_ms,
-            'watches_the_store': self._member.duty.must_watch,
+            'store': {
+                'configuration': self._member.duties.configuration.dump(),
+                'servers': self._member.duties.servers.dump(),
+            },
             'servers': self._beliefs.servers.dump(),
             'peers': describe_peers(list(self._roster.peers.by_node.values())),
             'credit': self._credit.dump(),
--- a/tests/belief_world.py
+++ b/tests/belief_world.py
@@ -346,10 +346,10 @@
                 self.note_behind(router, due)
 
     def note_behind(self, router, due):
-        duty = router.member.duty
+        duty = router.member.duties.configuration
         line = (
             f'{router.node} at {router.version}, {due} is due; '
-            f'watches {duty.must_watch}, store age {duty.store_age_ms} ms'
+            f'watches {duty.must_watch}, store age {duty.contact.age_ms} ms'
         )
         if len(self.broken) < 5:
             self.broken.append(f'{trio.current_time():.2f} {line}')
--- a/tests/test_gateway_duty.py
+++ b/tests/test_gateway_duty.py
@@ -14,7 +14,9 @@
     count_watchers,
     is_watcher,
 )
+from eelgrassfork.gateway.heartbeats import Reading
 from eelgrassfork.gateway.roster import FleetView
+from eelgrassfork.gateway.store_contact import StoreContact
 
 from .mock_clock import run
 
@@ -31,6 +33,17 @@
     return FleetView(routers, nodes, len(nodes_by_domain))
 
 
+def make_duty(node, fleet, **options):
+    """Make a duty that has heard of no reading yet."""
+    return WatchDuty(node, fleet, StoreContact(node), **options)
+
+
+def hear(duty, age_ms=0):
+    """Let a duty hear of a reading of its own by another router."""
+    number = int(trio.current_time() * 1000)
+    duty.contact.take(Reading('reader', number, age_ms))
+
+
 class WatcherTests(testtools.TestCase):
     def watchers(self, nodes_by_domain):
         return [
@@ -70,7 +83,7 @@
 
 class DutyTests(testtools.TestCase):
     def duty(self, number):
-        return WatchDuty(f'n0-{number}', lambda: FLEET)
+        return make_duty(f'n0-{number}', lambda: FLEET)
 
     def idle(self):
         return next(
@@ -84,14 +97,14 @@
         async def main():
             duties = [self.idle() for _ in range(90)]
             for duty in duties:
-                duty.note_contact()
+                hear(duty)
                 duty.must_ask  # noqa: B018
             await trio.sleep(POLICY.longest_silence_s)
             asked = 0
             for _ in range(40):
                 asked += sum(duty.must_ask for duty in duties)
                 await trio.sleep(0.25)
-            return asked / 10, duties[0].store_age_ms, duties[0].must_watch
+            return asked / 10, duties[0].contact.age_ms, duties[0].must_watch
 
         asked_per_s, age_ms, watches = run(main)
         self.assertAlmostEqual(POLICY.asks_per_s, asked_per_s, delta=3)
@@ -101,11 +114,11 @@
     def test_silence_of_the_store_is_measured_from_its_last_answer(self):
         async def main():
             duty = self.idle()
-            duty.note_contact(900)
-            duty.note_contact(None)
+            hear(duty, 900)
+            duty.contact.take(None)
             before = duty.is_store_reached
             await trio.sleep(0.4)
-            return before, duty.is_store_reached, duty.store_age_ms
+            return before, duty.is_store_reached, duty.contact.age_ms
 
         before, after, age_ms = run(main)
         self.assertEqual((True, False), (before, after))
@@ -116,14 +129,14 @@
         # while the former process on this VM did.
         async def main():
             lone, informed = self.idle(), self.idle()
-            informed.note_contact(100)
+            hear(informed, 100)
             return [(duty.must_ask, duty.must_ask) for duty in (lone, informed)]
 
         self.assertEqual([(True, False), (False, False)], run(main))
 
     def test_last_router_that_drains_survives(self):
         async def main():
-            duty = WatchDuty('n', lambda: FleetView(0, ()))
+            duty = make_duty('n', lambda: FleetView(0, ()))
             asks = duty.must_ask, duty.must_ask
             return duty.must_watch, asks, duty.watchers
 
@@ -131,8 +144,8 @@
 
     def test_watchers_ask_less_often_the_more_they_are(self):
         async def main():
-            few = WatchDuty('n', lambda: FleetView(9, ('n',), 9))
-            many = WatchDuty('n', lambda: FleetView(900, ('n',), 90))
+            few = make_duty('n', lambda: FleetView(9, ('n',), 9))
+            many = make_duty('n', lambda: FleetView(900, ('n',), 90))
             calls = []
             for duty in (few, many):
                 waits = [duty.retry_s(10) for _ in range(200)]
@@ -146,7 +159,7 @@
     def test_watcher_that_others_relieve_waits_longer(self):
         async def main():
             duty = self.idle()
-            duty.note_contact()
+            hear(duty)
             return min(duty.retry_s(4) for _ in range(50))
 
         self.assertGreater(run(main), POLICY.retry_s)
@@ -156,9 +169,10 @@
         # peers that repeat what they heard from this router know no more.
         async def main():
             duty = self.idle()
-            duty.note_own_contact()
+            duty.contact.note_own(trio.current_time())
+            told = duty.contact.newest()
             await trio.sleep(0.3)
-            duty.note_contact(295)
+            duty.contact.take(told._replace(number=told.number + 5, age_ms=1))
             longest_s = POLICY.watcher_retry_s * duty.watchers
             return max(duty.retry_s(10) for _ in range(99)) <= longest_s
 
@@ -171,8 +185,8 @@
             return [
                 (duty.must_watch, duty.must_ask)
                 for duty in (
-                    WatchDuty('n', lambda: fleet),
-                    WatchDuty('n', lambda: fleet, is_seed=True),
+                    make_duty('n', lambda: fleet),
+                    make_duty('n', lambda: fleet, is_seed=True),
                 )
             ]
 
@@ -181,11 +195,11 @@
     def test_router_whose_peers_fail_it_watches_for_a_while(self):
         async def main():
             duty = self.idle()
-            duty.note_contact()
+            hear(duty)
             duty.volunteer()
             before = duty.must_watch
             await trio.sleep(POLICY.volunteer_s)
-            duty.note_contact()
+            hear(duty)
             return before, duty.must_watch
 
         self.assertEqual((True, False), run(main))
--- a/tests/test_gateway_fleet_member.py
+++ b/tests/test_gateway_fleet_member.py
@@ -28,7 +28,10 @@
     world.cut_domains.add(domain)
     await trio.sleep(world.random.uniform(0.5, 5))
     for router in world.routers:
-        if router.domain == domain and router.member.duty.must_watch:
+        if (
+            router.domain == domain
+            and router.member.duties.configuration.must_watch
+        ):
             router.kill()
     await trio.sleep(world.random.uniform(0, 0.5))
     world.put_version(9)
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -12,14 +12,20 @@
 import trio
 import trio.testing
 
-from eelgrassfork.gateway.duty import DutyPolicy, WatchDuty
-from eelgrassfork.gateway.follower import Beliefs, Decoders, StoreFollower
+from eelgrassfork.gateway.duty import DutyPolicy
+from eelgrassfork.gateway.follower import (
+    Beliefs,
+    Decoders,
+    Duties,
+    StoreFollower,
+)
 from eelgrassfork.gateway.roster import FleetView
 from eelgrassfork.platform.config_decoder import decode_configuration
 from eelgrassfork.platform.server_entries import decode_entry
 
 from .gateway_world import configuration
 from .memory_store import MemoryStore
+from .test_gateway_duty import hear, make_duty
 
 # The users' bound on a configuration that has been accepted.
 CONFIG_BOUND_S = 2
@@ -39,15 +45,22 @@
 }
 
 
+def make_duties(node, fleet, **options):
+    return Duties(
+        make_duty(node, fleet, **options), make_duty(node, fleet, **options)
+    )
+
+
 class Setting:
     def __init__(self, nursery):
         self.store = MemoryStore()
         self.changes = 0
         self.beliefs = Beliefs(DECODERS, self.note_change)
         self.nodes = {'d0': [f'n{number}' for number in range(9)]}
-        self.duty = WatchDuty('n1', self.fleet)
+        self.duties = make_duties('n1', self.fleet)
+        self.duty = self.duties.configuration
         self.follower = StoreFollower(
-            self.store, self.beliefs, DECODERS, self.duty
+            self.store, self.beliefs, DECODERS, self.duties
         )
         self.nursery = nursery
 
@@ -55,6 +68,10 @@
         near = tuple(self.nodes['d0'])
         return FleetView(len(near), near)
 
+    def hear(self):
+        for duty in self.duties:
+            hear(duty)
+
     def note_change(self):
         self.changes += 1
 
@@ -129,10 +146,10 @@
             nodes = [f'n{number}' for number in range(watchers)]
             policy = DutyPolicy(all_up_to=watchers)
             fleet = FleetView(watchers, tuple(nodes))
-            duty = WatchDuty('n1', lambda fleet=fleet: fleet, policy)
+            duties = make_duties('n1', lambda fleet=fleet: fleet, policy=policy)
             ends = []
             for seed in range(watchers):
-                follower = StoreFollower(None, None, DECODERS, duty)
+                follower = StoreFollower(None, None, DECODERS, duties)
                 follower._random = random.Random(seed)
                 ends.append(follower._watch_s())
             ends.sort()
@@ -142,10 +159,10 @@
     def test_large_fleet_leaves_the_watch_to_a_few(self):
         async def scenario(setting):
             setting.nodes['d0'] = [f'n{number}' for number in range(9, 99)]
-            setting.duty.note_contact()
+            setting.hear()
             calls = []
             for _ in range(40):
-                setting.duty.note_contact()
+                setting.hear()
                 setting.store.put('other', 'x', b'{}')
                 await trio.sleep(0.25)
                 calls.append(setting.store.calls)
@@ -164,12 +181,13 @@
             duties = []
             beliefs = []
             for number in range(90):
-                duty = WatchDuty(f'other{number}', lambda: fleet)
-                duty.note_contact()
+                own = make_duties(f'other{number}', lambda: fleet)
+                for duty in own:
+                    hear(duty)
                 known = Beliefs(DECODERS, lambda: None)
-                follower = StoreFollower(store, known, DECODERS, duty)
+                follower = StoreFollower(store, known, DECODERS, own)
                 await follower.start(setting.nursery)
-                duties.append(duty)
+                duties.append(own.configuration)
                 beliefs.append(known)
             store.put('config', 'main', configuration(9))
             await trio.sleep(duties[0]._policy.longest_silence_s)
@@ -186,11 +204,12 @@
         # Routers that had not watched for long asked from a revision that the
         # store had forgotten, and left the reading to their next turn.
         async def scenario(setting):
-            duty = WatchDuty('other', lambda: FleetView(20, ('n1', 'n2')))
+            fleet = FleetView(20, ('n1', 'n2'))
+            duties = make_duties('other', lambda: fleet)
             known = Beliefs(DECODERS, lambda: None)
             store = MemoryStore()
             store.put('config', 'main', configuration(3))
-            follower = StoreFollower(store, known, DECODERS, duty)
+            follower = StoreFollower(store, known, DECODERS, duties)
             await follower.start(setting.nursery)
             await trio.sleep(0.5)
             store.put('config', 'main', configuration(9))
@@ -207,7 +226,7 @@
             setting.store.down = True
             for _ in range(40):
                 await trio.sleep(0.25)
-                setting.duty.note_contact()
+                setting.hear()
             setting.store.down = False
             setting.put_version(9)
             await trio.sleep(DutyPolicy().longest_silence_s + 1.2)
@@ -219,9 +238,9 @@
     def test_start_is_no_loss_of_the_store(self):
         # The fleet has not been heard of yet, and no call has failed.
         async def scenario(setting):
-            duty = WatchDuty('other', setting.fleet)
+            duties = make_duties('other', setting.fleet)
             beliefs = Beliefs(DECODERS, lambda: None)
-            follower = StoreFollower(setting.store, beliefs, DECODERS, duty)
+            follower = StoreFollower(setting.store, beliefs, DECODERS, duties)
             turns = []
             follower._turn = lambda *turn: turns.append(turn)
             follower._hear_of_store()
@@ -236,7 +255,7 @@
             lost = setting.follower.reachable
             setting.nodes['d0'] = [f'n{number}' for number in range(9, 99)]
             setting.store.down = False
-            setting.duty.note_contact()
+            setting.hear()
             await trio.sleep(1)
             return lost, setting.follower.reachable
 
--- /dev/null
+++ b/tests/test_gateway_store_contact.py
@@ -0,0 +1,87 @@
+"""
+tests.test_gateway_store_contact
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against readings of the store that seem newer than they are.
+"""
+
+import random
+
+import testtools
+import trio
+
+from eelgrassfork.gateway.heartbeats import Reading
+from eelgrassfork.gateway.store_contact import StoreContact
+
+from .mock_clock import run
+
+
+class StoreContactTests(testtools.TestCase):
+    def test_told_reading_ages_as_fast_as_time(self):
+        # Three routers that tell each other over a slow way, over and over.
+        async def main():
+            source = random.Random(5)
+            contacts = [StoreContact(f'n{number}') for number in range(3)]
+            contacts[0].note_own(trio.current_time())
+            for _ in range(100):
+                teller, listener = source.sample(contacts, 2)
+                told = teller.newest()
+                await trio.sleep(0.1)
+                listener.take(told)
+            return [contact.age_ms for contact in contacts]
+
+        ages_ms = run(main)
+        self.assertAlmostEqual(10_000, ages_ms[0], delta=1)
+        # What the first words spent on their way is all that is missing.
+        self.assertGreater(min(ages_ms), 9500)
+
+    def test_newer_reading_of_any_router_counts(self):
+        async def main():
+            contact = StoreContact('n0')
+            contact.take(Reading('n1', 4, 900))
+            contact.take(Reading('n2', 1, 300))
+            contact.take(Reading('n1', 5, 100))
+            return contact.newest()
+
+        self.assertEqual(Reading('n1', 5, 100), run(main))
+
+    def test_older_reading_does_not_replace_a_newer_one(self):
+        async def main():
+            contact = StoreContact('n0')
+            contact.take(Reading('n1', 5, 100))
+            contact.take(Reading('n2', 9, 500))
+            contact.note_own(trio.current_time() - 1)
+            return contact.newest(), contact.own_age_ms
+
+        self.assertEqual((Reading('n1', 5, 100), 1000), run(main))
+
+    def test_own_reading_that_comes_back_is_no_news(self):
+        async def main():
+            contact = StoreContact('n0', 7)
+            contact.note_own(trio.current_time())
+            contact.take(Reading('n0', 99, 0))
+            await trio.sleep(1)
+            return contact.newest(), contact.others_read_at
+
+        self.assertEqual((Reading('n0', 8, 1000), float('-inf')), run(main))
+
+    def test_restarted_router_is_heard_again(self):
+        async def main():
+            before, after = StoreContact('n1', 1000), StoreContact('n1', 9000)
+            contact = StoreContact('n0')
+            for reader in (before, after):
+                reader.note_own(trio.current_time())
+                contact.take(reader.newest())
+                await trio.sleep(1)
+            return contact.age_ms
+
+        self.assertEqual(1000, run(main))
+
+    def test_age_below_zero_is_none(self):
+        async def main():
+            contact = StoreContact('n0')
+            contact.take(None)
+            contact.take(Reading('n1', 5, -60_000))
+            return contact.age_ms
+
+        self.assertEqual(0, run(main))
