--- a/eelgrassfork/gateway/duty.py
+++ b/eelgrassfork/gateway/duty.py
@@ -37,7 +37,8 @@
         tell what it knew.
     :param asks_per_s: how often all routers that do not watch ask together
         for a store that is away.
-    :param retry_s: shortest time between calls of a watcher that fails.
+    :param retry_s: shortest time between the starts of a watcher's calls
+        that fail at once; a quarter of it always passes after a failure.
     :param watcher_retry_s: the same for each watcher of the fleet, so that
         all of them ask about ten times a second.
     :param relieved_s: the same while other routers reach the store.
@@ -195,16 +196,21 @@
             'watchers': self.watchers,
         }
 
-    def retry_s(self, failures: int) -> float:
+    def retry_s(self, failures: int, spent_s: float = 0) -> float:
         """
         Compute when to call again after a call that failed.
 
         :param failures: number of failed calls before it, in a row.
+        :param spent_s: time that the call took.
         :returns: seconds.
         """
         doubled_s = self._policy.retry_s / 2 * 2**failures
         least_s = min(self.longest_retry_s, doubled_s)
-        return self._random.uniform(least_s / 2, least_s)
+        shortest_s = self._policy.retry_s / 4
+        return max(
+            self._random.uniform(shortest_s / 2, shortest_s),
+            self._random.uniform(least_s / 2, least_s) - spent_s,
+        )
 
     def volunteer(self) -> None:
         """Watch for a while, as a peer did not tell what it knew."""
--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -227,6 +227,7 @@
                 # The store may have forgotten what came after this revision.
                 revision = None
                 await self._wait_for_duty(kind)
+            asked_at = trio.current_time()
             try:
                 revision = await self._read(
                     kind, revision, on_listing, on_changes
@@ -236,19 +237,20 @@
                 revision = None
             except StoreError as error:
                 self._note(False, error.code)
-                await self._pause(kind, failures)
+                await self._pause(kind, failures, asked_at)
                 failures += 1
             else:
                 self._note(True, '')
                 failures = 0
 
-    async def _pause(self, kind: str, failures: int) -> None:
+    async def _pause(self, kind: str, failures: int, asked_at: float) -> None:
         if not self._leads(kind):
             with trio.move_on_after(_LONGEST_WAIT_S):
                 await self._returned.wait()
             return
         doublings = min(failures, _MAX_DOUBLINGS)
-        left_s = self._leading.retry_s(doublings)
+        spent_s = trio.current_time() - asked_at
+        left_s = self._leading.retry_s(doublings, spent_s)
         while left_s > 0:
             self._hear_of_store()
             step_s = min(_DUTY_POLL_S, left_s)
--- a/tests/test_gateway_duty.py
+++ b/tests/test_gateway_duty.py
@@ -203,3 +203,13 @@
             return before, duty.must_watch
 
         self.assertEqual((True, False), run(main))
+
+    def test_time_that_a_silent_call_took_counts_for_the_pause(self):
+        # A silent store is given up after a second.  The pause on top of it
+        # left a router behind for longer than the bound on configurations.
+        async def main():
+            duty = make_duty('n', lambda: FleetView(9, ('n',), 9))
+            pauses = [duty.retry_s(10, spent_s=1) for _ in range(200)]
+            return min(pauses) > 0, max(pauses) <= POLICY.retry_s / 4
+
+        self.assertEqual((True, True), run(main))
