Let a dead router fall silent however often it is mentioned

A heartbeat has a number, and a mention counts only with a newer one. A heartbeat that comes after a later one of its router is dropped.

--- a/eelgrassfork/gateway/domain_views.py
+++ b/eelgrassfork/gateway/domain_views.py
@@ -3,6 +3,9 @@
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Failure domains other than the own one, as routers describe them.
+
+Told ages lose the time on the way, so what is told of a domain is only told
+on by those that heard it from a router there.
 """
 
 from typing import Final
@@ -15,7 +18,10 @@
 
 # Three heartbeats of several routers in a row do not get lost by chance.
 _CUT_OFF_S: Final = 0.8
+# Four heartbeats of other domains reach each router in this time.
+_TELL_S: Final = 1.0
 _MS_PER_S: Final = 1000
+_NEVER: Final = float('-inf')
 
 
 class DomainViews:
@@ -28,21 +34,29 @@
     def __init__(self, failure_domain: str) -> None:
         self._failure_domain = failure_domain
         self._views_by_domain: dict[str, tuple[float, DomainView]] = {}
-        self._outside_at: float = float('-inf')
+        self._spoke_at_by_domain: dict[str, float] = {}
+        self._outside_at: float = _NEVER
+        # When other routers of the own domain heard another one.
+        self._told_outside_at: float = _NEVER
 
     @property
     def outside_age_ms(self) -> int | None:
-        """Time since another domain was heard; ``None`` if none ever was."""
-        if self._outside_at == float('-inf'):
+        """
+        Time since this router heard another domain.
+
+        ``None`` if it never did.
+        """
+        if self._outside_at == _NEVER:
             return None
         return int((trio.current_time() - self._outside_at) * _MS_PER_S)
 
     @property
     def is_cut_off(self) -> bool:
         """Whether other domains were heard, and none of them lately."""
-        if self._outside_at == float('-inf'):
+        outside_at = max(self._outside_at, self._told_outside_at)
+        if outside_at == _NEVER:
             return False
-        return trio.current_time() - self._outside_at > _CUT_OFF_S
+        return trio.current_time() - outside_at > _CUT_OFF_S
 
     def take(self, heartbeat: Heartbeat, trust_near: bool) -> None:
         """
@@ -56,10 +70,11 @@
         domain = heartbeat.failure_domain
         if domain != self._failure_domain:
             self._outside_at = now_s
+            self._spoke_at_by_domain[domain] = now_s
         elif heartbeat.outside_age_ms is not None and trust_near:
             age_ms = max(0, heartbeat.outside_age_ms)
             outside_at = now_s - age_ms / _MS_PER_S
-            self._outside_at = max(self._outside_at, outside_at)
+            self._told_outside_at = max(self._told_outside_at, outside_at)
         said = DomainView(domain, 1, heartbeat.node, heartbeat.ip, 0)
         for view in heartbeat.domains or (said,):
             self._put(view, now_s - max(0, view.age_ms) / _MS_PER_S)
@@ -78,8 +93,22 @@
             if now_s - at <= within_s
         ]
 
+    def first_hand(self) -> list[DomainView]:
+        """
+        List what routers of other failure domains just told this one.
+
+        :returns: views with their present age.
+        """
+        oldest = trio.current_time() - _TELL_S
+        return [
+            view
+            for view in self.newest(_TELL_S)
+            if self._spoke_at_by_domain.get(view.failure_domain, _NEVER)
+            >= oldest
+        ]
+
     def _put(self, view: DomainView, at: float) -> None:
         name = view.failure_domain
-        known_at = self._views_by_domain.get(name, (float('-inf'), None))[0]
+        known_at = self._views_by_domain.get(name, (_NEVER, None))[0]
         if name != self._failure_domain and at >= known_at:
             self._views_by_domain[name] = (at, view)
--- a/eelgrassfork/gateway/heartbeats.py
+++ b/eelgrassfork/gateway/heartbeats.py
@@ -15,6 +15,7 @@
     A router that a heartbeat mentions, and how long ago it was heard of.
 
     :param failure_domain: empty if it is that of the router that speaks.
+    :param beat: number of the heartbeat that was heard.
     """
 
     node: str
@@ -22,6 +23,7 @@
     incarnation: int
     age_ms: int
     failure_domain: str = ''
+    beat: int = 0
 
 
 class Reading(NamedTuple):
@@ -78,6 +80,8 @@
     :param delay_ms: how far it is behind with its work.
     :param servers_read: newest reading of the entries of backend servers
         that its table includes.
+    :param beat: number of this heartbeat; later ones of the same incarnation
+        have higher numbers.
     """
 
     node: str
@@ -98,3 +102,4 @@
     outside_age_ms: int | None = None
     delay_ms: int = 0
     servers_read: Reading | None = None
+    beat: int = 0
--- a/eelgrassfork/gateway/peers.py
+++ b/eelgrassfork/gateway/peers.py
@@ -30,7 +30,8 @@
     Another router.
 
     :ivar heartbeat: its last one; ``None`` if others only mentioned it.
-    :ivar heard_at: when it or somebody who had heard it spoke last.
+    :ivar beat: newest of its heartbeats that anybody is known to have heard.
+    :ivar heard_at: when that was.
     """
 
     def __init__(
@@ -41,6 +42,7 @@
         self.incarnation = incarnation
         self.failure_domain = failure_domain
         self.heartbeat: Heartbeat | None = None
+        self.beat = -1
         self.heard_at: float = float('-inf')
         self.spoke_at: float = 0
 
@@ -113,7 +115,8 @@
         Take over what a router says of itself.
 
         :param heartbeat: of another router.
-        :returns: whether it speaks for the present process on its VM.
+        :returns: whether it is the newest word of the present process on its
+            VM.
         """
         peer = self.mention(
             Known(
@@ -122,10 +125,13 @@
                 heartbeat.incarnation,
                 0,
                 heartbeat.failure_domain,
+                heartbeat.beat,
             ),
         )
         if heartbeat.incarnation < peer.incarnation:
             return False
+        if peer.heartbeat and heartbeat.beat <= peer.heartbeat.beat:
+            return False
         peer.heartbeat = heartbeat
         peer.spoke_at = trio.current_time()
         return True
@@ -154,8 +160,12 @@
             peer.ip = known.ip
             peer.incarnation = known.incarnation
             peer.heartbeat = None
+            peer.beat = -1
         if known.incarnation == peer.incarnation:
-            peer.heard_at = max(peer.heard_at, heard_at)
+            if known.beat > peer.beat:
+                # What is told again is older than its age says.
+                peer.beat = known.beat
+                peer.heard_at = max(peer.heard_at, heard_at)
             peer.failure_domain = known.failure_domain or peer.failure_domain
         return peer
 
@@ -186,6 +196,7 @@
                 peer.incarnation,
                 int((now_s - peer.heard_at) * _MS_PER_S),
                 peer.failure_domain,
+                peer.beat,
             )
             for peer in sample
         )
--- a/eelgrassfork/gateway/roster.py
+++ b/eelgrassfork/gateway/roster.py
@@ -86,6 +86,7 @@
         self.peers = PeerTable()
         self._views = DomainViews(own.failure_domain)
         self._targets = Targets(own.failure_domain)
+        self._beats = 0
         self._started_at: float | None = None
         self._near: tuple[str, ...] = ()
         self._near_until: float = float('-inf')
@@ -226,15 +227,17 @@
             others = self._sample('', _SAMPLE)
         elif is_near or is_new:
             others = self._sample(failure_domain, _NEAR_SAMPLE)
+        self._beats += 1
         return own._replace(
+            beat=self._beats,
             others=others,
             draining=self.draining,
-            domains=self._domains(),
+            domains=self._domains(is_new or not failure_domain),
             is_new=not self.is_settled or len(self.peers.by_node) < _FEW,
             outside_age_ms=self._views.outside_age_ms,
         )
 
-    def _domains(self) -> tuple[DomainView, ...]:
+    def _domains(self, whole: bool) -> tuple[DomainView, ...]:
         own = self._own
         near = self._near_nodes()
         keeper = self._keeper() or own.node
@@ -247,7 +250,11 @@
                 peer.ip if peer else own.ip,
                 0,
             ),
-            *self._views.newest(FORGET_S),
+            *(
+                self._views.newest(FORGET_S)
+                if whole
+                else self._views.first_hand()
+            ),
         )
 
     def _keeper(self) -> str:
--- a/tests/test_gateway_domain_views.py
+++ b/tests/test_gateway_domain_views.py
@@ -32,6 +32,19 @@
         self.assertEqual(('new', 7, 1100), (view.keeper, view.routers, view[4]))
         self.assertEqual([], lately)
 
+    def test_only_what_a_domain_says_itself_is_told_on(self):
+        # What is told on and on seems newer than it is.
+        async def main():
+            views = DomainViews('d0')
+            views.take(says('d2', DomainView('d1', 7, 'k', 'ip', 100)), True)
+            known = [view.failure_domain for view in views.newest(5)]
+            views.take(says('d1'), True)
+            told = [view.failure_domain for view in views.first_hand()]
+            await trio.sleep(1.1)
+            return known, told, views.first_hand()
+
+        self.assertEqual((['d1'], ['d1'], []), run(main))
+
     def test_own_domain_has_no_view(self):
         async def main():
             views = DomainViews('d0')
@@ -54,3 +67,13 @@
             return [*found, views.is_cut_off]
 
         self.assertEqual([False, True, False, True], run(main))
+
+    def test_cut_that_others_noticed_later_is_not_told_as_contact(self):
+        async def main():
+            views = DomainViews('d0')
+            views.take(says('d1'), True)
+            await trio.sleep(1)
+            views.take(says('d0', outside_age_ms=200), True)
+            return views.outside_age_ms
+
+        self.assertEqual(1000, run(main))
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -43,6 +43,30 @@
 
         self.assertEqual([], run(main))
 
+    def test_dead_router_does_not_live_on_in_what_others_repeat(self):
+        # The time that a datagram spends on its way is not in the age that it
+        # tells, so that busy routers kept a dead one alive among themselves.
+        async def main():
+            table = PeerTable()
+            table.take(beat(1, beat=7))
+            for _ in range(30):
+                await trio.sleep(0.1)
+                table.mention(Known('n1', '10.0.0.1', 1, 50, 'd0', 7))
+            silent = table.live(2)
+            table.mention(Known('n1', '10.0.0.1', 1, 50, 'd0', 8))
+            return silent, [peer.node for peer in table.live(2)]
+
+        self.assertEqual(([], ['n1']), run(main))
+
+    def test_heartbeat_that_comes_late_does_not_replace_a_newer_one(self):
+        async def main():
+            table = PeerTable()
+            table.take(beat(1, beat=5, configuration_version=9))
+            late = table.take(beat(1, beat=4, configuration_version=8))
+            return late, table.by_node['n1'].heartbeat.configuration_version
+
+        self.assertEqual((False, 9), run(main))
+
     def test_router_that_drains_is_neither_live_nor_mentioned(self):
         async def main():
             table = PeerTable()
--- a/tests/test_gateway_roster.py
+++ b/tests/test_gateway_roster.py
@@ -12,7 +12,12 @@
 import testtools
 import trio
 
-from eelgrassfork.gateway.heartbeats import DomainView, Heartbeat, Known
+from eelgrassfork.gateway.heartbeats import (
+    DomainView,
+    Heartbeat,
+    Known,
+    Reading,
+)
 from eelgrassfork.gateway.roster import Place, Roster
 
 from .mock_clock import run
@@ -116,7 +121,16 @@
 def fill(domains, size):
     """Make a roster that knows all of its domain, and all domains."""
     own = Place('edge-stara-zagora-0', '10.0.0.250', 'd0')
-    says = Heartbeat(own.node, own.ip, 1_767_298_424_946, 'd0')
+    # Numbers as large as they get.
+    read = Reading('edge-stara-zagora-17', 1_767_298_424_946, 1700)
+    says = Heartbeat(
+        own.node,
+        own.ip,
+        1_767_298_424_946,
+        'd0',
+        configuration_read=read,
+        servers_read=read,
+    )
     roster = Roster(own, lambda: says)
     views = tuple(
         DomainView(f'd{number}', size, f'edge-{number}', '10.1.0.17', 80)
@@ -132,10 +146,16 @@
                 'd0',
                 domains=views,
                 others=(Known(name, f'10.0.0.{number}', 1, 50),),
+                beat=1_000_000,
             ),
         )
-    other = Heartbeat('edge-1', '10.1.0.17', 1, 'd1', domains=views[1:])
-    roster.take(other)
+    # As many as come from other domains in a second.
+    for number in range(1, 5):
+        domain = f'd{number}'
+        told = views[number:]
+        roster.take(
+            Heartbeat('edge-1', f'10.{number}.0.17', 1, domain, domains=told)
+        )
     return roster
 
 
