Compress configurations between routers, and pull them from peers at any size

Above 64 KB each router read the store first, as peers with such links can't carry all the others. Bytes of peers are checked and bounded before they are decoded.

--- a/eelgrassfork/gateway/configuration.py
+++ b/eelgrassfork/gateway/configuration.py
@@ -31,14 +31,14 @@
 
     :ivar current: ``None`` until one is known.
     :ivar known_at: when it was taken over, on the clock of trio.
-    :ivar content: the configuration as it is stored, for peers.
+    :ivar packed: the configuration as it is stored, compressed for peers.
     :ivar prepaid_by_organisation: limits in tokens of those that have one.
     """
 
     def __init__(self) -> None:
         self.current: Configuration | None = None
         self.known_at: float = 0
-        self.content: bytes = b''
+        self.packed: bytes = b''
         self.prepaid_by_organisation: dict[str, int] = {}
 
     @property
@@ -51,18 +51,18 @@
         """Time since the version in force was taken over, in seconds."""
         return round(trio.current_time() - self.known_at, 1)
 
-    def take(self, configuration: Configuration, content: bytes) -> bool:
+    def take(self, configuration: Configuration, packed: bytes) -> bool:
         """
         Put a configuration into force unless a newer one already is.
 
         :param configuration: what was read.
-        :param content: the same as it is stored.
+        :param packed: the same as it is stored, compressed.
         :returns: whether it is newer than the one in force.
         """
         if configuration.version <= self.version:
             return False
         self.current = configuration
-        self.content = content
+        self.packed = packed
         self.prepaid_by_organisation = {
             name: organisation.prepaid_tokens
             for name, organisation in (
--- a/eelgrassfork/gateway/fleet_member.py
+++ b/eelgrassfork/gateway/fleet_member.py
@@ -142,7 +142,6 @@
             own.free_by_organisation,
             self.beliefs.records.newest,
             self.duties.configuration.contact.newest(),
-            configuration_bytes=len(self.beliefs.configuration.content),
             delay_ms=own.delay_ms,
             servers_read=self.duties.servers.contact.newest(),
         )
--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -17,6 +17,7 @@
 from ..supervision import keep_running
 from .configuration import ConfigurationHolder
 from .duty import WatchDuty
+from .packing import BadPacking, pack, unpack
 from .records import Configuration, ServerEntry
 from .server_records import ServerRecord, ServerRecords
 from .servers import ServerSet
@@ -89,6 +90,26 @@
         :param content: JSON as it is stored.
         :param source: who said so, for the log.
         """
+        self._take(content, None, source)
+
+    def take_packed(self, packed: bytes, source: str) -> None:
+        """
+        Put a configuration of a peer into force if it is newer.
+
+        :param packed: as the peer got it, compressed.
+        :param source: who said so, for the log.
+        """
+        try:
+            content = unpack(packed)
+        except BadPacking as error:
+            _log.error(
+                'refused a configuration',
+                extra={'source': source, 'why': error.message},
+            )
+            return
+        self._take(content, packed, source)
+
+    def _take(self, content: bytes, packed: bytes | None, source: str) -> None:
         try:
             configuration = self._decoders.configuration(content)
         except EelgrassError as error:
@@ -97,12 +118,20 @@
                 extra={'source': source, 'why': error.message},
             )
             return
-        if self.configuration.take(configuration, content):
-            _log.info(
-                'put a configuration into force',
-                extra={'version': configuration.version, 'source': source},
-            )
-            self._on_change()
+        if configuration.version <= self.configuration.version:
+            return
+        packed = packed or pack(content)
+        self.configuration.take(configuration, packed)
+        _log.info(
+            'put a configuration into force',
+            extra={
+                'version': configuration.version,
+                'source': source,
+                'bytes': len(content),
+                'packed_bytes': len(packed),
+            },
+        )
+        self._on_change()
 
     def take_servers(
         self, records: Iterable[ServerRecord], source: str
--- a/eelgrassfork/gateway/heartbeats.py
+++ b/eelgrassfork/gateway/heartbeats.py
@@ -74,7 +74,6 @@
     :param others: some of the routers that it knows.
     :param domains: all failure domains that it knows, its own first.
     :param is_new: it knows few routers yet.
-    :param configuration_bytes: size of its configuration as it is stored.
     :param outside_age_ms: time since its failure domain heard another one;
         ``None`` if it never did.
     :param delay_ms: how far it is behind with its work.
@@ -98,7 +97,6 @@
     others: tuple[Known, ...] = ()
     domains: tuple[DomainView, ...] = ()
     is_new: bool = False
-    configuration_bytes: int = 0
     outside_age_ms: int | None = None
     delay_ms: int = 0
     servers_read: Reading | None = None
--- a/eelgrassfork/gateway/peer_exchange.py
+++ b/eelgrassfork/gateway/peer_exchange.py
@@ -40,8 +40,6 @@
 # Most news also come by the router's own watch in this time.
 _WATCH_LEAD_S: Final = 0.06
 _OK: Final = 200
-# Takes a twentieth of a second on the slowest links.
-_LARGE_BYTES: Final = 65536
 _RETRY_S: Final = 0.2
 _BODY: Final = (('content-type', 'application/msgpack'),)
 
@@ -110,7 +108,7 @@
         await call.respond(_OK, answer(call), _BODY)
 
     def _configuration(self, call: Call) -> bytes:
-        return self._beliefs.configuration.content
+        return self._beliefs.configuration.packed
 
     def _servers(self, call: Call) -> bytes:
         after = call.query_by_name.get('after', '-1')
@@ -163,17 +161,13 @@
         if newest <= holder.version:
             return True
         # All routers hear of a version at once.  Spread over those that have
-        # it, and to the store if it is large, they do not choke one link.
+        # it, they do not choke one link.
         sources = [
             peer for peer in peers if _configuration_version(peer) == newest
         ]
-        sizes = [len(holder.content), *map(_configuration_bytes, sources)]
-        if max(sizes) > _LARGE_BYTES:
+        peer = self._nearest(sources)
+        if peer is None or not await self._pull(peer, _CONFIGURATION):
             await self.reread()
-        if holder.version < newest:
-            peer = self._nearest(sources)
-            if peer is None or not await self._pull(peer, _CONFIGURATION):
-                await self.reread()
         return holder.version >= newest
 
     async def _pull(self, peer: Peer, path: str) -> bool:
@@ -189,7 +183,7 @@
             )
             return False
         if path == _CONFIGURATION:
-            self._beliefs.take_configuration(body, peer.node)
+            self._beliefs.take_packed(body, peer.node)
             return True
         try:
             records = msgspec.msgpack.decode(body, type=list[ServerRecord])
@@ -230,9 +224,5 @@
     return heartbeat.servers_digest != records.digest
 
 
-def _configuration_bytes(peer: Peer) -> int:
-    return peer.heartbeat.configuration_bytes if peer.heartbeat else 0
-
-
 def _configuration_version(peer: Peer) -> int:
     return peer.heartbeat.configuration_version if peer.heartbeat else 0
