Let routers with fast links watch the store

A watch brings each version whole. Grown sites have two or three VMs with 200 Mbit/s in each failure domain, but watchers were chosen by name alone.

The settings' link speed goes into heartbeats and mentions, as a class of one byte; routers with at least half of the fastest link of their failure domain come first.

Small domains tell on all that they know, with an age that rises; a router with few others does not take a short silence for a cut.

--- a/eelgrassfork/gateway/domain_views.py
+++ b/eelgrassfork/gateway/domain_views.py
@@ -4,8 +4,8 @@
 
 Failure domains other than the own one, as routers describe them.
 
-Told ages lose the time on the way, so what is told of a domain is only told
-on by those that heard it from a router there.
+Told ages lose the time on the way.  What is told of a domain is told on by
+those that heard it from a router there, and by others with a higher age.
 """
 
 from typing import Final
@@ -18,8 +18,11 @@
 
 # Three heartbeats of several routers in a row do not get lost by chance.
 _CUT_OFF_S: Final = 0.8
-# Four heartbeats of other domains reach each router in this time.
-_TELL_S: Final = 1.0
+# Two heartbeats of other domains reach each router in this time.
+_TELL_S: Final = 0.5
+# Longer than a heartbeat mostly takes, so that what routers tell
+# each other over and over does not stay new.
+_RELAY_MS: Final = 50
 _MS_PER_S: Final = 1000
 _NEVER: Final = float('-inf')
 
@@ -107,6 +110,21 @@
             >= oldest
         ]
 
+    def second_hand(self, within_s: float) -> list[DomainView]:
+        """
+        List all that is known of other failure domains, to be told on.
+
+        :param within_s: oldest age that counts.
+        :returns: views, those that were not heard just now with a higher age.
+        """
+        heard = self.first_hand()
+        names = {view.failure_domain for view in heard}
+        return heard + [
+            view._replace(age_ms=view.age_ms + _RELAY_MS)
+            for view in self.newest(within_s)
+            if view.failure_domain not in names
+        ]
+
     def _put(self, view: DomainView, at: float) -> None:
         name = view.failure_domain
         known_at = self._views_by_domain.get(name, (_NEVER, None))[0]
--- a/eelgrassfork/gateway/duty.py
+++ b/eelgrassfork/gateway/duty.py
@@ -68,9 +68,10 @@
         return False
     if fleet.routers <= policy.all_up_to:
         return True
-    return (
-        node in rendezvous_order('watch', list(fleet.near))[: policy.watchers]
-    )
+    # A watch brings each version whole, over a slow link one after the other.
+    fast = rendezvous_order('watch', list(fleet.fast))
+    slow = rendezvous_order('watch', list(set(fleet.near) - set(fleet.fast)))
+    return node in [*fast, *slow][: policy.watchers]
 
 
 def count_watchers(fleet: FleetView, policy: DutyPolicy) -> int:
@@ -183,13 +184,10 @@
         """
         Describe the contact with the store, for logs and operators.
 
-        :returns: age and router of the newest reading that is known of, age
-            of the own one, whether this router has to watch, and how many
-            should.
+        :returns: ages of the newest reading that is known of and of the own
+            one, whether this router has to watch, and how many should.
         """
-        newest = self.contact.newest()
         return {
-            'reader': newest.node if newest else None,
             'watches': self.must_watch,
             'store_age_ms': self.contact.age_ms,
             'own_age_ms': self.contact.own_age_ms,
--- a/eelgrassfork/gateway/fleet_member.py
+++ b/eelgrassfork/gateway/fleet_member.py
@@ -78,7 +78,12 @@
         self.on_change: Callable[[], None] = _ignore
         self.beliefs = Beliefs(decoders, self._beliefs_changed)
         self.gossip = Gossip(
-            Place(settings.node, settings.ip, settings.failure_domain),
+            Place(
+                settings.node,
+                settings.ip,
+                settings.failure_domain,
+                _link_class(settings.link_mbps),
+            ),
             settings.first_internal_port,
             self._heartbeat,
             self._heard,
@@ -144,6 +149,7 @@
             self.duties.configuration.contact.newest(),
             delay_ms=own.delay_ms,
             servers_read=self.duties.servers.contact.newest(),
+            link_class=_link_class(self._settings.link_mbps),
         )
 
     def _heard(self, heartbeat: Heartbeat) -> None:
@@ -167,6 +173,10 @@
         self.on_change()
 
 
+def _link_class(link_mbps: float) -> int:
+    return int(link_mbps).bit_length()
+
+
 def _ignore() -> None:
     """Do nothing."""
 
--- a/eelgrassfork/gateway/heartbeats.py
+++ b/eelgrassfork/gateway/heartbeats.py
@@ -16,6 +16,7 @@
 
     :param failure_domain: empty if it is that of the router that speaks.
     :param beat: number of the heartbeat that was heard.
+    :param link_class: of its VM.
     """
 
     node: str
@@ -24,18 +25,19 @@
     age_ms: int
     failure_domain: str = ''
     beat: int = 0
+    link_class: int = 0
 
 
 class Reading(NamedTuple):
     """
     A reading of the store, as routers tell it on.
 
-    :param node: VM whose router read.
+    :param reader: checksum of the VM's name, shorter than it is.
     :param number: rises with each reading of that VM.
     :param age_ms: the answer held all changes up to so long ago.
     """
 
-    node: str
+    reader: int
     number: int
     age_ms: int
 
@@ -81,6 +83,7 @@
         that its table includes.
     :param beat: number of this heartbeat; later ones of the same incarnation
         have higher numbers.
+    :param link_class: rises by one each time that its link is twice as fast.
     """
 
     node: str
@@ -101,3 +104,4 @@
     delay_ms: int = 0
     servers_read: Reading | None = None
     beat: int = 0
+    link_class: int = 0
--- a/eelgrassfork/gateway/node_settings.py
+++ b/eelgrassfork/gateway/node_settings.py
@@ -43,6 +43,7 @@
     :param last_internal_port: last of these ports.
     :param seeds: peer addresses of some VMs; they may be down.
     :param first_start: whether the whole fleet starts for the first time.
+    :param link_mbps: speed of the VM's link.
     """
 
     node: str
@@ -57,6 +58,7 @@
     store_address: str
     bounds: Bounds
     first_start: bool = False
+    link_mbps: float = 1
 
     @property
     def is_seed(self) -> bool:
--- a/eelgrassfork/gateway/peers.py
+++ b/eelgrassfork/gateway/peers.py
@@ -29,6 +29,7 @@
     """
     Another router.
 
+    :ivar link_class: rises with the speed of its link.
     :ivar heartbeat: its last one; ``None`` if others only mentioned it.
     :ivar beat: newest of its heartbeats that anybody is known to have heard.
     :ivar heard_at: when that was.
@@ -41,6 +42,7 @@
         self.ip = ip
         self.incarnation = incarnation
         self.failure_domain = failure_domain
+        self.link_class = 0
         self.heartbeat: Heartbeat | None = None
         self.beat = -1
         self.heard_at: float = float('-inf')
@@ -126,6 +128,7 @@
                 0,
                 heartbeat.failure_domain,
                 heartbeat.beat,
+                heartbeat.link_class,
             ),
         )
         if heartbeat.incarnation < peer.incarnation:
@@ -167,6 +170,7 @@
                 peer.beat = known.beat
                 peer.heard_at = max(peer.heard_at, heard_at)
             peer.failure_domain = known.failure_domain or peer.failure_domain
+            peer.link_class = known.link_class
         return peer
 
     def sample(
@@ -197,6 +201,7 @@
                 int((now_s - peer.heard_at) * _MS_PER_S),
                 peer.failure_domain,
                 peer.beat,
+                peer.link_class,
             )
             for peer in sample
         )
--- a/eelgrassfork/gateway/roster.py
+++ b/eelgrassfork/gateway/roster.py
@@ -45,11 +45,16 @@
 
 
 class Place(NamedTuple):
-    """Name, IP address and failure domain of a VM."""
+    """
+    A VM and where it is.
+
+    :param link_class: rises by one each time that its link is twice as fast.
+    """
 
     node: str
     ip: str
     failure_domain: str
+    link_class: int = 0
 
 
 class FleetView(NamedTuple):
@@ -60,12 +65,14 @@
     :param near: names of those in the own failure domain.
     :param domains: number of failure domains.
     :param is_settled: whether the router has had time to hear of the others.
+    :param fast: those in the own failure domain with the fastest links.
     """
 
     routers: int
     near: tuple[str, ...]
     domains: int = 1
     is_settled: bool = True
+    fast: tuple[str, ...] = ()
 
 
 class Roster:
@@ -89,6 +96,7 @@
         self._beats = 0
         self._started_at: float | None = None
         self._near: tuple[str, ...] = ()
+        self._fast: tuple[str, ...] = ()
         self._near_until: float = float('-inf')
         self._elected: tuple[tuple[str, ...], str] = ((), '')
 
@@ -124,11 +132,16 @@
         """
         near = self._near_nodes()
         # Who asks in turn for the store must not count on routers that can't
-        # tell what they read.
-        within_s = 0 if self.is_cut_off else _DOMAIN_SILENT_S
+        # tell what they read.  A few routers hear others too seldom to know.
+        is_alone = self.is_cut_off and len(near) > _FEW
+        within_s = 0 if is_alone else _DOMAIN_SILENT_S
         others = [view.routers for view in self._views.newest(within_s)]
         return FleetView(
-            len(near) + sum(others), near, len(others) + 1, self.is_settled
+            len(near) + sum(others),
+            near,
+            len(others) + 1,
+            self.is_settled,
+            self._fast,
         )
 
     @property
@@ -232,30 +245,31 @@
             beat=self._beats,
             others=others,
             draining=self.draining,
-            domains=self._domains(is_new or not failure_domain),
+            domains=self._domains(failure_domain, is_new),
             is_new=not self.is_settled or len(self.peers.by_node) < _FEW,
             outside_age_ms=self._views.outside_age_ms,
         )
 
-    def _domains(self, whole: bool) -> tuple[DomainView, ...]:
+    def _domains(
+        self, failure_domain: str, is_new: bool
+    ) -> tuple[DomainView, ...]:
         own = self._own
         near = self._near_nodes()
         keeper = self._keeper() or own.node
         peer = self.peers.by_node.get(keeper)
-        return (
-            DomainView(
-                own.failure_domain,
-                len(near),
-                keeper,
-                peer.ip if peer else own.ip,
-                0,
-            ),
-            *(
-                self._views.newest(FORGET_S)
-                if whole
-                else self._views.first_hand()
-            ),
+        said = DomainView(
+            own.failure_domain,
+            len(near),
+            keeper,
+            peer.ip if peer else own.ip,
+            0,
         )
+        if is_new or not failure_domain or len(near) <= _NEAR_SAMPLE:
+            return said, *self._views.second_hand(FORGET_S)
+        if failure_domain == own.failure_domain:
+            return said, *self._views.first_hand()
+        # Large domains hear of each other often enough by themselves.
+        return (said,)
 
     def _keeper(self) -> str:
         near = self._near_nodes()
@@ -270,14 +284,19 @@
         now_s = trio.current_time()
         if now_s >= self._near_until:
             own = self._own
-            nodes = [
-                peer.node
+            classes_by_node = {
+                peer.node: peer.link_class
                 for peer in self.live()
                 if peer.failure_domain == own.failure_domain
-            ]
+            }
             if not self.draining:
-                nodes.append(own.node)
-            self._near = tuple(sorted(nodes))
+                classes_by_node[own.node] = own.link_class
+            self._near = tuple(sorted(classes_by_node))
+            # Half of the fastest link counts as fast.
+            least = max(classes_by_node.values(), default=0) - 1
+            self._fast = tuple(
+                node for node in self._near if classes_by_node[node] >= least
+            )
             self._near_until = now_s + _CACHE_S
         return self._near
 
--- a/eelgrassfork/gateway/store_contact.py
+++ b/eelgrassfork/gateway/store_contact.py
@@ -10,6 +10,7 @@
 """
 
 from typing import Final
+from zlib import crc32
 
 import trio
 
@@ -32,12 +33,12 @@
     """
 
     def __init__(self, node: str, incarnation: int = 0) -> None:
-        self._node = node
+        self._reader = crc32(node.encode())
         self._own_at: float = _NEVER
         self._own_number = incarnation
         self._heard_at: float = _NEVER
         self._heard: Reading | None = None
-        self._numbers_by_node: dict[str, tuple[int, float]] = {}
+        self._numbers_by_reader: dict[int, tuple[int, float]] = {}
 
     @property
     def read_at(self) -> float:
@@ -75,13 +76,13 @@
 
         :param reading: the newest one that it knows of.
         """
-        if reading is None or reading.node == self._node:
+        if reading is None or reading.reader == self._reader:
             return
-        known, _ = self._numbers_by_node.get(reading.node, (-1, 0))
+        known, _ = self._numbers_by_reader.get(reading.reader, (-1, 0))
         if reading.number <= known:
             return
         now_s = trio.current_time()
-        self._numbers_by_node[reading.node] = (reading.number, now_s)
+        self._numbers_by_reader[reading.reader] = (reading.number, now_s)
         read_at = now_s - max(0, reading.age_ms) / _MS_PER_S
         if read_at > self._heard_at:
             self._heard_at = read_at
@@ -98,13 +99,13 @@
         if age_ms is None:
             return None
         if self._own_at >= self._heard_at or self._heard is None:
-            return Reading(self._node, self._own_number, age_ms)
+            return Reading(self._reader, self._own_number, age_ms)
         return self._heard._replace(age_ms=age_ms)
 
     def _forget(self, now_s: float) -> None:
-        for node, (_, heard_at) in list(self._numbers_by_node.items()):
+        for reader, (_, heard_at) in list(self._numbers_by_reader.items()):
             if now_s - heard_at > _FORGET_S:
-                self._numbers_by_node.pop(node)
+                self._numbers_by_reader.pop(reader)
 
 
 def _age_ms(read_at: float) -> int | None:
--- a/eelgrassfork/platform/boot_file.py
+++ b/eelgrassfork/platform/boot_file.py
@@ -84,6 +84,7 @@
         store_address=_field(texts_by_field, 'provider.address', _address),
         bounds=_bounds(texts_by_field),
         first_start=_field(texts_by_field, 'bootstrap', _is_true, False),
+        link_mbps=_number(texts_by_field, 'limits.linkMbps', 1),
     )
 
 
--- a/tests/belief_world.py
+++ b/tests/belief_world.py
@@ -11,13 +11,17 @@
 import random
 from typing import NamedTuple
 
-import msgspec
 import trio
 
 from eelgrassfork.errors import EelgrassError
 from eelgrassfork.gateway.fleet_member import FleetMember, MemberLinks, OwnState
 from eelgrassfork.gateway.node_settings import Bounds, NodeSettings
-from eelgrassfork.gateway.store import StoreAnswerLost, StoreUnavailable
+from eelgrassfork.gateway.store import (
+    Listing,
+    StoreAnswerLost,
+    StoredObject,
+    StoreUnavailable,
+)
 
 from .gateway_world import configuration
 from .memory_store import MemoryStore
@@ -52,6 +56,20 @@
     stretch_s: float = 6
 
 
+class Link:
+    """One direction of the link of a VM; what it carries queues up."""
+
+    def __init__(self):
+        self.bytes_per_s = float('inf')
+        self.free_at = float('-inf')
+
+    def reserve(self, size):
+        """Queue some bytes, and tell when they are over."""
+        start_at = max(trio.current_time(), self.free_at)
+        self.free_at = start_at + size / self.bytes_per_s
+        return self.free_at
+
+
 class Answer:
     """Head of an answer of a peer."""
 
@@ -82,11 +100,15 @@
         self.ip = ip
         self.domain = domain
         self.lateness_s = 0
+        self.link_mbps = 10
+        self.uplink = Link()
+        self.downlink = Link()
         self.store_cut = ''
         self.member = None
         self.scope = None
         self.touched_at = float('-inf')
         self.draining = False
+        self.newest = 0
 
     @property
     def version(self):
@@ -106,27 +128,17 @@
             world.seeds,
             'store',
             Bounds(config_s=world.shape.config_s),
+            link_mbps=self.link_mbps,
         )
         incarnation = int(trio.current_time() * 1000)
         links = MemberLinks(RouterStore(self), self, self.open_socket)
         self.draining = False
         self.member = FleetMember(settings, incarnation, links, DECODERS)
         self.member.describe_self = lambda: OwnState(self.draining)
-        self.member.beliefs.take_configuration = self.watch_taking()
+        self.newest = 0
         self.touched_at = trio.current_time()
         world.nursery.start_soon(self.run)
 
-    def watch_taking(self):
-        take = self.member.beliefs.take_configuration
-
-        def taking(content, source):
-            before = self.version
-            take(content, source)
-            if self.version < before:
-                self.world.broken.append(f'{self.node} went back')
-
-        return taking
-
     async def run(self):
         with trio.CancelScope() as self.scope:
             async with trio.open_nursery() as nursery:
@@ -154,6 +166,10 @@
             raise EelgrassError('connect_failed', 'refused')
         call = PeerCall(request.target)
         await peer.member.exchange.serve(call)
+        sent_at = peer.uplink.reserve(len(call.answer))
+        await trio.sleep_until(
+            max(sent_at, self.downlink.reserve(len(call.answer)))
+        )
         await trio.sleep(LATENCY_S + self.late_s())
         return Answer, call.answer
 
@@ -220,6 +236,7 @@
         if cut:
             await trio.sleep(CONNECT_S)
             raise StoreUnavailable('connect_failed', 'no connection')
+        answer = None
         with trio.move_on_after(allowed_s):
             await trio.sleep(STORE_LATENCY_S + self.router.late_s())
             silences = self.world.silences
@@ -229,13 +246,28 @@
                 await self.world.changed.wait()
             if silences != self.world.silences:
                 await trio.sleep_forever()
-            return answer
-        raise StoreAnswerLost('connection_silent', 'no answer')
+        if answer is None:
+            raise StoreAnswerLost('connection_silent', 'no answer')
+        await trio.sleep_until(self.router.downlink.reserve(size_of(answer)))
+        return answer
 
     def cut(self):
+        """Tell how the store fails this router, empty if it does not."""
         return self.world.store_down or self.router.store_cut
 
 
+def size_of(answer):
+    """Count the bytes of the objects in an answer of the store."""
+    if isinstance(answer, StoredObject):
+        return len(answer.content)
+    objects = (
+        answer.objects
+        if isinstance(answer, Listing)
+        else [change.stored for change in answer[0]]
+    )
+    return sum(len(stored.content) for stored in objects)
+
+
 class World:
     """
     A fleet, its store, and what separates them.
@@ -256,7 +288,10 @@
             for number in range(shape.size):
                 ip = f'10.{domain}.0.{number}'
                 node = f'n{domain}-{number}'
-                self.routers.append(Router(self, node, ip, f'd{domain}'))
+                router = Router(self, node, ip, f'd{domain}')
+                # As on grown sites, two VMs have a better link.
+                router.link_mbps = 200 if number < 2 else 10
+                self.routers.append(router)
         self.routers_by_ip = {router.ip: router for router in self.routers}
         self.inboxes_by_ip = {}
         first = self.routers[:: shape.size][:3]
@@ -270,6 +305,7 @@
         self.nursery = None
         self.store_down = ''
         self.acknowledged = []
+        self.servers_by_name = {}
         self.unstable_at = float('-inf')
         self.away_at = float('-inf')
         self.restarted = set()
@@ -284,11 +320,23 @@
         self.changed.set()
         self.changed = trio.Event()
 
-    def put_version(self, version):
+    def put_version(self, version, **changes):
         """Write a configuration as an operator; it is acknowledged at once."""
-        self.store.put('config', 'main', configuration(version))
+        self.store.put('config', 'main', configuration(version, **changes))
         self.acknowledged.append((trio.current_time(), version))
 
+    def put_server(self, name, **changes):
+        """Write an entry of a server, as that server does."""
+        entry = {**ENTRY, 'service': 'plain', **changes}
+        self.store.put('servers', name, entry)
+        state = entry['state']
+        self.servers_by_name[name] = (trio.current_time(), state)
+
+    def remove_server(self, name):
+        """Remove an entry of a server."""
+        self.store.remove('servers', name)
+        self.servers_by_name[name] = (trio.current_time(), 'gone')
+
     def silence(self):
         """Make all open connections to the store silent for good."""
         self.silences += 1
@@ -299,7 +347,7 @@
         """Start all routers, and let them find each other."""
         self.nursery = nursery
         self.put_version(1)
-        self.store.put('servers', 's1', ENTRY)
+        self.put_server('s1')
         nursery.start_soon(self.compact)
         for router in self.routers:
             await router.start()
@@ -321,43 +369,71 @@
 
     def look(self):
         now_s = trio.current_time()
-        shape = self.shape
-        if self.store_down:
-            self.unstable_at = self.away_at = now_s
-        if any(router.store_cut for router in self.routers):
-            self.unstable_at = now_s
-        calm = now_s - self.unstable_at >= shape.contact_s
-        served = now_s - self.away_at >= shape.contact_s
-        if not served:
+        self.note_faults(now_s)
+        bound_s = self.bound_s(now_s)
+        if bound_s is None:
             return
-        bound_s = shape.config_s + (0 if calm else shape.stretch_s)
         due = max(
-            version
-            for at, version in self.acknowledged
-            if now_s - at >= bound_s
+            (
+                version
+                for at, version in self.acknowledged
+                if now_s - at >= bound_s
+            ),
+            default=0,
         )
         for router in self.routers:
-            if router.store_cut == 'silent':
-                router.touched_at = now_s
             calm_s = now_s - router.touched_at
-            if router.member is None or calm_s < shape.contact_s:
-                continue
-            if router.version < due:
-                self.note_behind(router, due)
-
-    def note_behind(self, router, due):
-        duty = router.member.duties.configuration
-        line = (
-            f'{router.node} at {router.version}, {due} is due; '
-            f'watches {duty.must_watch}, store age {duty.contact.age_ms} ms'
-        )
-        if len(self.broken) < 5:
-            self.broken.append(f'{trio.current_time():.2f} {line}')
+            if router.member and calm_s >= self.shape.contact_s:
+                self.look_at(router, due, bound_s)
 
-    def entry(self, number, **changes):
-        """Write an entry of a server."""
-        text = msgspec.json.encode({**ENTRY, **changes})
-        return self.store.put('servers', f's{number}', text)
+    def note_faults(self, now_s):
+        if self.store_down:
+            self.away_at = now_s
+        for router in self.routers:
+            if router.version < router.newest and router.member:
+                self.broken.append(f'{now_s:.2f} {router.node} went back')
+            router.newest = max(router.newest, router.version)
+            if router.store_cut == 'refuse':
+                self.unstable_at = now_s
+            elif router.store_cut:
+                router.touched_at = now_s
+
+    def bound_s(self, now_s):
+        """Tell in what time changes are known; ``None`` if no rule holds."""
+        shape = self.shape
+        if now_s - self.away_at < shape.contact_s:
+            return None
+        if now_s - self.unstable_at < shape.contact_s:
+            return shape.config_s + shape.stretch_s
+        return shape.config_s
+
+    def look_at(self, router, due, bound_s):
+        duties = router.member.duties
+        if router.version < due:
+            wrong = f'at version {router.version}, {due} is due'
+            self.note(router, wrong, duties.configuration)
+        wrong = self.wrong_servers(router, bound_s)
+        if wrong:
+            self.note(router, wrong, duties.servers)
+
+    def wrong_servers(self, router, bound_s):
+        """Describe the servers that a router should know better."""
+        known = router.member.beliefs.servers.usable('plain')
+        usable = {server.entry.id for server in known}
+        due_at = trio.current_time() - bound_s
+        wrong = [
+            f'{name} is {state}'
+            for name, (at, state) in self.servers_by_name.items()
+            if at <= due_at and (name in usable) != (state == 'ready')
+        ]
+        return ', '.join(wrong)
+
+    def note(self, router, wrong, duty):
+        """Keep the first findings."""
+        known = f'watches {duty.must_watch}, age {duty.contact.age_ms} ms'
+        line = f'{trio.current_time():.2f} {router.node} {wrong}; {known}'
+        if len(self.broken) < 5:
+            self.broken.append(line)
 
 
 async def play(shape, seed, scenario):
--- a/tests/test_gateway_domain_views.py
+++ b/tests/test_gateway_domain_views.py
@@ -45,6 +45,18 @@
 
         self.assertEqual((['d1'], ['d1'], []), run(main))
 
+    def test_what_others_told_of_a_domain_ages_when_it_is_told_on(self):
+        async def main():
+            views = DomainViews('d0')
+            views.take(says('d2', DomainView('d1', 7, 'k', 'ip', 100)), True)
+            views.take(says('d3'), True)
+            return {
+                view.failure_domain: view.age_ms
+                for view in views.second_hand(5)
+            }
+
+        self.assertEqual({'d1': 150, 'd3': 0}, run(main))
+
     def test_own_domain_has_no_view(self):
         async def main():
             views = DomainViews('d0')
--- a/tests/test_gateway_duty.py
+++ b/tests/test_gateway_duty.py
@@ -41,7 +41,7 @@
 def hear(duty, age_ms=0):
     """Let a duty hear of a reading of its own by another router."""
     number = int(trio.current_time() * 1000)
-    duty.contact.take(Reading('reader', number, age_ms))
+    duty.contact.take(Reading(1, number, age_ms))
 
 
 class WatcherTests(testtools.TestCase):
@@ -73,6 +73,17 @@
         }
         self.assertEqual(len(lost), len(self.watchers(left)))
 
+    def test_routers_with_fast_links_watch(self):
+        # Over a slow link versions of a large configuration queue up.
+        nodes = tuple(DOMAINS['d0'])
+        for fast in (nodes[3:5], nodes[3:9], nodes[3:4]):
+            fleet = FleetView(90, nodes, 5, fast=fast)
+            found = {node for node in nodes if is_watcher(node, fleet, POLICY)}
+            self.assertEqual(POLICY.watchers, len(found))
+            self.assertEqual(
+                min(POLICY.watchers, len(fast)), len(found & set(fast))
+            )
+
     def test_small_fleet_watches_whole(self):
         small = {'d0': ['a', 'b'], 'd1': ['c']}
         self.assertEqual(['a', 'b', 'c'], self.watchers(small))
--- a/tests/test_gateway_fleet_member.py
+++ b/tests/test_gateway_fleet_member.py
@@ -5,14 +5,19 @@
 Guards against fleets in which a change that was acknowledged stays unknown.
 """
 
+import random
+
 import testtools
 import trio
 
 from .belief_world import Shape, play
 from .fault_schedule import run_seeded
+from .gateway_world import configuration
 
 # Each router takes up what comes so much later on average, as it is busy.
 LATENESS_S = 0.08
+# What is left of the slowest links of a grown site beside its callers.
+SLOW_LINK_BYTES_PER_S = 400_000
 
 
 def make_busy(world):
@@ -38,6 +43,147 @@
     await trio.sleep(8)
 
 
+def many_routes(count):
+    """Make routes that look as different as those of a real site."""
+    source = random.Random(3)
+    route = configuration()['routes'][0]
+    return [
+        {
+            **route,
+            'name': f'r{source.getrandbits(32):x}',
+            'hostname': f'{source.getrandbits(24):x}.example',
+            'pathPrefix': f'/{source.getrandbits(32):x}/',
+            'timeoutMs': source.randrange(500, 12_000),
+            'targetLatencyMs': source.randrange(100, 500),
+        }
+        for _ in range(count)
+    ]
+
+
+async def change_large_configuration(world):
+    """Let the configuration grow, and change it while it is on its way."""
+    for router in world.routers:
+        speed = SLOW_LINK_BYTES_PER_S * router.link_mbps / 10
+        for link in (router.uplink, router.downlink):
+            link.bytes_per_s = speed
+    routes = many_routes(1760)
+    for version in (2, 3, 4):
+        world.put_version(version, routes=routes)
+        await trio.sleep(0.4)
+    await trio.sleep(world.shape.config_s + 2)
+
+
+class Faults:
+    """Faults that come at random, overlap and end."""
+
+    def __init__(self, world):
+        self.world = world
+        self.random = world.random
+        self.kinds = (
+            self.lose_domain,
+            self.lose_store,
+            self.turn_away,
+            self.cut_from_store,
+            self.kill_watchers,
+            self.kill_some,
+            self.lose_heartbeats,
+            self.silence_connections,
+        )
+
+    async def run(self):
+        async with trio.open_nursery() as nursery:
+            for _ in range(7):
+                nursery.start_soon(self.random.choice(self.kinds))
+                await trio.sleep(self.random.uniform(0, 4))
+
+    async def lose_domain(self):
+        domain = self.random.choice(self.world.routers).domain
+        self.world.cut_domains.add(domain)
+        await trio.sleep(self.random.uniform(4, 8))
+        self.world.cut_domains.discard(domain)
+
+    async def lose_store(self):
+        self.world.store_down = self.random.choice(('refuse', 'silent'))
+        await trio.sleep(self.random.uniform(1, 5))
+        self.world.store_down = ''
+        self.world.change()
+
+    async def turn_away(self):
+        await self.cut(0.35, 'refuse', self.random.uniform(4, 9))
+
+    async def cut_from_store(self):
+        share = self.random.choice((0.2, 1))
+        await self.cut(share, 'silent', self.random.uniform(4, 9))
+
+    async def cut(self, share, how, seconds):
+        routers = self.some(share)
+        for router in routers:
+            router.store_cut = how
+        await trio.sleep(seconds)
+        for router in routers:
+            router.store_cut = ''
+        self.world.change()
+
+    async def kill_watchers(self):
+        await trio.sleep(self.random.uniform(0, 3))
+        await self.restart(
+            router
+            for router in self.world.routers
+            if router.member and router.member.duties.servers.must_watch
+        )
+
+    async def kill_some(self):
+        await self.restart(self.some(self.random.uniform(0.1, 0.6)))
+
+    async def restart(self, routers):
+        routers = [router for router in routers if router.member]
+        for router in routers:
+            router.kill()
+        await trio.sleep(self.random.uniform(0.5, 3))
+        for router in routers:
+            await router.start()
+
+    async def lose_heartbeats(self):
+        self.world.lost = 0.2
+        await trio.sleep(self.random.uniform(2, 5))
+        self.world.lost = 0.01
+
+    async def silence_connections(self):
+        self.world.silence()
+        await trio.sleep(0)
+
+    def some(self, share):
+        routers = self.world.routers
+        return self.random.sample(routers, max(1, int(share * len(routers))))
+
+
+async def change_things(world):
+    """Change the configuration and the servers over and over."""
+    for version in range(2, 999):
+        await trio.sleep(world.random.choice((0.07, 0.5, 1, 4)))
+        world.put_version(version)
+        if world.random.random() < 0.4:
+            world.put_server(f's{version}')
+        ready = [
+            name
+            for name, (_, state) in world.servers_by_name.items()
+            if state == 'ready'
+        ]
+        if ready and world.random.random() < 0.2:
+            world.put_server(world.random.choice(ready), state='draining')
+        if ready and world.random.random() < 0.1:
+            world.remove_server(world.random.choice(ready))
+
+
+async def have_trouble(world):
+    """Let changes and faults come at random."""
+    for router in world.routers:
+        router.lateness_s = world.random.choice((0, 0.01, 0.03, 0.1))
+    world.nursery.start_soon(change_things, world)
+    await Faults(world).run()
+    await trio.sleep(8)
+
+
 def broken(shape, seed, scenario):
     return run_seeded(lambda: play(shape, seed, scenario), seed).broken
 
@@ -52,3 +198,9 @@
             for line in broken(Shape(), seed, lose_watchers)
         ]
         self.assertEqual([], found)
+
+    def test_large_configuration_is_in_force_in_time_over_slow_links(self):
+        # Each router read each version whole over its own link, a tenth of
+        # them too late.
+        shape = Shape(domains=4, size=18)
+        self.assertEqual([], broken(shape, 0, change_large_configuration))
--- a/tests/test_gateway_roster.py
+++ b/tests/test_gateway_roster.py
@@ -89,6 +89,21 @@
         self.assertGreaterEqual(near.count(24), 70)
         self.assertEqual(3, keepers)
 
+    def test_many_small_domains_know_of_each_other(self):
+        async def main():
+            fleet = Fleet(20, 1)
+            await fleet.play(6)
+            sizes = []
+            for _ in range(80):
+                await fleet.play(INTERVAL_S)
+                sizes.extend(
+                    one.fleet().routers for one in fleet.rosters_by_ip.values()
+                )
+            return sorted(sizes)[len(sizes) // 8]
+
+        # Each hears four heartbeats a second; some routers are missed at times.
+        self.assertEqual(20, run(main))
+
     def test_lost_keeper_is_replaced(self):
         async def main():
             fleet = Fleet(3, 16)
@@ -122,7 +137,7 @@
     """Make a roster that knows all of its domain, and all domains."""
     own = Place('edge-stara-zagora-0', '10.0.0.250', 'd0')
     # Numbers as large as they get.
-    read = Reading('edge-stara-zagora-17', 1_767_298_424_946, 1700)
+    read = Reading(4_000_000_000, 1_767_298_424_946, 1700)
     says = Heartbeat(
         own.node,
         own.ip,
@@ -149,12 +164,13 @@
                 beat=1_000_000,
             ),
         )
-    # As many as come from other domains in a second.
-    for number in range(1, 5):
+    # Two come from other domains in the time in which they are told on.
+    for number in (1, 2):
         domain = f'd{number}'
+        name = f'edge-{number}'
         told = views[number:]
         roster.take(
-            Heartbeat('edge-1', f'10.{number}.0.17', 1, domain, domains=told)
+            Heartbeat(name, f'10.{number}.0.17', 1, domain, domains=told)
         )
     return roster
 
--- a/tests/test_gateway_store_contact.py
+++ b/tests/test_gateway_store_contact.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from zlib import crc32
 
 import testtools
 import trio
@@ -38,32 +39,34 @@
     def test_newer_reading_of_any_router_counts(self):
         async def main():
             contact = StoreContact('n0')
-            contact.take(Reading('n1', 4, 900))
-            contact.take(Reading('n2', 1, 300))
-            contact.take(Reading('n1', 5, 100))
+            contact.take(Reading(1, 4, 900))
+            contact.take(Reading(2, 1, 300))
+            contact.take(Reading(1, 5, 100))
             return contact.newest()
 
-        self.assertEqual(Reading('n1', 5, 100), run(main))
+        self.assertEqual(Reading(1, 5, 100), run(main))
 
     def test_older_reading_does_not_replace_a_newer_one(self):
         async def main():
             contact = StoreContact('n0')
-            contact.take(Reading('n1', 5, 100))
-            contact.take(Reading('n2', 9, 500))
+            contact.take(Reading(1, 5, 100))
+            contact.take(Reading(2, 9, 500))
             contact.note_own(trio.current_time() - 1)
             return contact.newest(), contact.own_age_ms
 
-        self.assertEqual((Reading('n1', 5, 100), 1000), run(main))
+        self.assertEqual((Reading(1, 5, 100), 1000), run(main))
 
     def test_own_reading_that_comes_back_is_no_news(self):
         async def main():
             contact = StoreContact('n0', 7)
             contact.note_own(trio.current_time())
-            contact.take(Reading('n0', 99, 0))
+            contact.take(Reading(crc32(b'n0'), 99, 0))
             await trio.sleep(1)
             return contact.newest(), contact.others_read_at
 
-        self.assertEqual((Reading('n0', 8, 1000), float('-inf')), run(main))
+        self.assertEqual(
+            (Reading(crc32(b'n0'), 8, 1000), float('-inf')), run(main)
+        )
 
     def test_restarted_router_is_heard_again(self):
         async def main():
@@ -81,7 +84,7 @@
         async def main():
             contact = StoreContact('n0')
             contact.take(None)
-            contact.take(Reading('n1', 5, -60_000))
+            contact.take(Reading(1, 5, -60_000))
             return contact.age_ms
 
         self.assertEqual(0, run(main))
--- a/tests/test_platform_boot_file.py
+++ b/tests/test_platform_boot_file.py
@@ -27,6 +27,7 @@
 provider.address=10.200.1.7:8742
 provider.writesPerS=400
 provider.readsPerS=2000
+limits.linkMbps=200.0
 bounds.drainMs=2500
 bounds.graceS=9
 bounds.retryBudgetRatio=0.3
@@ -43,6 +44,7 @@
         self.assertEqual('d0', settings.failure_domain)
         self.assertEqual(9, settings.bounds.grace_s)
         self.assertEqual(0.3, settings.bounds.retry_ratio)
+        self.assertEqual(200, settings.link_mbps)
         self.assertEqual((7200, 7215), settings[6:8])
         self.assertEqual(('10.1.0.19:8748', '10.2.0.13:8748'), settings.seeds)
 
