Do not take a server for removed by a listing that is older than its entry

A listing that was on its way while peers told of a new entry lacked it, the router noted a removal of that very revision, which wins over the entry, and told all others. The server got no requests until its entry changed, which it need not do for long.

Only entries up to the revision of the listing are removed by it.

--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -384,7 +384,8 @@
             for stored in listing.objects
         ]
         names = [record.id for record in records]
-        records.extend(self._beliefs.records.missing_in(names))
+        missing = self._beliefs.records.missing_in(names, listing.revision)
+        records.extend(missing)
         self._beliefs.take_servers(records, 'store')
 
     def _change_servers(self, changes: list[Change]) -> None:
--- a/eelgrassfork/gateway/server_records.py
+++ b/eelgrassfork/gateway/server_records.py
@@ -63,18 +63,23 @@
         self._newest = max(self._newest, record.revision)
         return True
 
-    def missing_in(self, listed: Iterable[str]) -> list[ServerRecord]:
+    def missing_in(
+        self, listed: Iterable[str], revision: int
+    ) -> list[ServerRecord]:
         """
         Make removals of the servers that a listing lacks.
 
         :param listed: ids of the listing.
+        :param revision: of the listing; it says nothing of newer entries.
         :returns: records to put.
         """
         present = set(listed)
         return [
             record._replace(removed=True, content=b'')
             for record in self._by_id.values()
-            if record.id not in present and not record.removed
+            if record.id not in present
+            and not record.removed
+            and record.revision <= revision
         ]
 
     def export(self, after: int = -1) -> list[ServerRecord]:
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -20,6 +20,7 @@
     StoreFollower,
 )
 from eelgrassfork.gateway.roster import FleetView
+from eelgrassfork.gateway.server_records import ServerRecord
 from eelgrassfork.platform.config_decoder import decode_configuration
 from eelgrassfork.platform.server_entries import decode_entry
 
@@ -288,6 +289,20 @@
 
         self.assertEqual([], run(scenario))
 
+    def test_listing_removes_no_server_that_is_newer_than_it(self):
+        # Peers told of an entry while the listing was on its way; taken for
+        # removed, it stayed so until the server changed its entry.
+        async def scenario(setting):
+            listing = await setting.store.list_all('servers')
+            stored = setting.store.put('servers', 's2', ENTRY)
+            newer = ServerRecord('s2', stored.revision, False, stored.content)
+            setting.beliefs.take_servers([newer], 'peer')
+            setting.follower._list_servers(listing)
+            await trio.sleep(3)
+            return setting.usable
+
+        self.assertEqual(['s1', 's2'], run(scenario))
+
     def test_older_configuration_of_a_peer_is_ignored(self):
         async def scenario(setting):
             changes = setting.changes
