Take an own failed call for no outage while other routers reach the store

A router that the store turned away noted an outage with each call that failed, and its end with the next word of a peer. Entries lapse in outages, so a removed server is kept for two seconds after one: such a router used servers that had left for two seconds more, over and over.

Only a router that knows of no reading of the last seconds sees an outage; the follower of the servers paces its own calls where the store is reached. The stand-in of the store let watches end well while it was down; it cuts them now, as else test_catches_up_after_an_outage_and_lost_history counted them as contact.

--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -224,7 +224,7 @@
 
     @property
     def reachable(self) -> bool:
-        """Whether the last call of the store was answered."""
+        """Whether this router or another one reached the store lately."""
         return bool(self._reachable)
 
     async def reread(self) -> None:
@@ -273,19 +273,20 @@
                 failures = 0
 
     async def _pause(self, kind: str, failures: int, asked_at: float) -> None:
-        if not self._leads(kind):
+        if not self._leads(kind) and not self.reachable:
             with trio.move_on_after(_LONGEST_WAIT_S):
                 await self._returned.wait()
             return
+        duty = self._duties_by_kind[kind]
         doublings = min(failures, _MAX_DOUBLINGS)
         spent_s = trio.current_time() - asked_at
-        left_s = self._leading.retry_s(doublings, spent_s)
+        left_s = duty.retry_s(doublings, spent_s)
         while left_s > 0:
             self._hear_of_store()
             step_s = min(_DUTY_POLL_S, left_s)
             await trio.sleep(step_s)
             # Others may no longer relieve this router.
-            left_s = min(left_s - step_s, self._leading.longest_retry_s)
+            left_s = min(left_s - step_s, duty.longest_retry_s)
 
     async def _read(
         self,
@@ -349,8 +350,10 @@
         return max(_SHORTEST_WATCH_S, longest_s) * part
 
     def _note(self, reachable: bool, why: str) -> None:
-        if reachable != self._reachable:
-            self._turn(reachable, why)
+        # A router that is turned away while others are served sees no outage.
+        reached = reachable or self._leading.is_store_reached
+        if reached != self._reachable:
+            self._turn(reached, why)
 
     def _turn(self, reachable: bool, why: str) -> None:
         self._reachable = reachable
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -69,6 +69,8 @@
                 if self.down:
                     raise StoreAnswerLost('cut', 'the watch was cut')
                 await self._changed.wait()
+        if self.down:
+            raise StoreAnswerLost('cut', 'the watch was cut')
         if after_revision < self.oldest:
             raise HistoryGone('history_gone', 'compacted')
         return self._since(kind, after_revision), self.revision
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -236,6 +236,22 @@
         for _ in range(20):
             self.assertEqual(9, run(scenario))
 
+    def test_own_failed_calls_are_no_outage_while_others_reach_the_store(self):
+        # Entries lapse while the store is away, so that removed ones are kept
+        # for two seconds after it; a server that left was used for as long.
+        async def scenario(setting):
+            setting.store.down = True
+            for _ in range(12):
+                await trio.sleep(0.25)
+                setting.hear()
+            (known,) = setting.beliefs.records.export()
+            removal = known._replace(removed=True, content=b'')
+            setting.beliefs.take_servers([removal], 'peer')
+            await trio.sleep(1.2)
+            return setting.usable
+
+        self.assertEqual([], run(scenario))
+
     def test_start_is_no_loss_of_the_store(self):
         # The fleet has not been heard of yet, and no call has failed.
         async def scenario(setting):
