Count a silence of the store as an outage only if entries can lapse in it

With ages that are right, a router sees the last reading pass the bound on its age now and then, for a few hundred milliseconds.

Entries lapse after three missed heartbeats of their server; an outage that counts now lasts two seconds at least. The test failed before.

--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -35,10 +35,12 @@
         mistake.
     :param return_s: after the store came back, for entries that lapsed while
         it was away.
+    :param outage_s: no entry lapses while the store is away for less.
     """
 
     hold_s: float = 0.5
     return_s: float = 2.0
+    outage_s: float = 2.0
 
 
 class Server:
@@ -173,7 +175,7 @@
         self._bounds = bounds or TableBounds()
         self._by_id: dict[str, Server] = {}
         self._store_returned_at: float | None = None
-        self._store_away = False
+        self._store_away_at: float | None = None
 
     @property
     def entries(self) -> tuple[ServerEntry, ...]:
@@ -249,7 +251,7 @@
         if self._store_returned_at is not None:
             returned_until = self._store_returned_at + self._bounds.return_s
             hold_until = max(hold_until, returned_until)
-        if self._store_away:
+        if self._is_outage:
             hold_until = max(hold_until, now_s + self._bounds.return_s)
         server.gone_at = hold_until
         return True
@@ -270,9 +272,21 @@
 
         :param reachable: outcome of the last call.
         """
-        if reachable and self._store_away:
-            self._store_returned_at = trio.current_time()
-        self._store_away = not reachable
+        now_s = trio.current_time()
+        if not reachable:
+            if self._store_away_at is None:
+                self._store_away_at = now_s
+            return
+        if self._is_outage:
+            self._store_returned_at = now_s
+        self._store_away_at = None
+
+    @property
+    def _is_outage(self) -> bool:
+        if self._store_away_at is None:
+            return False
+        away_s = trio.current_time() - self._store_away_at
+        return away_s >= self._bounds.outage_s
 
     def forget_gone(self) -> None:
         """Drop servers that are gone and have no request in progress."""
--- a/tests/test_gateway_fleet_member.py
+++ b/tests/test_gateway_fleet_member.py
@@ -5,6 +5,7 @@
 Guards against fleets in which a change that was acknowledged stays unknown.
 """
 
+import os
 import random
 
 import testtools
@@ -18,6 +19,11 @@
 LATENESS_S = 0.08
 # What is left of the slowest links of a grown site beside its callers.
 SLOW_LINK_BYTES_PER_S = 400_000
+# Others are set by hand.  Seeds 5 and 11 failed once, as routers kept
+# servers that had left after an outage that was none.
+TROUBLE_SEEDS = tuple(
+    int(seed) for seed in os.environ.get('SEEDS', '5 11 1').split()
+)
 
 
 def make_busy(world):
@@ -199,6 +205,13 @@
         ]
         self.assertEqual([], found)
 
+    def test_no_router_in_touch_stays_behind_in_trouble(self):
+        # Faults that overlap: cut domains, outages of the store for some or
+        # all, killed routers, silent connections, lost heartbeats.
+        for seed in TROUBLE_SEEDS:
+            found = broken(Shape(), seed, have_trouble)
+            self.assertEqual([], found, f'seed {seed}')
+
     def test_large_configuration_is_in_force_in_time_over_slow_links(self):
         # Each router read each version whole over its own link, a tenth of
         # them too late.
--- a/tests/test_gateway_servers.py
+++ b/tests/test_gateway_servers.py
@@ -80,6 +80,22 @@
 
         self.assertEqual((['s1'], []), run(main))
 
+    def test_entry_that_is_removed_after_a_short_silence_has_not_lapsed(self):
+        # Routers that heard of the store now and then kept what had left.
+        async def main():
+            servers = ServerSet()
+            servers.take(ENTRY)
+            servers.note_store(reachable=False)
+            await trio.sleep(1)
+            servers.note_store(reachable=True)
+            servers.note_store(reachable=False)
+            await trio.sleep(1.5)
+            servers.vanish('s1')
+            await trio.sleep(0.6)
+            return usable(servers)
+
+        self.assertEqual([], run(main))
+
     def test_entry_that_is_back_stays(self):
         async def main():
             servers = ServerSet()
