Heed servers that say in an answer that they leave or want a pause

A server that leaves says so in all its answers, and its entry in the store may be behind; a server that turns a request away with 503 and Retry-After wants nothing from this router for so long. Nothing read either: a leaving server was used until its entry changed, and a pausing one was tried again at once.

Both words are taken from the head of every answer, failed and unproven ones too, before the answer goes on, and bind the choice of each later send. The first holds for the incarnation, like the same word in the entry: a later entry of it, a listing or a peer's record does not undo it. The second is bounded at an hour, is never shortened, and a date is understood. Where all servers of a service pause, callers are refused at once and come back after the first pause, spread. Three of the four new tests of the forwarder failed before (the fourth asks that a new process is used).

--- a/eelgrassfork/gateway/exchange.py
+++ b/eelgrassfork/gateway/exchange.py
@@ -29,6 +29,7 @@
 from .patience import Waiting, pause_s, silence_s
 from .records import AnswerHead, Headers
 from .sending import KeptAnswer, Send, SendFailed, Sending
+from .servers import Server
 
 __all__ = ('Exchange', 'ExchangeParts', 'Leave', 'Target')
 
@@ -182,6 +183,7 @@
         answer = self._parts.decode(response.status, response.headers)
         if answer.load is not None:
             send.server.note_load(answer.load, trio.current_time())
+        _note_wishes(send.server, answer)
         if answer.request_id not in {'', sending.head.request_id}:
             self._note_failure(send)
             raise SendFailed('crossed', 'an answer to another request', False)
@@ -298,6 +300,17 @@
     return Waiting(sending.left_s, send.server.latency_s, has_other)
 
 
+def _note_wishes(server: Server, answer: AnswerHead) -> None:
+    if answer.leaving and server.note_leaving():
+        _log.info('a server leaves', extra={'server': server.entry.id})
+    if answer.pause_s > 0:
+        server.pause(answer.pause_s, trio.current_time())
+        _log.info(
+            'a server asked for a pause',
+            extra={'server': server.entry.id, 'pause_s': answer.pause_s},
+        )
+
+
 def _is_success(answer: AnswerHead) -> bool:
     return HTTPStatus.OK <= answer.status < HTTPStatus.MULTIPLE_CHOICES
 
--- a/eelgrassfork/gateway/records.py
+++ b/eelgrassfork/gateway/records.py
@@ -224,6 +224,8 @@
     :param sealed: the answer carries the server's proof of origin.
     :param request_id: identity that the server says it answers.
     :param headers: headers to pass on.
+    :param leaving: the server is about to stop and wants no more requests.
+    :param pause_s: for so long it wants none from this VM, 0 without a wish.
     """
 
     status: int
@@ -232,3 +234,5 @@
     request_id: str
     headers: Headers
     load: ServerLoad | None = None
+    leaving: bool = False
+    pause_s: float = 0
--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -211,7 +211,13 @@
         )
 
     def _return_s(self, sending: Sending) -> float:
-        return return_s(sending.permission.route, self._random.random())
+        # All servers may pause; callers then come back after the first pause.
+        servers = self._parts.beliefs.servers
+        services = sending.permission.route.services
+        pause_s = min(servers.pause_left_s(one.service) for one in services)
+        return pause_s + return_s(
+            sending.permission.route, self._random.random()
+        )
 
 
 def _check_caller(sending: Sending) -> None:
--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -50,6 +50,7 @@
     :ivar in_flight: requests of this router in progress there.
     :ivar unread_tokens: prompt tokens of those without a first event.
     :ivar gone_at: when to stop using it; ``None`` while its entry stands.
+    :ivar paused_until: it asked for no requests before.
     """
 
     def __init__(self, entry: ServerEntry) -> None:
@@ -57,6 +58,7 @@
         self.in_flight = 0
         self.unread_tokens = 0
         self.gone_at: float | None = None
+        self.paused_until: float = 0
         self.health = ServerHealth()
         self.latency_s: float | None = None
         self._others: float = 0
@@ -127,6 +129,27 @@
         self._waiting = load.waiting
         self._load_at = now_s
 
+    def note_leaving(self) -> bool:
+        """
+        Take over that the server itself said that it leaves.
+
+        Holds for this incarnation, like the same word in its entry.
+
+        :returns: whether that was not known.
+        """
+        is_new = not self.entry.leaving
+        self.entry = self.entry._replace(leaving=True)
+        return is_new
+
+    def pause(self, pause_s: float, now_s: float) -> None:
+        """
+        Keep requests away for as long as the server asked for.
+
+        :param pause_s: seconds; never ends an earlier wish sooner.
+        :param now_s: time on the clock of trio.
+        """
+        self.paused_until = max(self.paused_until, now_s + pause_s)
+
     def note_success(self, latency_s: float, now_s: float) -> None:
         """
         Take a good answer into account.
@@ -191,8 +214,8 @@
         List the servers that may get requests now.
 
         :param service: name of the service.
-        :returns: servers that neither leave nor are gone; ejected ones are
-            among them.
+        :returns: servers that neither leave, nor pause, nor are gone; ejected
+            ones are among them.
         """
         now_s = trio.current_time()
         return [
@@ -201,6 +224,25 @@
             if server.entry.service == service and _is_usable(server, now_s)
         ]
 
+    def pause_left_s(self, service: str) -> float:
+        """
+        Tell when a server of a service ends its pause.
+
+        :param service: name of the service.
+        :returns: seconds until the first one does; 0 unless all pause.
+        """
+        if self.usable(service):
+            return 0
+        now_s = trio.current_time()
+        pauses = [
+            server.paused_until - now_s
+            for server in self._by_id.values()
+            if server.entry.service == service
+            and _is_wanted(server, now_s)
+            and server.paused_until > now_s
+        ]
+        return min(pauses, default=0)
+
     def is_out_of_reach(self, service: str) -> bool:
         """
         Tell whether no server of a service can be used.
@@ -309,6 +351,7 @@
                 'service': server.entry.service,
                 'address': server.entry.address,
                 'leaving': server.entry.leaving,
+                'pause_left_s': round(max(0, server.paused_until - now_s), 1),
                 'in_flight': server.in_flight,
                 'load': round(server.load(now_s), 1),
                 'failures': round(server.failures(now_s), 1),
@@ -319,6 +362,10 @@
 
 
 def _is_usable(server: Server, now_s: float) -> bool:
+    return _is_wanted(server, now_s) and now_s >= server.paused_until
+
+
+def _is_wanted(server: Server, now_s: float) -> bool:
     if server.entry.leaving:
         return False
     return server.gone_at is None or now_s < server.gone_at
--- a/eelgrassfork/platform/heads.py
+++ b/eelgrassfork/platform/heads.py
@@ -6,8 +6,13 @@
 """
 
 import math
+import time
+from datetime import UTC, datetime
+from http import HTTPStatus
 from typing import Final, NamedTuple
 
+import logbook
+
 from ..errors import RequestError
 from ..gateway.records import (
     AnswerHead,
@@ -26,7 +31,14 @@
     'encode_retry_after',
 )
 
+_log = logbook.Logger('heads')
+
 _MS_PER_S: Final = 1000
+# Nothing that a server does while it lives takes longer.
+_LONGEST_PAUSE_S: Final = 3600.0
+_HTTP_DATE: Final = '%a, %d %b %Y %H:%M:%S GMT'
+# Of a header that can't be understood, in the log.
+_SHOWN: Final = 40
 _TARGET_LIMIT: Final = 65536
 _REQUEST_ID: Final = 'x-request-id'
 _DEADLINE: Final = 'x-request-deadline'
@@ -38,6 +50,8 @@
 _SEAL: Final = 'x-response-seal'
 _NOT_RUN: Final = 'x-not-executed'
 _LOAD: Final = 'x-replica-load'
+_LEAVING: Final = 'server-leaving'
+_RETRY_AFTER: Final = 'retry-after'
 _MISDIRECTED: Final = 421
 
 _PER_CONNECTION: Final = HOP_BY_HOP | {'content-length', 'expect'}
@@ -156,6 +170,8 @@
         request_id=texts_by_name.get(_REQUEST_ID, ''),
         headers=_end_to_end(headers, frozenset((_REQUEST_ID, _LOAD))),
         load=_load(texts_by_name.get(_LOAD, '')),
+        leaving=texts_by_name.get(_LEAVING, '').strip() == '1',
+        pause_s=_pause_s(status, texts_by_name.get(_RETRY_AFTER, '')),
     )
 
 
@@ -166,7 +182,7 @@
     :param seconds: delay.
     :returns: names and values.
     """
-    return (('retry-after', f'{seconds:.3f}'),)
+    return ((_RETRY_AFTER, f'{seconds:.3f}'),)
 
 
 def _check(target: str, headers: Headers) -> None:
@@ -212,6 +228,28 @@
     return patience_ms / _MS_PER_S
 
 
+def _pause_s(status: int, text: str) -> float:
+    # Other statuses say when the caller may come back, not this router.
+    if status != HTTPStatus.SERVICE_UNAVAILABLE or not text:
+        return 0
+    try:
+        pause_s = float(text)
+    except ValueError:
+        pause_s = _seconds_until(text)
+    if not math.isfinite(pause_s):
+        _log.warning('ignored a pause', extra={'retry_after': text[:_SHOWN]})
+        return 0
+    return min(max(pause_s, 0), _LONGEST_PAUSE_S)
+
+
+def _seconds_until(date: str) -> float:
+    try:
+        until = datetime.strptime(date, _HTTP_DATE)
+    except ValueError:
+        return math.nan
+    return until.replace(tzinfo=UTC).timestamp() - time.time()
+
+
 def _parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for item in text.split(','):
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from eelgrassfork.gateway.records import Headers
 from eelgrassfork.http_server import Call
 
 from .serving import HttpStandin
@@ -25,12 +26,14 @@
     ``ok``, ``error``, ``full``, ``crossed``, ``unsealed``, ``cut``, ``hang``,
     ``stream:N`` (N events), ``torn:N`` (N events and half of one),
     ``busy_unproven``, ``slow:N`` (N events with long pauses), ``drip``
-    (bytes that never become an event).
+    (bytes that never become an event), ``pause:S`` (turned away for so many
+    seconds).  After ``leave+`` the server also says that it leaves.
 
     :param server_id: its identity.
     :param script: behaviours.
     :ivar runs: request identities that it ran, in order.
     :ivar seen: headers by lower-case name of each request.
+    :ivar arrived_at: when each came, on the clock of trio.
     """
 
     def __init__(self, server_id: str, script: list[str]) -> None:
@@ -41,9 +44,11 @@
         self.seen: list[dict[str, str]] = []
         self.bodies: list[bytes] = []
         self.cancelled = 0
+        self.arrived_at: list[float] = []
 
     async def _serve(self, call: Call) -> None:
         headers = call.headers_by_name
+        self.arrived_at.append(trio.current_time())
         self.seen.append(headers)
         self.bodies.append(call.body)
         call.request_id = headers['x-request-id']
@@ -54,15 +59,19 @@
         await self._play(call, behaviour or self.script[0])
 
     async def _play(self, call: Call, behaviour: str) -> None:
+        behaviour, leaves = _split_leaving(behaviour)
         sealed = (
             ('x-response-seal', self.server_id),
             ('x-replica-load', '1,0,6'),
+            *leaves,
         )
-        if behaviour == 'full':
-            await call.respond(503, b'', (('x-not-executed', '1'),))
+        name, _, count = behaviour.partition(':')
+        if name in {'full', 'pause'}:
+            pause = (('retry-after', count),) if count else ()
+            head = (('x-not-executed', '1'), *pause, *leaves)
+            await call.respond(503, b'', head)
             return
         self.runs.append(call.request_id)
-        name, _, count = behaviour.partition(':')
         if name in {'stream', 'torn', 'slow'}:
             await self._stream(call, sealed, int(count), name)
         elif name == 'drip':
@@ -113,3 +122,8 @@
             await call.abort()
             return
         await call.finish()
+
+
+def _split_leaving(behaviour: str) -> tuple[str, Headers]:
+    prefix, _, rest = behaviour.rpartition('+')
+    return rest, (('server-leaving', '1'),) if prefix == 'leave' else ()
--- a/tests/test_gateway_forwarder.py
+++ b/tests/test_gateway_forwarder.py
@@ -425,3 +425,63 @@
             metrics,
         )
         self.assertEqual(1, msgspec.json.decode(state)['configuration_version'])
+
+
+class WishesOfServersTests(testtools.TestCase):
+    """What servers ask for in their answers binds at once."""
+
+    def runs_elsewhere(self, behaviour):
+        async def scenario(world, nursery):
+            leaver, other = world.replicas
+            world.node._beliefs.servers.vanish(other.server_id)
+            await trio.sleep(0.6)
+            await world.call('/look/x', 'r0')
+            world.register(other, 'plain', sequence=9)
+            with trio.fail_after(3):
+                while not world.is_settled():
+                    await trio.sleep(0.01)
+            # An entry that is behind must not bring it back.
+            world.register(leaver, 'plain', sequence=10)
+            await trio.sleep(0.1)
+            for number in range(1, 9):
+                await world.call('/look/x', f'r{number}')
+            return len(leaver.seen), len(other.seen)
+
+        return run_world(scenario, plain=[[behaviour], ['ok']])
+
+    def test_server_that_says_in_an_answer_that_it_leaves_gets_no_more(self):
+        # Its entry in the store may still say that it is ready.
+        for behaviour in ('leave+ok', 'leave+error', 'leave+full'):
+            self.assertEqual((1, 8), self.runs_elsewhere(behaviour), behaviour)
+
+    def test_new_process_of_a_server_that_left_is_used(self):
+        async def scenario(world, nursery):
+            (server,) = world.replicas
+            await world.call('/look/x', 'r0')
+            world.register(server, 'plain', born=6)
+            await trio.sleep(0.2)
+            return (await world.call('/look/x', 'r1'))[1]
+
+        self.assertEqual(b'i-0', run_world(scenario, plain=[['leave+ok']]))
+
+    def test_server_that_asked_for_a_pause_gets_nothing_before_its_end(self):
+        async def scenario(world, nursery):
+            for number in range(30):
+                await world.call('/look/x', f'r{number}')
+                await trio.sleep(0.05)
+            return world.replicas[0].arrived_at
+
+        script = ['pause:1', 'ok']
+        first_at, next_at, *_ = run_world(scenario, plain=[script])
+        self.assertGreaterEqual(next_at - first_at, 1)
+
+    def test_caller_comes_back_after_the_pause_of_all_servers(self):
+        async def scenario(world, nursery):
+            await world.call('/look/x', 'r0')
+            return await world.call('/order/x', 'r1')
+
+        answer = run_world(scenario, plain=[['pause:3'], ['pause:2.5']])
+        self.assertEqual((503, 'no_server'), code_of(answer))
+        after_s = float(answer[0].headers_by_name['retry-after'])
+        self.assertGreater(after_s, 2.4)
+        self.assertLess(after_s, 3.5)
--- a/tests/test_gateway_servers.py
+++ b/tests/test_gateway_servers.py
@@ -96,6 +96,20 @@
 
         self.assertEqual([], run(main))
 
+    def test_pause_is_never_shortened(self):
+        async def main():
+            servers = ServerSet()
+            servers.take(ENTRY)
+            (server,) = servers.usable(ENTRY.service)
+            found = []
+            for pause_s in (3, 1):
+                server.pause(pause_s, trio.current_time())
+                found.append(servers.pause_left_s(ENTRY.service))
+            await trio.sleep(3)
+            return found, usable(servers), servers.pause_left_s(ENTRY.service)
+
+        self.assertEqual(([3, 3], ['s1'], 0), run(main))
+
     def test_entry_that_is_back_stays(self):
         async def main():
             servers = ServerSet()
--- a/tests/test_platform_heads.py
+++ b/tests/test_platform_heads.py
@@ -5,6 +5,9 @@
 Guards against smuggled requests, and headers that callers may not set.
 """
 
+import time
+from email.utils import formatdate
+
 import testtools
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -144,6 +147,29 @@
             )
 
 
+class WishTests(testtools.TestCase):
+    def pause_s(self, text, status=503):
+        return decode_answer(status, (('retry-after', text),)).pause_s
+
+    def test_server_says_that_it_leaves_in_any_answer(self):
+        for text, leaves in (('1', True), (' 1 ', True), ('0', False)):
+            answer = decode_answer(421, (('server-leaving', text),))
+            self.assertEqual(leaves, answer.leaving)
+
+    def test_pause_is_a_number_or_a_date(self):
+        self.assertEqual((2, 0.25), (self.pause_s('2'), self.pause_s('0.25')))
+        date = formatdate(time.time() + 30, usegmt=True)
+        self.assertAlmostEqual(30, self.pause_s(date), delta=2)
+
+    def test_pause_without_sense_is_bounded_or_ignored(self):
+        for text in ('soon', 'nan', 'inf', '-3', '', '1,2'):
+            self.assertEqual(0, self.pause_s(text), text)
+        self.assertEqual(3600, self.pause_s('1e9'))
+
+    def test_other_answers_ask_for_no_pause(self):
+        self.assertEqual(0, self.pause_s('2', status=429))
+
+
 class EncodeTests(testtools.TestCase):
     def test_tells_a_server_its_target(self):
         headers = dict(encode_added(Added('i-1', 1.5, 'acme', 2, '7')))
