Leave a watch of the store that may be silent

A router that watches waited for its watch to its end, in a fleet of eight for up to five seconds, though its connections had gone silent.

A watch is left once nobody is known to have read the store for half of the bound; the router asks again on a new connection.

--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -21,6 +21,7 @@
 from .records import Configuration, ServerEntry
 from .server_records import ServerRecord, ServerRecords
 from .servers import ServerSet
+from .silent_watch import leave_if_silent
 from .store import Change, HistoryGone, Listing, Store, StoreError
 
 __all__ = ('Beliefs', 'Decoders', 'Duties', 'StoreFollower')
@@ -304,7 +305,10 @@
             revision = listing.revision
         else:
             wait_s = self._watch_s() if self._reachable else _ASK_S
-            changes, revision = await self._store.watch(kind, revision, wait_s)
+            changes, revision = await leave_if_silent(
+                self._duties_by_kind[kind],
+                partial(self._store.watch, kind, revision, wait_s),
+            )
             on_changes(changes)
             ended_at = read_at + wait_s
             if not changes and trio.current_time() >= ended_at:
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -26,6 +26,7 @@
     Objects by kind and name.
 
     :ivar down: every call is refused, and does nothing.
+    :ivar deaf: watches up to this number of calls hear nothing any more.
     :ivar silent: every call waits for a second and may not be done.
     :ivar latency_s: time that each call takes.
     :ivar writes_by_kind: writes that were tried.
@@ -44,6 +45,7 @@
         self.lose = 0
         self.delay = 0
         self.calls = 0
+        self.deaf = 0
         self.latency_s = 0
         self.writes_by_kind = Counter()
         self._late = []
@@ -64,13 +66,19 @@
 
     async def watch(self, kind, after_revision, wait_s):
         await self._admit()
+        number = self.calls
         with trio.move_on_after(wait_s):
             while not self._since(kind, after_revision):
                 if self.down:
                     raise StoreAnswerLost('cut', 'the watch was cut')
                 await self._changed.wait()
+                if number <= self.deaf:
+                    await trio.sleep_forever()
         if self.down:
             raise StoreAnswerLost('cut', 'the watch was cut')
+        if number <= self.deaf:
+            await trio.sleep(1)
+            raise StoreAnswerLost('silent', 'no answer')
         if after_revision < self.oldest:
             raise HistoryGone('history_gone', 'compacted')
         return self._since(kind, after_revision), self.revision
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -140,6 +140,21 @@
 
         self.assertEqual(9, run(scenario))
 
+    def test_silent_watch_is_left_once_nobody_reads_the_store(self):
+        # Open connections went silent; the watch that had just begun was
+        # waited for to its end, though new connections worked.
+        async def scenario(setting):
+            setting.follower._watch_s = lambda: 6
+            setting.put_version(4)
+            await trio.sleep(0.1)
+            setting.store.deaf = setting.store.calls
+            await trio.sleep(1)
+            setting.put_version(9)
+            await trio.sleep(CONFIG_BOUND_S / 2)
+            return setting.version
+
+        self.assertEqual(9, run(scenario))
+
     def test_a_change_does_not_bring_the_watches_of_all_routers_in_step(self):
         # Ninety routers whose watches all ended with one change.  If the
         # store is cut off right after it, one of them must ask again soon.
--- /dev/null
+++ b/tests/test_gateway_silent_watch.py
@@ -0,0 +1,66 @@
+"""
+tests.test_gateway_silent_watch
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against watches that are waited for though they hear nothing.
+"""
+
+from functools import partial
+
+import testtools
+import trio
+
+from eelgrassfork.gateway.duty import DutyPolicy
+from eelgrassfork.gateway.roster import FleetView
+from eelgrassfork.gateway.silent_watch import leave_if_silent
+from eelgrassfork.gateway.store import StoreAnswerLost, StoreUnavailable
+
+from .mock_clock import run
+from .test_gateway_duty import hear, make_duty
+
+
+async def answer(after_s):
+    await trio.sleep(after_s)
+    return [], 7
+
+
+async def fail():
+    await trio.sleep(0.1)
+    raise StoreUnavailable('refused', 'no')
+
+
+class SilentWatchTests(testtools.TestCase):
+    def watch(self, call, heard_every_s=None):
+        async def main():
+            duty = make_duty('n', lambda: FleetView(1, ('n',)))
+            hear(duty)
+            async with trio.open_nursery() as nursery:
+                if heard_every_s:
+                    nursery.start_soon(self.keep_hearing, duty, heard_every_s)
+                began_at = trio.current_time()
+                try:
+                    found = await leave_if_silent(duty, call)
+                except (StoreAnswerLost, StoreUnavailable) as error:
+                    found = error.code
+                nursery.cancel_scope.cancel()
+            return found, trio.current_time() - began_at
+
+        return run(main)
+
+    async def keep_hearing(self, duty, every_s):
+        while True:
+            hear(duty)
+            await trio.sleep(every_s)
+
+    def test_answer_and_failure_of_a_watch_are_passed_on(self):
+        self.assertEqual(([], 7), self.watch(partial(answer, 0.5))[0])
+        self.assertEqual('refused', self.watch(fail)[0])
+
+    def test_watch_is_left_once_nobody_has_read_the_store(self):
+        found, spent_s = self.watch(partial(answer, 6))
+        self.assertEqual('watch_silent', found)
+        self.assertLess(spent_s, DutyPolicy().longest_silence_s + 0.5)
+
+    def test_watch_is_kept_while_others_read_the_store(self):
+        found, _ = self.watch(partial(answer, 6), heard_every_s=0.5)
+        self.assertEqual(([], 7), found)
