Show limits that servers name in logs, metrics and the state dump

Change: answers are decoded with their Server-Limit, a decimal number; of several the lowest counts, and what can't be parsed is logged and leaves the last value. A log line says when a limit is named, changes or ends, each send in 'request ended' has it, /state lists limits with their age and the sends to each server, and two metrics count limited servers and the sends to them. No decision rests on it yet.

--- a/eelgrassfork/gateway/exchange.py
+++ b/eelgrassfork/gateway/exchange.py
@@ -26,6 +26,7 @@
 from ..sse import EventTooLarge
 from .event_relay import EventsMissing
 from .follower import StoreView
+from .limit_table import LimitTable
 from .records import AnswerHead, Headers
 from .sending import Attempt, AttemptFailed, ErrorAnswer, PendingRequest
 from .servers import Server
@@ -68,12 +69,14 @@
 
     :param client: HTTP client for servers.
     :param store_view: state of servers and configuration.
+    :param limits: limits that servers name in their answers.
     :param encode_metadata: encodes metadata as headers.
     :param decode_response: decodes status and headers of an answer.
     """
 
     client: HttpClient
     store_view: StoreView
+    limits: LimitTable
     encode_metadata: Callable[[ForwardMetadata], Headers]
     decode_response: Callable[[int, Headers], AnswerHead]
 
@@ -215,6 +218,7 @@
             raise AttemptFailed(
                 'crossed', 'the answer has the id of another request', False
             )
+        self._observe_limit(attempt, answer)
         if answer.not_run:
             raise self._not_run(attempt, answer)
         if _is_success(answer) and not answer.sealed:
@@ -224,6 +228,17 @@
             )
         return answer
 
+    def _observe_limit(self, attempt: Attempt, answer: AnswerHead) -> None:
+        # Another server may answer at the address of a former one.  Only a
+        # complete success shows that a server no longer names a limit.
+        if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
+            return
+        is_success = _is_success(answer) and answer.sealed
+        if answer.limit.per_s is not None or is_success:
+            self._parts.limits.observe(
+                attempt.server.entry, answer.limit, attempt.started_at
+            )
+
     def _not_run(self, attempt: Attempt, answer: AnswerHead) -> AttemptFailed:
         if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             self._parts.store_view.servers.mark_misdirected(attempt.server)
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -22,6 +22,7 @@
 from .follower import Decoders
 from .forwarder import Forwarder, ForwarderParts, WireCodec
 from .gossip import describe_peers, unix_ms
+from .limit_table import LimitTable
 from .node_settings import Bounds, NodeSettings
 from .records import AnswerHead, CallerBounds, Headers
 from .registry import Registry
@@ -112,6 +113,12 @@
         self._member.get_status = self._router_status
         self._member.on_change = self._apply_configuration
         self._store_view = self._member.store_view
+        self._limits = LimitTable()
+        self.telemetry.add_gauge(
+            'limited_servers',
+            'Backend servers that name a limit.',
+            lambda: self._limits.count,
+        )
         self._roster = self._member.roster
         self._credit_exchange = CreditExchange(
             self._http_client, self._roster, settings
@@ -244,6 +251,7 @@
                 'servers': self._member.roles.servers.dump(),
             },
             'servers': self._store_view.servers.dump(),
+            'limits': self._limits.dump(),
             'peers': describe_peers(list(self._roster.peers.by_node.values())),
             'credit': self._credit.dump(),
         }
@@ -270,6 +278,7 @@
             ExchangeParts(
                 self._server_http_client,
                 self._store_view,
+                self._limits,
                 self._adapter.encode_metadata,
                 self._adapter.decode_response,
             ),
@@ -278,6 +287,7 @@
             SenderParts(
                 exchange,
                 self._store_view,
+                self._limits,
                 self.telemetry,
                 self._settings.failure_domain,
                 _retry_policy(self._settings.bounds),
--- a/eelgrassfork/gateway/records.py
+++ b/eelgrassfork/gateway/records.py
@@ -14,6 +14,7 @@
     'Engine',
     'ForwardHead',
     'Headers',
+    'NamedLimit',
     'Organisation',
     'PromptPart',
     'Repeatability',
@@ -220,6 +221,20 @@
         return self.prompt_tokens + self.max_output_tokens
 
 
+class NamedLimit(NamedTuple):
+    """
+    Limit that a server in need names in an answer, or that there is none.
+
+    :param per_s: requests a second that the server accepts from all routers
+        together; ``None`` if it names no limit.
+    :param is_valid: ``False`` if the answer names a limit that can't be
+        parsed.
+    """
+
+    per_s: float | None = None
+    is_valid: bool = True
+
+
 class AnswerHead(NamedTuple):
     """
     Status and headers of a server's answer.
@@ -233,6 +248,7 @@
     :param leaving: the server is shutting down and accepts no more requests.
     :param pause_s: time for which the server requested that this VM sends no
         requests; 0 if it did not.
+    :param limit: limit on the requests of all routers to the server.
     """
 
     status: int
@@ -243,3 +259,4 @@
     load: ServerLoad | None = None
     leaving: bool = False
     pause_s: float = 0
+    limit: NamedLimit = NamedLimit()
--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -24,6 +24,7 @@
 from .configuration import Permission
 from .exchange import Exchange
 from .follower import StoreView
+from .limit_table import LimitTable
 from .retry_budget import FleetRetryBudget, FleetRetryPolicy
 from .sending import Attempt, AttemptFailed, ErrorAnswer, PendingRequest
 from .servers import Server
@@ -42,6 +43,7 @@
     Dependencies and settings of the sender.
 
     :param exchange: sends a request to one server.
+    :param limits: limits that servers name in their answers.
     :param failure_domain: failure domain of this router.
     :param retry_policy: limit on the retries of the whole fleet.
     :param routers: returns the number of live routers.
@@ -49,6 +51,7 @@
 
     exchange: Exchange
     store_view: StoreView
+    limits: LimitTable
     telemetry: Telemetry
     failure_domain: str
     retry_policy: FleetRetryPolicy
@@ -144,6 +147,10 @@
         load = server.load(trio.current_time())
         attempt = Attempt(server, reason, load, pending.head.prompt_tokens)
         pending.attempts.append(attempt)
+        limit = self._parts.limits.limit_of(server.entry)
+        if limit is not None:
+            attempt.limit_per_s = limit.per_s
+            self._parts.telemetry.limited_sends.labels(service).inc()
         try:
             return await self._parts.exchange.run(
                 pending, attempt, claim_failover
--- a/eelgrassfork/gateway/sending.py
+++ b/eelgrassfork/gateway/sending.py
@@ -52,6 +52,7 @@
     :param reason: why that server was selected.
     :param load: estimated requests at the server before this one.
     :param prompt_tokens: prompt tokens that the server has to prefill.
+    :ivar limit_per_s: limit that the server had named, ``None`` without one.
     :ivar outcome: how the attempt ended, for logs and metrics.
     :ivar maybe_sent: whether any byte may have been sent.
     """
@@ -60,6 +61,7 @@
         self, server: Server, reason: str, load: float, prompt_tokens: int
     ) -> None:
         self.server = server
+        self.limit_per_s: float | None = None
         self.reason = reason
         self.load = load
         self.load_age_s = server.load_age_s(trio.current_time())
@@ -69,6 +71,7 @@
         self._prefill_tokens = prompt_tokens
         self._is_prefilled = False
         server.in_flight += 1
+        server.sent += 1
         server.pending_prefill_tokens += prompt_tokens
 
     @property
@@ -98,6 +101,7 @@
             'chosen_by': self.reason,
             'load': round(self.load, 1),
             'load_age_s': round(self.load_age_s, 1),
+            'limit_per_s': self.limit_per_s,
             'outcome': self.outcome,
         }
 
--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -48,6 +48,7 @@
     One incarnation of a backend server.
 
     :ivar in_flight: requests of this router in progress at the server.
+    :ivar sent: number of requests that this router has sent to the server.
     :ivar pending_prefill_tokens: prompt tokens of those requests that have
         not returned their first event.
     :ivar expires_at: when to stop using the server; ``None`` while its entry
@@ -58,6 +59,7 @@
     def __init__(self, entry: ServerEntry) -> None:
         self.entry = entry
         self.in_flight = 0
+        self.sent = 0
         self.pending_prefill_tokens = 0
         self.expires_at: float | None = None
         self.paused_until: float = 0
@@ -364,6 +366,7 @@
                 'leaving': server.entry.leaving,
                 'pause_left_s': round(max(0, server.paused_until - now_s), 1),
                 'in_flight': server.in_flight,
+                'sent': server.sent,
                 'load': round(server.load(now_s), 1),
                 'failures': round(server.failures(now_s), 1),
                 'ejected': server.health.ejected,
--- a/eelgrassfork/gateway/telemetry.py
+++ b/eelgrassfork/gateway/telemetry.py
@@ -38,6 +38,8 @@
 
     :ivar requests_ended: ended requests by route kind and outcome.
     :ivar sends: requests sent to servers by service and outcome.
+    :ivar limited_sends: requests sent to servers that name a limit, by
+        service.
     :ivar first_byte_s: time until the first byte is sent to the caller, in
         seconds.
     :ivar full_response_s: time until the end of the response, in seconds.
@@ -60,6 +62,13 @@
             _PREFIX,
             registry=registry,
         )
+        self.limited_sends = Counter(
+            'limited_sends',
+            'Requests sent to backend servers that name a limit, by service.',
+            ('service',),
+            _PREFIX,
+            registry=registry,
+        )
         self._store_calls = Counter(
             'store_calls',
             'Calls of the store by outcome.',
--- a/eelgrassfork/platform/heads.py
+++ b/eelgrassfork/platform/heads.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import re
 import time
 from datetime import UTC, datetime
 from http import HTTPStatus
@@ -18,6 +19,7 @@
     AnswerHead,
     ForwardHead,
     Headers,
+    NamedLimit,
     PromptPart,
     ServerLoad,
 )
@@ -36,6 +38,9 @@
 _MS_PER_S: Final = 1000
 # No operation of a live server takes longer than this.
 _MAX_PAUSE_S: Final = 3600.0
+# Higher than any rate at which the fleet sends requests.
+_MAX_LIMIT_PER_S: Final = 1_000_000.0
+_DECIMAL: Final = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+')
 _HTTP_DATE: Final = '%a, %d %b %Y %H:%M:%S GMT'
 # Length to which an invalid header value is truncated in the log.
 _MAX_LOGGED_CHARS: Final = 40
@@ -52,6 +57,7 @@
 _LOAD: Final = 'x-replica-load'
 _LEAVING: Final = 'server-leaving'
 _RETRY_AFTER: Final = 'retry-after'
+_SERVER_LIMIT: Final = 'server-limit'
 _MISDIRECTED: Final = 421
 
 _CONNECTION_HEADERS: Final = HOP_BY_HOP | {'content-length', 'expect'}
@@ -179,6 +185,7 @@
         load=_parse_load(texts_by_name.get(_LOAD, '')),
         leaving=texts_by_name.get(_LEAVING, '').strip() == '1',
         pause_s=_parse_pause_s(status, texts_by_name.get(_RETRY_AFTER, '')),
+        limit=_parse_limit(headers),
     )
 
 
@@ -257,6 +264,25 @@
     return min(max(pause_s, 0), _MAX_PAUSE_S)
 
 
+def _parse_limit(headers: Headers) -> NamedLimit:
+    texts = [
+        text.strip()
+        for name, field in headers
+        if name == _SERVER_LIMIT
+        for text in field.split(',')
+    ]
+    limits = [float(text) for text in texts if _DECIMAL.fullmatch(text)]
+    if len(limits) < len(texts):
+        _log.warning(
+            'ignored an invalid server-limit header',
+            extra={'server_limit': ','.join(texts)[:_MAX_LOGGED_CHARS]},
+        )
+    if limits:
+        # A header given more than once is as strict as its lowest value.
+        return NamedLimit(min(*limits, _MAX_LIMIT_PER_S))
+    return NamedLimit(None, is_valid=not texts)
+
+
 def _seconds_until(date: str) -> float:
     try:
         date_time = datetime.strptime(date, _HTTP_DATE)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -28,7 +28,8 @@
     ``busy_unproven``, ``slow:N`` (N events with long pauses), ``drip``
     (bytes that never complete an event), ``pause:S`` (503 with a
     ``Retry-After`` of S seconds).  The prefix ``leave+`` adds a
-    ``Server-Leaving`` header.
+    ``Server-Leaving`` header, ``limit=N+`` a ``Server-Limit`` of N requests a
+    second.
 
     :param server_id: identity of the server.
     :param script: the behaviours.
@@ -60,16 +61,16 @@
         await self._perform(call, behaviour or self.script[0])
 
     async def _perform(self, call: Call, behaviour: str) -> None:
-        behaviour, leaving_headers = _split_leaving_prefix(behaviour)
+        behaviour, extra_headers = _split_prefix(behaviour)
         seal_headers = (
             ('x-response-seal', self.server_id),
             ('x-replica-load', '1,0,6'),
-            *leaving_headers,
+            *extra_headers,
         )
         name, _, count = behaviour.partition(':')
         if name in {'full', 'pause'}:
             pause = (('retry-after', count),) if count else ()
-            head = (('x-not-executed', '1'), *pause, *leaving_headers)
+            head = (('x-not-executed', '1'), *pause, *extra_headers)
             await call.respond(503, b'', head)
             return
         self.runs.append(call.request_id)
@@ -129,6 +130,11 @@
         await call.finish()
 
 
-def _split_leaving_prefix(behaviour: str) -> tuple[str, Headers]:
+def _split_prefix(behaviour: str) -> tuple[str, Headers]:
     prefix, _, rest = behaviour.rpartition('+')
-    return rest, (('server-leaving', '1'),) if prefix == 'leave' else ()
+    name, _, limit = prefix.partition('=')
+    headers_by_name = {
+        'leave': (('server-leaving', '1'),),
+        'limit': (('server-limit', limit),),
+    }
+    return rest, headers_by_name.get(name, ())
--- a/tests/test_platform_heads.py
+++ b/tests/test_platform_heads.py
@@ -173,6 +173,37 @@
         self.assertEqual(0, self.pause_s('2', status=429))
 
 
+class LimitTests(testtools.TestCase):
+    def limit(self, *texts):
+        headers = [('server-limit', text) for text in texts]
+        return tuple(decode_response(200, headers).limit)
+
+    def test_limit_is_a_decimal_number(self):
+        for text, per_s in (('2', 2), (' 1.8 ', 1.8), ('.4', 0.4), ('0', 0)):
+            self.assertEqual((per_s, True), self.limit(text), text)
+
+    def test_answer_without_limit_is_valid(self):
+        self.assertEqual((None, True), self.limit())
+
+    def test_invalid_limit_is_reported_as_such(self):
+        for text in ('', '-1', 'nan', 'inf', 'two', '1e3', '1_0', '0x2', '٣'):
+            self.assertEqual((None, False), self.limit(text), text)
+
+    def test_huge_limit_is_bounded(self):
+        self.assertEqual((1_000_000, True), self.limit('9' * 400))
+
+    def test_lowest_of_repeated_limits_counts(self):
+        self.assertEqual((2, True), self.limit('3', '2'))
+        self.assertEqual((2, True), self.limit('3, 2'))
+        self.assertEqual((3, True), self.limit('3', 'x'))
+
+    @settings(derandomize=True, max_examples=200)
+    @given(st.text(max_size=30))
+    def test_any_text_is_survived(self, text):
+        per_s, _ = self.limit(text)
+        self.assertTrue(per_s is None or 0 <= per_s <= 1_000_000)
+
+
 class EncodeTests(testtools.TestCase):
     def test_encodes_headers_for_a_server(self):
         headers = dict(
