Keep the limit that a server names by permits of one keeper

Cause: no router read the limit; and no router knows what the others send, so that each one keeping it alone would have changed nothing: the busiest one sent 1.6 a second. The class is a bound on the whole that each obeys alone. Change: routers report limits to each other beside their heartbeats, in a message of its own that former builds drop. Each send to a server with a limit needs a permit, which the keeper of the server's failure domain grants to all routers; a refusal says when to ask again, later the more routers ask. Routers that are cut off from others grant their fraction only. Requests go to servers without a limit first, wait 0.1 s at most, the urgent ones longest, and are refused at once otherwise. Requests to such servers are never resent.

--- a/eelgrassfork/gateway/exchange.py
+++ b/eelgrassfork/gateway/exchange.py
@@ -177,7 +177,9 @@
             head.target,
             (*head.headers, *self._parts.encode_metadata(metadata)),
             pending.call.body,
-            no_resend=not permission.route.repeatable,
+            # A request that is sent once more would exceed a limit.
+            no_resend=not permission.route.repeatable
+            or attempt.limit_per_s is not None,
             host=head.host_header,
         )
 
--- a/eelgrassfork/gateway/fleet_member.py
+++ b/eelgrassfork/gateway/fleet_member.py
@@ -15,9 +15,11 @@
 from .follower import Decoders, StoreFollower, StoreView, WatchRoles
 from .gossip import Gossip, OpenSocket, open_udp
 from .heartbeats import Heartbeat
+from .limit_table import LimitTable
 from .node_settings import Bounds, NodeSettings
 from .peer_exchange import PeerExchange, should_pull
 from .roster import NodeIdentity
+from .send_permits import SendPermits, SendPermitsParts
 from .store import Store
 from .store_contact import StoreContact
 from .watch_role import WatchPolicy, WatchRole
@@ -98,6 +100,20 @@
             parts.store, self.store_view, decoders, self.roles
         )
         self.exchange.on_failure = self._on_exchange_failure
+        self.limits = LimitTable(self.gossip.send_now)
+        self.gossip.get_limits = self.limits.notices
+        self.gossip.on_limits = self.limits.merge
+        self.permits = SendPermits(
+            SendPermitsParts(
+                settings.node,
+                self.limits,
+                self.roster,
+                parts.http,
+                settings.peer_address.rpartition(':')[2],
+                lambda: self.exchange.loop_delay_s(),
+            )
+        )
+        self.exchange.on_permit = self.permits.serve
         self.exchange.reread = self.follower.reread
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -116,6 +132,13 @@
             keep_running, 'synchronise with peers', self.exchange.run
         )
 
+    def discard_expired(self) -> None:
+        """Drop servers that are gone, and limits that have ended."""
+        servers = self.store_view.servers
+        servers.discard_expired()
+        self.limits.discard_expired({entry.id for entry in servers.entries})
+        self.permits.discard_expired()
+
     def close(self) -> None:
         """Stop exchanging heartbeats."""
         self.gossip.close()
--- a/eelgrassfork/gateway/forwarder.py
+++ b/eelgrassfork/gateway/forwarder.py
@@ -229,6 +229,7 @@
                 'version_age_s': self._parts.store_view.configuration.age_s,
                 'tokens': pending.head.max_total_tokens,
                 'events': pending.relay.events,
+                'held_back': pending.held_back,
                 'sends': [attempt.log_fields() for attempt in pending.attempts],
                 'first_ms': round(first_byte_s * 1000)
                 if first_byte_s >= 0
--- a/eelgrassfork/gateway/gossip.py
+++ b/eelgrassfork/gateway/gossip.py
@@ -17,7 +17,7 @@
 import trio
 
 from ..supervision import keep_running
-from .heartbeats import Heartbeat
+from .heartbeats import Heartbeat, LimitNotice, LimitReport
 from .peers import Peer
 from .roster import NodeIdentity, Roster
 from .standby import FleetTime
@@ -118,6 +118,9 @@
     :param on_heartbeat: called with each received heartbeat that is not stale.
     :param open_socket: opens the socket.
     :ivar roster: known routers.
+    :ivar get_limits: returns the limits of servers to report.
+    :ivar on_limits: called with the limits that another router reports, and
+        the name of its VM.
     """
 
     def __init__(
@@ -129,13 +132,16 @@
         open_socket: OpenSocket = open_udp,
     ) -> None:
         self._open_socket = open_socket
+        self._node = own.node
         self._ip = own.ip
         self._port = port
         self._on_heartbeat = on_heartbeat
         self.roster = Roster(own, make_own_heartbeat)
         self._seed_ips: tuple[str, ...] = ()
         self._socket: DatagramSocket | None = None
-        self._decoder = msgspec.msgpack.Decoder(Heartbeat)
+        self.get_limits: Callable[[], tuple[LimitNotice, ...]] = tuple
+        self.on_limits: Callable[[tuple[LimitNotice, ...], str], None] = _ignore
+        self._decoder = msgspec.msgpack.Decoder(Heartbeat | LimitReport)
         self._send_requested = trio.Event()
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -165,6 +171,7 @@
         """
         known = set(self._seed_ips) | set(ips)
         self._seed_ips = tuple(sorted(known - {self._ip}))
+        self.roster.min_routers = 1 + len(self._seed_ips)
 
     def send_now(self) -> None:
         """Send the next heartbeat without waiting for the interval."""
@@ -187,13 +194,14 @@
     async def _send(self, opened: DatagramSocket) -> None:
         while True:
             targets = self.roster.choose_targets(self._seed_ips)
+            limits = self._encode_limits()
             for failure_domain, ips in targets.items():
                 if ips:
                     body = _encode(
                         self.roster.make_heartbeat(failure_domain, False)
                     )
                 for ip in ips:
-                    _send_to(opened, (ip, self._port), body)
+                    self._send_all(opened, ip, (body, *limits))
             with trio.move_on_after(_INTERVAL_S):
                 await self._send_requested.wait()
             self._send_requested = trio.Event()
@@ -206,7 +214,20 @@
         )
         # Two joining routers must not reply to each other endlessly.
         body = _encode(reply._replace(is_joining=False))
-        _send_to(opened, (heartbeat.ip, self._port), body)
+        self._send_all(opened, heartbeat.ip, (body, *self._encode_limits()))
+
+    def _encode_limits(self) -> tuple[bytes, ...]:
+        limits = self.get_limits()
+        if not limits:
+            return ()
+        report = LimitReport(node=self._node, limits=limits)
+        return (msgspec.msgpack.encode(report),)
+
+    def _send_all(
+        self, opened: DatagramSocket, ip: str, bodies: tuple[bytes, ...]
+    ) -> None:
+        for body in bodies:
+            _send_to(opened, (ip, self._port), body)
 
     async def _receive(self, opened: DatagramSocket) -> None:
         while True:
@@ -227,14 +248,17 @@
 
     def _handle_datagram(self, body: bytes) -> Heartbeat | None:
         try:
-            heartbeat = self._decoder.decode(body)
+            message = self._decoder.decode(body)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             _log.warning('dropped invalid heartbeat', extra={'why': str(error)})
             return None
-        if not self.roster.apply_heartbeat(heartbeat):
+        if not isinstance(message, Heartbeat):
+            self.on_limits(message['limits'], message['node'])
             return None
-        self._on_heartbeat(heartbeat)
-        return heartbeat
+        if not self.roster.apply_heartbeat(message):
+            return None
+        self._on_heartbeat(message)
+        return message
 
 
 def _encode(heartbeat: Heartbeat) -> bytes:
@@ -253,6 +277,10 @@
         )
 
 
+def _ignore(limits: tuple[LimitNotice, ...], node: str) -> None:
+    """Ignore reported limits."""
+
+
 def describe_peers(peers: list[Peer]) -> list[dict[str, object]]:
     """
     Describe peers for the operators' status dump.
--- a/eelgrassfork/gateway/heartbeats.py
+++ b/eelgrassfork/gateway/heartbeats.py
@@ -5,9 +5,16 @@
 Heartbeat messages that routers exchange.
 """
 
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
-__all__ = ('DomainView', 'Heartbeat', 'PeerSummary', 'StoreRead')
+__all__ = (
+    'DomainView',
+    'Heartbeat',
+    'LimitNotice',
+    'LimitReport',
+    'PeerSummary',
+    'StoreRead',
+)
 
 
 class PeerSummary(NamedTuple):
@@ -113,3 +120,35 @@
     servers_read: StoreRead | None = None
     sequence: int = 0
     link_class: int = 0
+
+
+class LimitNotice(NamedTuple):
+    """
+    Limit that a backend server names in its answers.
+
+    :param incarnation: of the server.
+    :param version: increases with each change that a router observes.
+    :param per_s: requests a second from all routers together; ``None`` once
+        the server names no limit any more.
+    :param age_ms: time since an answer confirmed it.
+    """
+
+    server_id: str
+    incarnation: int
+    version: int
+    per_s: float | None
+    age_ms: int
+
+
+class LimitReport(TypedDict):
+    """
+    Limits of servers that a router knows, sent beside its heartbeats.
+
+    It is a message of its own, as routers without limits accept no heartbeat
+    with more fields.
+
+    :ivar node: VM of the router.
+    """
+
+    node: str
+    limits: tuple[LimitNotice, ...]
--- a/eelgrassfork/gateway/limit_table.py
+++ b/eelgrassfork/gateway/limit_table.py
@@ -2,14 +2,17 @@
 eelgrassfork.gateway.limit_table
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Limits that backend servers name in their answers.
+Limits that backend servers name, from their answers and from other routers.
 """
 
+import random
+from collections.abc import Callable, Collection, Iterable
 from typing import Final, NamedTuple
 
 import logbook
 import trio
 
+from .heartbeats import LimitNotice
 from .records import NamedLimit, ServerEntry
 
 __all__ = ('KnownLimit', 'LimitTable')
@@ -17,6 +20,15 @@
 _log = logbook.Logger('limits')
 
 _UNLIMITED: Final = float('inf')
+_MS_PER_S: Final = 1000
+# Time for which every heartbeat reports a change; with a few recipients each
+# quarter of a second it reaches thousands of routers.
+_SPREAD_S: Final = 2.0
+_MAX_FRESH_NOTICES: Final = 16
+# Older limits, for routers that have just started or were cut off.
+_SAMPLE_SIZE: Final = 4
+# Longer than routers are usually cut off from each other.
+_RETENTION_S: Final = 60.0
 
 
 class KnownLimit(NamedTuple):
@@ -25,20 +37,28 @@
 
     :param per_s: requests a second from all routers together; ``None`` once
         the server names no limit any more.
+    :param version: increases with each change that a router observes.
     :param observed_at: when an answer last confirmed it, on trio's clock.
     :param changed_at: when this router learned of the current value.
     """
 
     incarnation: int
     per_s: float | None
+    version: int
     observed_at: float
     changed_at: float
 
 
 class LimitTable:
-    """Limits of the servers that named one, by the id of the server."""
+    """
+    Limits of the servers that named one, by the id of the server.
+
+    :param on_change: called after a limit has changed.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, on_change: Callable[[], None]) -> None:
+        self._on_change = on_change
+        self._random = random.Random()
         self._by_id: dict[str, KnownLimit] = {}
 
     def limit_of(self, entry: ServerEntry) -> KnownLimit | None:
@@ -54,28 +74,20 @@
             return None
         return known if known.incarnation >= entry.incarnation else None
 
-    def dump(self) -> list[dict[str, object]]:
+    def rate_of(self, server_id: str) -> float | None:
         """
-        Describe the limits for operators.
+        Look up the limit of the newest known incarnation of a server.
 
-        :returns: one record per server that names a limit.
+        :param server_id: id of the server.
+        :returns: requests a second, ``None`` without a limit.
         """
-        now_s = trio.current_time()
-        return [
-            {
-                'server': server_id,
-                'per_s': known.per_s,
-                'age_s': round(now_s - known.observed_at, 1),
-                'unchanged_s': round(now_s - known.changed_at, 1),
-            }
-            for server_id, known in self._by_id.items()
-            if known.per_s is not None
-        ]
+        known = self._by_id.get(server_id)
+        return None if known is None else known.per_s
 
     @property
     def count(self) -> int:
         """Number of servers that name a limit."""
-        return len(self.dump())
+        return sum(known.per_s is not None for known in self._by_id.values())
 
     def observe(
         self, entry: ServerEntry, limit: NamedLimit, sent_at: float
@@ -91,6 +103,7 @@
         :param sent_at: when the request was sent, on trio's clock.
         """
         known = self._by_id.get(entry.id)
+        version = 0 if known is None else known.version
         if known is not None and known.incarnation < entry.incarnation:
             known = None
         if not limit.is_valid or _is_outdated(known, entry, limit, sent_at):
@@ -99,19 +112,150 @@
         if known is not None and known.per_s == limit.per_s:
             self._by_id[entry.id] = known._replace(observed_at=now_s)
             return
-        self._by_id[entry.id] = KnownLimit(
-            entry.incarnation, limit.per_s, now_s, now_s
+        newest = KnownLimit(
+            entry.incarnation, limit.per_s, version + 1, now_s, now_s
+        )
+        self._change(entry.id, newest, 'answer')
+
+    def merge(self, notices: Iterable[LimitNotice], source: str) -> None:
+        """
+        Apply limits that another router reports.
+
+        Of two changes with the same version, the lower limit counts.
+
+        :param notices: limits that the router knows.
+        :param source: VM of the router, for the log.
+        """
+        now_s = trio.current_time()
+        for notice in notices:
+            observed_at = now_s - max(0, notice.age_ms) / _MS_PER_S
+            known = self._by_id.get(notice.server_id)
+            if _supersedes(notice, known):
+                newest = KnownLimit(
+                    notice.incarnation,
+                    notice.per_s,
+                    notice.version,
+                    observed_at,
+                    now_s,
+                )
+                self._change(notice.server_id, newest, source)
+            elif known is not None and _is_same(notice, known):
+                self._by_id[notice.server_id] = known._replace(
+                    observed_at=max(known.observed_at, observed_at)
+                )
+
+    def notice_of(self, entry: ServerEntry) -> LimitNotice | None:
+        """
+        Describe the limit of a server for another router.
+
+        :param entry: entry of the server.
+        :returns: the notice, ``None`` without a limit.
+        """
+        known = self.limit_of(entry)
+        return None if known is None else _make_notice(entry.id, known)
+
+    def notices(self) -> tuple[LimitNotice, ...]:
+        """
+        Choose the limits that are reported to other routers now.
+
+        :returns: recent changes, and a random sample of the others.
+        """
+        oldest = trio.current_time() - _SPREAD_S
+        fresh = [
+            server_id
+            for server_id, known in self._by_id.items()
+            if known.changed_at >= oldest
+        ]
+        # With more changes than fit, each report has others of them.
+        chosen = self._sample(fresh, _MAX_FRESH_NOTICES)
+        rest = [
+            server_id for server_id in self._by_id if server_id not in chosen
+        ]
+        chosen += self._sample(rest, _SAMPLE_SIZE)
+        return tuple(
+            _make_notice(server_id, self._by_id[server_id])
+            for server_id in chosen
         )
+
+    def discard_expired(self, server_ids: Collection[str]) -> None:
+        """
+        Drop limits that have ended, and those of servers that are gone.
+
+        :param server_ids: ids of the known servers.
+        """
+        oldest = trio.current_time() - _RETENTION_S
+        for server_id, known in list(self._by_id.items()):
+            has_ended = known.per_s is None or server_id not in server_ids
+            if has_ended and known.observed_at < oldest:
+                self._by_id.pop(server_id)
+
+    def dump(self) -> list[dict[str, object]]:
+        """
+        Describe the limits for operators.
+
+        :returns: one record per server that names a limit.
+        """
+        now_s = trio.current_time()
+        return [
+            {
+                'server': server_id,
+                'per_s': known.per_s,
+                'version': known.version,
+                'age_s': round(now_s - known.observed_at, 1),
+                'unchanged_s': round(now_s - known.changed_at, 1),
+            }
+            for server_id, known in self._by_id.items()
+            if known.per_s is not None
+        ]
+
+    def _sample(self, server_ids: list[str], size: int) -> list[str]:
+        return self._random.sample(server_ids, min(size, len(server_ids)))
+
+    def _change(self, server_id: str, newest: KnownLimit, source: str) -> None:
+        former = self._by_id.get(server_id)
+        self._by_id[server_id] = newest
         _log.info(
-            'server named a limit'
-            if limit.per_s is not None
-            else 'server withdrew its limit',
+            'server withdrew its limit'
+            if newest.per_s is None
+            else 'server named a limit',
             extra={
-                'server': entry.id,
-                'per_s': limit.per_s,
-                'former_per_s': None if known is None else known.per_s,
+                'server': server_id,
+                'per_s': newest.per_s,
+                'former_per_s': None if former is None else former.per_s,
+                'version': newest.version,
+                'source': source,
             },
         )
+        self._on_change()
+
+
+def _make_notice(server_id: str, known: KnownLimit) -> LimitNotice:
+    age_s = trio.current_time() - known.observed_at
+    return LimitNotice(
+        server_id,
+        known.incarnation,
+        known.version,
+        known.per_s,
+        int(age_s * _MS_PER_S),
+    )
+
+
+def _supersedes(notice: LimitNotice, known: KnownLimit | None) -> bool:
+    if known is None:
+        return notice.per_s is not None
+    order = (notice.incarnation, notice.version)
+    known_order = (known.incarnation, known.version)
+    if order == known_order:
+        return _as_rate(notice.per_s) < _as_rate(known.per_s)
+    return order > known_order
+
+
+def _is_same(notice: LimitNotice, known: KnownLimit) -> bool:
+    return (notice.incarnation, notice.version, notice.per_s) == (
+        known.incarnation,
+        known.version,
+        known.per_s,
+    )
 
 
 def _is_outdated(
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -22,7 +22,6 @@
 from .follower import Decoders
 from .forwarder import Forwarder, ForwarderParts, WireCodec
 from .gossip import describe_peers, unix_ms
-from .limit_table import LimitTable
 from .node_settings import Bounds, NodeSettings
 from .records import AnswerHead, CallerBounds, Headers
 from .registry import Registry
@@ -113,12 +112,12 @@
         self._member.get_status = self._router_status
         self._member.on_change = self._apply_configuration
         self._store_view = self._member.store_view
-        self._limits = LimitTable()
         self.telemetry.add_gauge(
             'limited_servers',
             'Backend servers that name a limit.',
-            lambda: self._limits.count,
+            lambda: self._member.limits.count,
         )
+        self._member.permits.count_outcome = self.telemetry.count_permit
         self._roster = self._member.roster
         self._credit_exchange = CreditExchange(
             self._http_client, self._roster, settings
@@ -251,7 +250,8 @@
                 'servers': self._member.roles.servers.dump(),
             },
             'servers': self._store_view.servers.dump(),
-            'limits': self._limits.dump(),
+            'limits': self._member.limits.dump(),
+            'permits': self._member.permits.dump(),
             'peers': describe_peers(list(self._roster.peers.by_node.values())),
             'credit': self._credit.dump(),
         }
@@ -278,7 +278,7 @@
             ExchangeParts(
                 self._server_http_client,
                 self._store_view,
-                self._limits,
+                self._member.limits,
                 self._adapter.encode_metadata,
                 self._adapter.decode_response,
             ),
@@ -287,7 +287,8 @@
             SenderParts(
                 exchange,
                 self._store_view,
-                self._limits,
+                self._member.limits,
+                self._member.permits,
                 self.telemetry,
                 self._settings.failure_domain,
                 _retry_policy(self._settings.bounds),
@@ -335,7 +336,7 @@
     async def _expire_servers(self) -> None:
         while True:
             await trio.sleep(_EXPIRY_INTERVAL_S)
-            self._store_view.servers.discard_expired()
+            self._member.discard_expired()
 
     def _is_ready(self) -> bool:
         has_configuration = (
--- a/eelgrassfork/gateway/peer_exchange.py
+++ b/eelgrassfork/gateway/peer_exchange.py
@@ -25,6 +25,7 @@
 from .heartbeats import Heartbeat
 from .node_settings import NodeSettings
 from .peers import Peer, PeerTable
+from .send_permits import PERMIT_PATH
 from .server_records import ServerRecord
 
 __all__ = ('PeerExchange', 'should_pull')
@@ -57,6 +58,7 @@
     :param settings: settings of this router; all routers use the same port for
         peers.
     :ivar on_credit: answers credit calls.
+    :ivar on_permit: answers requests for permits.
     :ivar on_failure: called after a failed attempt to catch up with peers.
     :ivar reread: reads the configuration from the store.
     :ivar loop_delay_s: returns the delay of this router's event loop.
@@ -76,7 +78,8 @@
         self._port = settings.peer_address.rpartition(':')[2]
         self._pull_requested = trio.Event()
         self._random = random.Random()
-        self.on_credit: Callable[[Call], Awaitable[bytes]] = _reject_credit_call
+        self.on_credit: Callable[[Call], Awaitable[bytes]] = _reject_call
+        self.on_permit: Callable[[Call], Awaitable[bytes]] = _reject_call
         self.on_failure: Callable[[], None] = _do_nothing
         self.reread: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
         self.loop_delay_s: Callable[[], float] = float
@@ -102,8 +105,13 @@
         :raises RequestError: ``unknown_service`` for an unknown path;
             ``invalid_request`` if ``after`` is not an integer.
         """
-        if call.path == CREDIT_PATH:
-            await call.respond(_OK, await self.on_credit(call), _BODY)
+        handlers_by_path = {
+            CREDIT_PATH: self.on_credit,
+            PERMIT_PATH: self.on_permit,
+        }
+        handler = handlers_by_path.get(call.path)
+        if handler is not None:
+            await call.respond(_OK, await handler(call), _BODY)
             return
         answers_by_path: dict[str, Callable[[Call], bytes]] = {
             _CONFIGURATION: self._configuration,
@@ -218,9 +226,9 @@
         return True
 
 
-async def _reject_credit_call(call: Call) -> bytes:
+async def _reject_call(call: Call) -> bytes:
     await trio.lowlevel.checkpoint()
-    raise RequestError('not_ready', 'credit is not available yet')
+    raise RequestError('not_ready', 'this router is still starting')
 
 
 def _do_nothing() -> None:
--- a/eelgrassfork/gateway/roster.py
+++ b/eelgrassfork/gateway/roster.py
@@ -88,8 +88,11 @@
     :param own: VM of this router.
     :param make_own_heartbeat: creates a heartbeat with the state of this
         router only.
+    :ivar failure_domain: of this router.
     :ivar draining: whether this router is about to stop.
     :ivar peers: routers seen in the last minute.
+    :ivar min_routers: number of routers that may be running even if none of
+        them was ever seen.
     """
 
     def __init__(
@@ -97,7 +100,9 @@
     ) -> None:
         self._own = own
         self._make_own_heartbeat = make_own_heartbeat
+        self.failure_domain = own.failure_domain
         self.draining = False
+        self.min_routers = 1
         self.peers = PeerTable()
         self._domains = DomainViews(own.failure_domain)
         self._targets = TargetSelector(own.failure_domain)
--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -26,16 +26,19 @@
 from .follower import StoreView
 from .limit_table import LimitTable
 from .retry_budget import FleetRetryBudget, FleetRetryPolicy
+from .send_permits import SendPermits
 from .sending import Attempt, AttemptFailed, ErrorAnswer, PendingRequest
 from .servers import Server
 from .telemetry import Telemetry
-from .timeouts import retry_delay_s
+from .timeouts import permit_wait_s, retry_delay_s
 
 __all__ = ('Sender', 'SenderParts')
 
 # Time until an ejected server may be probed again; longer than a healthy
 # server takes to answer.
 _PROBE_INTERVAL_S: Final = 1.0
+# Reasons for which servers that are in order receive no more requests.
+_OVERLOADED: Final = frozenset(('all_full', 'all_limited'))
 
 
 class SenderParts(NamedTuple):
@@ -44,6 +47,7 @@
 
     :param exchange: sends a request to one server.
     :param limits: limits that servers name in their answers.
+    :param permits: permits to send requests to those servers.
     :param failure_domain: failure domain of this router.
     :param retry_policy: limit on the retries of the whole fleet.
     :param routers: returns the number of live routers.
@@ -52,6 +56,7 @@
     exchange: Exchange
     store_view: StoreView
     limits: LimitTable
+    permits: SendPermits
     telemetry: Telemetry
     failure_domain: str
     retry_policy: FleetRetryPolicy
@@ -136,7 +141,7 @@
         service: str,
         error_answer: ErrorAnswer | None,
     ) -> ErrorAnswer | None:
-        server, reason = self._choose(pending, service)
+        server, reason = await self._select(pending, service)
         if server is None:
             if error_answer is not None:
                 return error_answer._replace(final=True)
@@ -166,11 +171,52 @@
             attempt.close()
             self._parts.telemetry.sends.labels(service, attempt.outcome).inc()
 
-    def _choose(
+    async def _select(
         self, pending: PendingRequest, service: str
+    ) -> tuple[Server | None, str]:
+        # Servers without a limit are tried before the request waits for a
+        # permit.
+        reason = ''
+        waits_s: tuple[float, ...] = (
+            permit_wait_s(pending.permission.priority),
+        )
+        if self._has_unlimited_server(pending, service):
+            waits_s = (0, *waits_s)
+        for wait_s in waits_s:
+            while True:
+                server, reason = self._choose(pending, service, wait_s)
+                if server is None:
+                    break
+                if await self._may_send(pending, server, wait_s):
+                    return server, reason
+        return None, self._failure_reason(service, reason)
+
+    def _failure_reason(self, service: str, reason: str) -> str:
+        usable = self._parts.store_view.servers.usable(service)
+        is_limited = any(
+            self._parts.limits.limit_of(server.entry) for server in usable
+        )
+        return 'all_limited' if reason == 'no_server' and is_limited else reason
+
+    async def _may_send(
+        self, pending: PendingRequest, server: Server, wait_s: float
+    ) -> bool:
+        if not await self._parts.permits.take(server.entry, wait_s):
+            pending.held_back += 1
+            return False
+        _check_caller(pending)
+        usable = self._parts.store_view.servers.usable(server.entry.service)
+        return server in usable
+
+    def _choose(
+        self, pending: PendingRequest, service: str, wait_s: float
     ) -> tuple[Server | None, str]:
         now_s = trio.current_time()
-        servers = self._parts.store_view.servers.usable(service)
+        servers = [
+            server
+            for server in self._parts.store_view.servers.usable(service)
+            if self._parts.permits.is_open(server.entry, wait_s)
+        ]
         request = PlacementRequest(
             self._parts.failure_domain,
             placement_key(pending.head.parts),
@@ -192,15 +238,25 @@
         return server, choice.reason
 
     def _claim_failover(self, pending: PendingRequest, service: str) -> bool:
-        has_alternative = any(
-            other.entry.id not in pending.tried and not other.health.ejected
-            for other in self._parts.store_view.servers.usable(service)
-        )
-        if not (has_alternative and _may_retry(pending, self._budget(service))):
+        # A permit for a limited server may be refused after this attempt has
+        # ended.
+        if not self._has_unlimited_server(pending, service):
+            return False
+        if not _may_retry(pending, self._budget(service)):
             return False
         pending.retry_granted = True
         return True
 
+    def _has_unlimited_server(
+        self, pending: PendingRequest, service: str
+    ) -> bool:
+        return any(
+            server.entry.id not in pending.tried
+            and not server.health.ejected
+            and self._parts.limits.limit_of(server.entry) is None
+            for server in self._parts.store_view.servers.usable(service)
+        )
+
     def _service(self, pending: PendingRequest) -> str:
         services = pending.permission.route.services
         weights = [max(0, entry.weight) for entry in services]
@@ -225,7 +281,7 @@
                 'server_failed', 'no other server is available', 'unknown'
             )
         return RequestError(
-            'overloaded' if reason == 'all_full' else 'no_server',
+            'overloaded' if reason in _OVERLOADED else 'no_server',
             f'no server is available for the request: {reason}',
             retry_after_s=self._retry_after_s(pending),
         )
@@ -242,14 +298,23 @@
         )
 
     def _retry_after_s(self, pending: PendingRequest) -> float:
-        # If all servers are paused, callers retry after the first pause ends.
-        servers = self._parts.store_view.servers
-        services = pending.permission.route.services
-        pause_s = min(servers.pause_left_s(entry.service) for entry in services)
+        # If no server may be sent requests now, callers retry after the first
+        # pause ends.
+        pause_s = min(
+            self._pause_left_s(entry.service)
+            for entry in pending.permission.route.services
+        )
         return pause_s + retry_delay_s(
             pending.permission.route, self._random.random()
         )
 
+    def _pause_left_s(self, service: str) -> float:
+        servers = self._parts.store_view.servers
+        usable = [server.entry for server in servers.usable(service)]
+        if not usable:
+            return servers.pause_left_s(service)
+        return self._parts.permits.pause_left_s(usable)
+
 
 def _check_caller(pending: PendingRequest) -> None:
     # A busy router may read a request after its caller has disconnected.
--- a/eelgrassfork/gateway/sending.py
+++ b/eelgrassfork/gateway/sending.py
@@ -117,6 +117,8 @@
     :ivar may_have_run: whether a server may have run it.
     :ivar retry_granted: whether the next retry was already taken from the
         retry budget.
+    :ivar held_back: number of servers that it was not sent to because of
+        their limits.
     :ivar answered: whether the caller has received a final answer.
     :ivar caller_gone: whether the caller disconnected before that.
     :ivar first_byte_at: start of the answer on trio's clock; -1 before.
@@ -137,6 +139,7 @@
         self.attempts: list[Attempt] = []
         self.may_have_run = False
         self.retry_granted = False
+        self.held_back = 0
         self.answered = False
         self.caller_gone = False
         self.outcome = 'answered'
--- a/eelgrassfork/gateway/telemetry.py
+++ b/eelgrassfork/gateway/telemetry.py
@@ -69,6 +69,13 @@
             _PREFIX,
             registry=registry,
         )
+        self._permits = Counter(
+            'permits',
+            'Requests for permits to send to limited servers, by outcome.',
+            ('outcome',),
+            _PREFIX,
+            registry=registry,
+        )
         self._store_calls = Counter(
             'store_calls',
             'Calls of the store by outcome.',
@@ -108,6 +115,15 @@
         """
         self._store_calls.labels(outcome).inc()
 
+    def count_permit(self, outcome: str) -> None:
+        """
+        Count a request for a permit to send to a limited server.
+
+        :param outcome: ``granted`` or ``refused``, and ``unreachable`` if
+            the refusal is due to a failed call.
+        """
+        self._permits.labels(outcome).inc()
+
     def add_gauge(
         self, name: str, description: str, read: Callable[[], float]
     ) -> None:
--- a/eelgrassfork/gateway/timeouts.py
+++ b/eelgrassfork/gateway/timeouts.py
@@ -14,6 +14,7 @@
     'WaitContext',
     'event_gap_timeout_s',
     'first_byte_timeout_s',
+    'permit_wait_s',
     'retry_delay_s',
 )
 
@@ -32,6 +33,12 @@
 _RETRY_SPREAD: Final = 0.5
 
 
+# Longest time that the most urgent request waits for a permit, a fraction of
+# the shortest latency objectives.
+_MAX_PERMIT_WAIT_S: Final = 0.1
+_PRIORITIES: Final = 10
+
+
 class WaitContext(NamedTuple):
     """
     Request and server state that determines a time-out.
@@ -89,6 +96,20 @@
     return min(remaining_s, route.max_event_gap_s)
 
 
+def permit_wait_s(priority: int) -> float:
+    """
+    Compute how long a request waits for a permit of a limited server.
+
+    Permits are reserved in advance for at most this time.  While there are
+    fewer permits than requests, they therefore go to the most urgent ones.
+
+    :param priority: 0 is the most urgent, 9 the least.
+    :returns: seconds.
+    """
+    rank = min(max(priority, 0), _PRIORITIES - 1)
+    return _MAX_PERMIT_WAIT_S * (1 - rank / _PRIORITIES)
+
+
 def retry_delay_s(route: Route, fraction: float) -> float:
     """
     Compute when a refused caller may retry.
--- a/tests/simulated_callers.py
+++ b/tests/simulated_callers.py
@@ -7,6 +7,7 @@
 Requests pass through the sender of a router to servers that name a limit.
 """
 
+from collections import Counter
 from typing import NamedTuple
 
 import trio
@@ -14,7 +15,6 @@
 from eelgrassfork.errors import RequestError
 from eelgrassfork.gateway.configuration import Permission
 from eelgrassfork.gateway.exchange import Exchange, ExchangeParts
-from eelgrassfork.gateway.limit_table import LimitTable
 from eelgrassfork.gateway.records import (
     ForwardHead,
     Organisation,
@@ -29,6 +29,8 @@
 from eelgrassfork.platform.__main__ import _encode_metadata
 from eelgrassfork.platform.heads import decode_response
 
+from .fault_schedule import HOST
+
 LATENCY_S = 0.0005
 SERVICE = 'plain'
 ROUTE = Route(
@@ -50,11 +52,18 @@
 
 
 class Arrival(NamedTuple):
-    """A request at a server."""
+    """
+    A request at a server.
+
+    :param known_for_s: time since the router first passed on the limit.
+    :param may_resend: whether the HTTP client would send the request again if
+        a pooled connection broke.
+    """
 
     at: float
     node: str
     known_for_s: float
+    may_resend: bool
 
 
 class BackendServer:
@@ -62,7 +71,6 @@
     Simulated backend server.
 
     :ivar limit: text of the limit that answers name; ``None`` for none.
-    :ivar named_at: when it first named a limit.
     :ivar arrivals: all requests, in order.
     """
 
@@ -72,20 +80,15 @@
         self.domain = domain
         self.latency_s = latency_s
         self.limit = None
-        self.named_at = None
         self.arrivals = []
-        self.unreachable_domains = set()
         self.told_at_by_node = {}
 
-    def name_limit(self, limit):
-        self.limit = limit
-        if self.named_at is None:
-            self.named_at = trio.current_time()
-
-    def accept(self, node):
+    def accept(self, node, request):
         now_s = trio.current_time()
         told_at = self.told_at_by_node.get(node, now_s)
-        self.arrivals.append(Arrival(now_s, node, now_s - told_at))
+        self.arrivals.append(
+            Arrival(now_s, node, now_s - told_at, not request.no_resend)
+        )
 
     def headers(self):
         headers = [('x-response-seal', self.name)]
@@ -101,12 +104,15 @@
             for arrival in self.arrivals
         )
 
-    def most_requests(self, contact_s):
-        """Count the requests in the worst window that the rule looks at."""
+    def most_requests(self, start_at, known_for_s=0):
+        """Count the requests in the worst window that starts later."""
         return max(
-            self.count(arrival.at, WINDOW_S, KNOWN_FOR_S)
-            for arrival in self.arrivals
-            if arrival.at >= self.named_at + contact_s
+            (
+                self.count(arrival.at, WINDOW_S, known_for_s)
+                for arrival in self.arrivals
+                if arrival.at >= start_at
+            ),
+            default=0,
         )
 
 
@@ -138,11 +144,11 @@
         self.servers_by_address = servers_by_address
 
     async def request(self, request, timeouts):
-        server = self.servers_by_address[request.address]
+        server = self.servers_by_address.get(request.address)
         await trio.sleep(LATENCY_S)
-        if self.router.domain in server.unreachable_domains:
-            raise ConnectFailed('connect_failed', server.name, sent=False)
-        server.accept(self.router.node)
+        if server is None:
+            raise ConnectFailed('connect_failed', request.address, sent=False)
+        server.accept(self.router.node, request)
         await trio.sleep(server.latency_s + LATENCY_S)
         headers = server.headers()
         if server.limit is not None:
@@ -173,15 +179,16 @@
     Callers of all routers of a fleet.
 
     :ivar refusals: errors of the requests that were not answered.
-    :ivar answered: number of answered requests.
+    :ivar answered_by_priority: number of answered requests.
     """
 
-    def __init__(self, fleet, servers):
+    def __init__(self, fleet, servers, priorities=(5,)):
         self.fleet = fleet
+        self.priorities = priorities
         self.servers = servers
         self.servers_by_address = {server.address: server for server in servers}
         self.senders_by_member = {}
-        self.answered = 0
+        self.answered_by_priority = Counter()
         self.refusals = []
         fleet.remove_server('s1')
         for server in servers:
@@ -199,9 +206,11 @@
         while True:
             await trio.sleep(self.fleet.random.expovariate(requests_per_s))
             if router.member is not None:
-                self.fleet.nursery.start_soon(self.send, router)
+                priority = self.fleet.random.choice(self.priorities)
+                self.fleet.nursery.start_soon(self.send, router, priority)
 
-    async def send(self, router, priority=5):
+    async def send(self, router, priority):
+        HOST.set(router.node)
         permission = Permission(ROUTE, Organisation(''), priority)
         pending = PendingRequest(
             CallerConnection(),
@@ -214,7 +223,7 @@
         except RequestError as error:
             self.refusals.append(error)
         else:
-            self.answered += 1
+            self.answered_by_priority[priority] += 1
 
     def sender(self, router):
         """Return the sender of the router's present process."""
@@ -227,12 +236,12 @@
         return sender
 
     def make_sender(self, router):
-        limits = LimitTable()
+        member = router.member
         exchange = Exchange(
             ExchangeParts(
                 ServerClient(router, self.servers_by_address),
-                router.member.store_view,
-                limits,
+                member.store_view,
+                member.limits,
                 _encode_metadata,
                 decode_response,
             )
@@ -240,12 +249,13 @@
         return Sender(
             SenderParts(
                 exchange,
-                router.member.store_view,
-                limits,
+                member.store_view,
+                member.limits,
+                member.permits,
                 Telemetry(),
                 router.domain,
                 FleetRetryPolicy(0.2, 10, 58),
-                lambda: router.member.roster.known_router_count,
+                lambda: member.roster.known_router_count,
             )
         )
 
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -28,6 +28,7 @@
     StoreUnavailable,
 )
 
+from .fault_schedule import HOST, install_run_queue
 from .gateway_world import configuration
 from .memory_store import MemoryStore
 from .test_gateway_follower import DECODERS, ENTRY
@@ -88,11 +89,11 @@
 class PeerCall:
     """A call of a peer as the HTTP server represents it."""
 
-    def __init__(self, target):
+    def __init__(self, target, body):
         self.path, _, query = target.partition('?')
         pairs = [one.partition('=') for one in query.split('&') if one]
         self.query_by_name = {name: text for name, _, text in pairs}
-        self.body = b''
+        self.body = body
         self.answer = b''
 
     async def respond(self, status, body, headers):
@@ -108,6 +109,7 @@
         self.node = node
         self.ip = ip
         self.domain = domain
+        self.frozen = False
         self.mean_delay_s = 0
         self.loop_turn_s = 0
         self.link_mbps = 10
@@ -152,6 +154,7 @@
         fleet.nursery.start_soon(self.run)
 
     async def run(self):
+        HOST.set(self.node)
         with trio.CancelScope() as self.scope:
             async with trio.open_nursery() as nursery:
                 await self.member.start(nursery)
@@ -163,6 +166,16 @@
             self.member = None
         self.last_fault_at = trio.current_time()
 
+    def freeze(self):
+        """Suspend the process, as SIGSTOP does."""
+        self.frozen = True
+        self.fleet.run_queue.hosts.add(self.node)
+
+    def thaw(self):
+        """Resume the process."""
+        self.frozen = False
+        self.fleet.run_queue.hosts.discard(self.node)
+
     def open_socket(self, ip, port):
         return Socket(self)
 
@@ -171,12 +184,12 @@
         ip = request.address.partition(':')[0]
         peer = self.fleet.routers_by_ip.get(ip)
         await trio.sleep(LATENCY_S + peer.random_delay_s())
-        if not self.fleet.is_link_open(self, peer):
-            await trio.sleep(PEER_S)
+        if peer.frozen or not self.fleet.is_link_open(self, peer):
+            await trio.sleep(min(PEER_S, timeouts.first_byte_s))
             raise EelgrassError('connection_silent', 'no answer')
         if peer.member is None:
             raise EelgrassError('connect_failed', 'refused')
-        call = PeerCall(request.target)
+        call = PeerCall(request.target, request.body)
         await peer.member.exchange.serve(call)
         sent_at = peer.uplink.reserve(len(call.answer))
         await trio.sleep_until(
@@ -321,6 +334,7 @@
         self.changed = trio.Event()
         self.violations = []
         self.nursery = None
+        self.run_queue = None
         self.store_down = ''
         self.acknowledged = []
         self.servers_by_name = {}
@@ -364,6 +378,7 @@
     async def start(self, nursery):
         """Start all routers, and wait until they have discovered each other."""
         self.nursery = nursery
+        self.run_queue = install_run_queue()
         self.put_version(1)
         self.put_server('s1')
         nursery.start_soon(self.compact)
--- a/tests/test_gateway_forwarder.py
+++ b/tests/test_gateway_forwarder.py
@@ -487,3 +487,48 @@
         retry_after_s = float(answer[0].headers_by_name['retry-after'])
         self.assertGreater(retry_after_s, 2.4)
         self.assertLess(retry_after_s, 3.5)
+
+
+class ServerLimitTests(testtools.TestCase):
+    """A limit that servers name holds for all requests to them."""
+
+    def test_request_beyond_the_only_limit_is_refused_at_once(self):
+        async def scenario(world, nursery):
+            await trio.sleep(0.7)
+            await world.call('/look/x', 'r0')
+            started_at = trio.current_time()
+            answer = await world.call('/look/x', 'r1')
+            took_s = trio.current_time() - started_at
+            return answer, took_s, len(world.replicas[0].seen)
+
+        answer, took_s, sent = run_world(scenario, plain=[['limit=0.5+ok']])
+        self.assertEqual((503, 'overloaded'), code_of(answer))
+        self.assertGreater(float(answer[0].headers_by_name['retry-after']), 0.5)
+        self.assertLess(took_s, 0.3)
+        self.assertEqual(1, sent)
+
+    def test_requests_go_to_servers_without_a_limit(self):
+        async def scenario(world, nursery):
+            await trio.sleep(0.7)
+            for number in range(12):
+                answer = await world.call('/look/x', f'r{number}')
+                self.assertEqual(200, answer[0].status)
+            return [len(replica.seen) for replica in world.replicas]
+
+        script = ['limit=0.5+ok']
+        limited, other = run_world(scenario, plain=[script, ['ok']])
+        self.assertLessEqual(limited, 1)
+        self.assertGreaterEqual(other, 11)
+
+    def test_operators_see_limit_permits_and_sends(self):
+        async def scenario(world, nursery):
+            await trio.sleep(0.7)
+            await world.call('/look/x', 'r0')
+            await world.call('/look/x', 'r1')
+            return world.node.dump()
+
+        dump = run_world(scenario, plain=[['limit=2+ok']])
+        limit, permit = dump['limits'][0], dump['permits'][0]
+        self.assertEqual(('i-0', 2), (limit['server'], limit['per_s']))
+        self.assertEqual(('i-0', 1), (permit['server'], permit['askers']))
+        self.assertEqual(1, dump['servers'][0]['sent'])
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -11,7 +11,11 @@
 import trio
 
 from eelgrassfork.gateway.gossip import Gossip, open_udp
-from eelgrassfork.gateway.heartbeats import Heartbeat, PeerSummary
+from eelgrassfork.gateway.heartbeats import (
+    Heartbeat,
+    LimitNotice,
+    PeerSummary,
+)
 from eelgrassfork.gateway.roster import NodeIdentity
 
 PORT = 17207
@@ -157,6 +161,19 @@
         received = run(scenario, router)
         self.assertEqual([7], [one.configuration_version for one in received])
 
+    def test_limits_of_servers_reach_other_routers(self):
+        first, second = Router(1), Router(2)
+        notices = (LimitNotice('s1', 5, 3, 1.5, 20),)
+        first.gossip.get_limits = lambda: notices
+        reports = []
+        second.gossip.on_limits = lambda *report: reports.append(report)
+
+        async def scenario():
+            await trio.sleep(0.4)
+
+        run(scenario, first, second)
+        self.assertIn((notices, 'n1'), reports)
+
     def test_malformed_datagrams_are_dropped(self):
         router = Router(1)
 
--- a/tests/test_gateway_limit_table.py
+++ b/tests/test_gateway_limit_table.py
@@ -8,6 +8,7 @@
 import testtools
 import trio
 
+from eelgrassfork.gateway.heartbeats import LimitNotice
 from eelgrassfork.gateway.limit_table import LimitTable
 from eelgrassfork.gateway.records import NamedLimit, ServerEntry
 
@@ -17,6 +18,10 @@
 NONE = NamedLimit()
 
 
+def do_nothing():
+    pass
+
+
 def rate(table, entry=ENTRY):
     known = table.limit_of(entry)
     return None if known is None else known.per_s
@@ -27,7 +32,7 @@
         """Apply answers as pairs of sending time and limit; return limits."""
 
         async def main():
-            table = LimitTable()
+            table = LimitTable(do_nothing)
             limits = []
             start = trio.current_time()
             for sent_at, limit in answers:
@@ -61,7 +66,7 @@
 class IncarnationTests(testtools.TestCase):
     def test_limit_ends_with_the_incarnation_that_named_it(self):
         async def main():
-            table = LimitTable()
+            table = LimitTable(do_nothing)
             table.observe(ENTRY, NamedLimit(2), 0)
             restarted = ENTRY._replace(incarnation=200)
             return rate(table), rate(table, restarted)
@@ -70,7 +75,7 @@
 
     def test_answers_of_an_older_incarnation_are_ignored(self):
         async def main():
-            table = LimitTable()
+            table = LimitTable(do_nothing)
             table.observe(ENTRY, NamedLimit(2), 0)
             former = ENTRY._replace(incarnation=50)
             await trio.sleep(1)
@@ -80,10 +85,70 @@
         self.assertEqual(2, run(main))
 
 
+class MergeTests(testtools.TestCase):
+    def merge(self, *notices, learned=NamedLimit(2)):
+        async def main():
+            table = LimitTable(do_nothing)
+            if learned is not None:
+                table.observe(ENTRY, learned, trio.current_time())
+            for version, per_s in notices:
+                notice = LimitNotice('s1', 100, version, per_s, 0)
+                table.merge((notice,), 'n1')
+            return rate(table)
+
+        return run(main)
+
+    def test_newest_change_counts_whatever_the_order(self):
+        self.assertEqual(5, self.merge((3, 5), (2, 1)))
+        self.assertIsNone(self.merge((3, None), (2, 1)))
+
+    def test_of_concurrent_changes_the_lower_limit_counts(self):
+        self.assertEqual(1, self.merge((1, 1), (1, None), (1, 4)))
+
+    def test_withdrawn_limit_of_an_unknown_server_is_ignored(self):
+        self.assertIsNone(self.merge((9, None), learned=None))
+        self.assertEqual(3, self.merge((9, None), (1, 3), learned=None))
+
+    def test_own_change_supersedes_what_peers_reported(self):
+        async def main():
+            table = LimitTable(do_nothing)
+            table.merge((LimitNotice('s1', 100, 8, 2, 0),), 'n1')
+            await trio.sleep(1)
+            table.observe(ENTRY, NamedLimit(3), trio.current_time())
+            return table.notices()[0][:4]
+
+        self.assertEqual(('s1', 100, 9, 3), run(main))
+
+    def test_reports_are_bounded_and_favour_changes(self):
+        async def main():
+            table = LimitTable(do_nothing)
+            for number in range(900):
+                entry = ENTRY._replace(id=f'old{number}')
+                table.observe(entry, NamedLimit(2), 0)
+            await trio.sleep(5)
+            table.observe(ENTRY, NamedLimit(2), 0)
+            notices = table.notices()
+            return len(notices), notices[0].server_id
+
+        self.assertEqual((5, 's1'), run(main))
+
+    def test_limits_of_servers_that_are_gone_are_dropped(self):
+        async def main():
+            table = LimitTable(do_nothing)
+            table.observe(ENTRY, NamedLimit(2), 0)
+            await trio.sleep(61)
+            table.discard_expired({'s1'})
+            kept = table.count
+            table.discard_expired(set())
+            return kept, table.count
+
+        self.assertEqual((1, 0), run(main))
+
+
 class DumpTests(testtools.TestCase):
     def test_operators_see_limit_and_age(self):
         async def main():
-            table = LimitTable()
+            table = LimitTable(do_nothing)
             table.observe(ENTRY, NamedLimit(2), trio.current_time())
             await trio.sleep(1.5)
             return table.dump(), table.count
@@ -91,6 +156,7 @@
         expected = {
             'server': 's1',
             'per_s': 2,
+            'version': 1,
             'age_s': 1.5,
             'unchanged_s': 1.5,
         }
