Report only the first limit of a server to other routers at once

Cause: each change of a limit made every router that heard of it send its heartbeats at once, so that limits that change with each answer multiplied the heartbeats of the whole fleet. Change: only a server that begins to name a limit is reported at once; changed values wait for the next heartbeat, as the keeper that grants permits has them from the requests for permits.

--- a/eelgrassfork/gateway/limit_table.py
+++ b/eelgrassfork/gateway/limit_table.py
@@ -53,11 +53,11 @@
     """
     Limits of the servers that named one, by the id of the server.
 
-    :param on_change: called after a limit has changed.
+    :param on_first: called when a server has begun to name a limit.
     """
 
-    def __init__(self, on_change: Callable[[], None]) -> None:
-        self._on_change = on_change
+    def __init__(self, on_first: Callable[[], None]) -> None:
+        self._on_first = on_first
         self._random = random.Random()
         self._by_id: dict[str, KnownLimit] = {}
 
@@ -226,7 +226,8 @@
                 'source': source,
             },
         )
-        self._on_change()
+        if former is None or former.per_s is None:
+            self._on_first()
 
 
 def _make_notice(server_id: str, known: KnownLimit) -> LimitNotice:
--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -177,12 +177,11 @@
         # Servers without a limit are tried before the request waits for a
         # permit.
         reason = ''
-        waits_s: tuple[float, ...] = (
-            permit_wait_s(pending.permission.priority),
+        longest_s = permit_wait_s(pending.permission.priority)
+        has_choice = self._parts.limits.count and self._has_unlimited_server(
+            pending, service
         )
-        if self._has_unlimited_server(pending, service):
-            waits_s = (0, *waits_s)
-        for wait_s in waits_s:
+        for wait_s in (0, longest_s) if has_choice else (longest_s,):
             while True:
                 server, reason = self._choose(pending, service, wait_s)
                 if server is None:
