Count the seeds among the routers that share the budget of retries

Callers would have seen servers overloaded by retries: a router that starts while it is cut off knows nobody, and takes the retries of the whole fleet. Cause: the budget is shared among the routers that were seen. Change: seeds count as routers until others are known, as for limits. Measured: the test saw 1 router before the change where the seeds name two others, 3 after it.

--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 from typing import Final, NamedTuple
 
 import logbook
@@ -26,6 +27,7 @@
 from .records import AnswerHead, CallerBounds, Headers
 from .registry import Registry
 from .retry_budget import FleetRetryPolicy
+from .roster import count_possible_routers
 from .sender import Sender, SenderParts
 from .status_pages import StatusPages
 from .store import Store
@@ -292,7 +294,7 @@
                 self.telemetry,
                 self._settings.failure_domain,
                 _retry_policy(self._settings.bounds),
-                lambda: self._roster.known_router_count,
+                partial(count_possible_routers, self._roster),
             ),
         )
 
--- a/eelgrassfork/gateway/permit_keeper.py
+++ b/eelgrassfork/gateway/permit_keeper.py
@@ -7,7 +7,7 @@
 
 from ..names import rendezvous_order
 from .peers import Peer
-from .roster import Roster
+from .roster import Roster, count_possible_routers
 
 __all__ = ('find_keeper', 'is_keeper', 'live_fraction')
 
@@ -46,8 +46,8 @@
     :param roster: live routers.
     :returns: at most 1.
     """
-    known = max(roster.known_router_count, roster.min_routers)
-    return min(1, roster.fleet_view().routers / known)
+    possible = count_possible_routers(roster)
+    return min(1, roster.fleet_view().routers / possible)
 
 
 def _elect(roster: Roster, failure_domain: str) -> tuple[bool, Peer | None]:
--- a/eelgrassfork/gateway/roster.py
+++ b/eelgrassfork/gateway/roster.py
@@ -21,7 +21,7 @@
 from .peers import PEER_EXPIRY_S, Peer, PeerTable
 from .targets import SAME_DOMAIN_TARGETS, TargetSelector
 
-__all__ = ('FleetView', 'NodeIdentity', 'Roster')
+__all__ = ('FleetView', 'NodeIdentity', 'Roster', 'count_possible_routers')
 
 # Maximum number of peers for which each heartbeat goes to all of them.
 _MAX_FULL_MESH_PEERS: Final = 12
@@ -361,3 +361,13 @@
             return _PEER_TIMEOUT_S
         mean_s = (len(self._same_domain) + 1) / _REPORTS_PER_S
         return max(_PEER_TIMEOUT_S, _MISSED_REPORTS * mean_s)
+
+
+def count_possible_routers(roster: Roster) -> int:
+    """
+    Count the routers that may be running, for a bound that they share.
+
+    :param roster: known routers.
+    :returns: at least 1; the seeds count even if none of them was ever seen.
+    """
+    return max(roster.known_router_count, roster.min_routers)
--- a/tests/test_gateway_forwarder.py
+++ b/tests/test_gateway_forwarder.py
@@ -532,3 +532,13 @@
         self.assertEqual(('i-0', 2), (limit['server'], limit['per_s']))
         self.assertEqual(('i-0', 1), (permit['server'], permit['askers']))
         self.assertEqual(1, dump['servers'][0]['sent'])
+
+
+class RetryShareTests(testtools.TestCase):
+    def test_router_that_has_found_no_other_uses_a_part_of_the_retries(self):
+        # A router that started while it was cut off took the whole slack.
+        async def scenario(world, nursery):
+            world.node._member.gossip.add_seeds(('127.0.9.1', '127.0.9.2'))
+            return world.node._sender._parts.routers()
+
+        self.assertEqual(3, run_world(scenario, plain=[['ok']]))
