--- a/tests/simulated_callers.py
+++ b/tests/simulated_callers.py
@@ -72,6 +72,8 @@
 
     :ivar limit: text of the limit that answers name; ``None`` for none.
     :ivar arrivals: all requests, in order.
+    :ivar most_in_progress: most requests, each on a connection of its own,
+        at any moment.
     """
 
     def __init__(self, name, address, domain, latency_s=0.05):
@@ -81,6 +83,8 @@
         self.latency_s = latency_s
         self.limit = None
         self.arrivals = []
+        self.in_progress = 0
+        self.most_in_progress = 0
         self.told_at_by_node = {}
 
     def accept(self, node, request):
@@ -90,6 +94,14 @@
             Arrival(now_s, node, now_s - told_at, not request.no_resend)
         )
 
+    async def run(self):
+        self.in_progress += 1
+        self.most_in_progress = max(self.most_in_progress, self.in_progress)
+        try:
+            await trio.sleep(self.latency_s)
+        finally:
+            self.in_progress -= 1
+
     def headers(self):
         headers = [('x-response-seal', self.name)]
         if self.limit is not None:
@@ -149,7 +161,8 @@
         if server is None:
             raise ConnectFailed('connect_failed', request.address, sent=False)
         server.accept(self.router.node, request)
-        await trio.sleep(server.latency_s + LATENCY_S)
+        await server.run()
+        await trio.sleep(LATENCY_S)
         headers = server.headers()
         if server.limit is not None:
             server.told_at_by_node.setdefault(
--- a/tests/test_gateway_server_limits.py
+++ b/tests/test_gateway_server_limits.py
@@ -14,6 +14,7 @@
 from .fault_schedule import run_seeded
 from .simulated_callers import (
     KNOWN_FOR_S,
+    SERVICE,
     BackendServer,
     Callers,
     allowed_requests,
@@ -202,6 +203,24 @@
         self.assertGreater(unlimited, 120)
 
 
+class ConnectionTests(testtools.TestCase):
+    def test_routers_together_keep_the_connections_of_a_service(self):
+        # Each router opens connections as if it were the only one.
+        async def scenario(fleet):
+            servers = make_servers(fleet, 1)
+            callers = Callers(fleet, servers)
+            await callers.start(requests_per_s=1)
+            for router in fleet.routers:
+                fleet.nursery.start_soon(callers.send, router, 5)
+            await trio.sleep(1)
+            holder = fleet.routers[0].member.store_view.configuration
+            service = holder.current.services_by_name[SERVICE]
+            return servers[0].most_in_progress, service.max_connections
+
+        most, allowed = play(LARGE, 1, scenario)
+        self.assertLessEqual(most, allowed)
+
+
 class ServiceTests(testtools.TestCase):
     def test_other_servers_take_what_a_limit_holds_back(self):
         async def scenario(fleet):
