Ignore limits of peers that are no limits

Found by reading: a peer's limit that is negative or not a number, or a number of changes beyond 64 bits, was taken over, and the latter would have ended the task that sends heartbeats whenever the limit changed next. Change: such reports are logged and ignored. Measured: the new test failed before (limit -1 taken over), passes now.

--- a/eelgrassfork/gateway/limit_table.py
+++ b/eelgrassfork/gateway/limit_table.py
@@ -5,6 +5,7 @@
 Limits that backend servers name, from their answers and from other routers.
 """
 
+import math
 import random
 from collections.abc import Callable, Collection, Iterable
 from typing import Final, NamedTuple
@@ -27,6 +28,8 @@
 _MAX_FRESH_NOTICES: Final = 16
 # Older limits, for routers that have just started or were cut off.
 _SAMPLE_SIZE: Final = 4
+# No server changes its limit as often.
+_MAX_VERSION: Final = 1_000_000_000
 # Longer than routers are usually cut off from each other.
 _RETENTION_S: Final = 60.0
 
@@ -128,6 +131,12 @@
         """
         now_s = trio.current_time()
         for notice in notices:
+            if not _is_valid(notice):
+                _log.warning(
+                    'ignored an invalid limit of a peer',
+                    extra={'server': notice.server_id, 'source': source},
+                )
+                continue
             observed_at = now_s - max(0, notice.age_ms) / _MS_PER_S
             known = self._by_id.get(notice.server_id)
             if _supersedes(notice, known):
@@ -241,6 +250,12 @@
     )
 
 
+def _is_valid(notice: LimitNotice) -> bool:
+    rate_per_s = _as_rate(notice.per_s)
+    is_limit = notice.per_s is None or math.isfinite(rate_per_s)
+    return is_limit and rate_per_s >= 0 and 0 < notice.version <= _MAX_VERSION
+
+
 def _supersedes(notice: LimitNotice, known: KnownLimit | None) -> bool:
     if known is None:
         return notice.per_s is not None
--- a/tests/test_gateway_limit_table.py
+++ b/tests/test_gateway_limit_table.py
@@ -119,6 +119,11 @@
 
         self.assertEqual(('s1', 100, 9, 3), run(main))
 
+    def test_invalid_limits_of_peers_are_ignored(self):
+        for per_s in (-1, float('nan'), float('inf')):
+            self.assertEqual(2, self.merge((5, per_s)))
+        self.assertEqual(2, self.merge((2**63, 1), (0, 1)))
+
     def test_reports_are_bounded_and_favour_changes(self):
         async def main():
             table = LimitTable(do_nothing)
