Wait for an unreachable keeper only once in a request

Found by reading: with several limited servers in the domain of a keeper that is away, a request waited 0.1 s for it for each server before it went elsewhere or was refused. Change: a keeper that did not answer is not called for 0.25 s, and a request that was refused four permits is sent to servers without a limit only.

--- a/eelgrassfork/gateway/send_permits.py
+++ b/eelgrassfork/gateway/send_permits.py
@@ -101,6 +101,7 @@
         self.count_outcome: Callable[[str], None] = _ignore
         self._refusals_by_id: dict[str, _Refusal] = {}
         self._asking: set[str] = set()
+        self._skipped_until_by_node: dict[str, float] = {}
         self._clocks_by_id: dict[str, PermitClock] = {}
 
     def is_open(self, entry: ServerEntry, wait_s: float) -> bool:
@@ -214,11 +215,22 @@
         keeper = find_keeper(self._parts.roster, request.failure_domain)
         if keeper is None:
             decision = self._decide(request)
+        elif self._is_skipped(keeper.node):
+            decision = _REFUSED
         else:
             decision = await self._call(keeper, request)
         self.count_outcome('granted' if decision.granted else 'refused')
         return decision
 
+    def _is_skipped(self, node: str) -> bool:
+        # A request that may go to several servers of a domain waits for its
+        # keeper only once.
+        skipped_until = self._skipped_until_by_node.pop(node, 0)
+        if trio.current_time() >= skipped_until:
+            return False
+        self._skipped_until_by_node[node] = skipped_until
+        return True
+
     async def _call(self, keeper: Peer, request: PermitRequest) -> Decision:
         timeout_s = (
             _TIMEOUT_S + _LOOP_ITERATIONS_PER_CALL * self._parts.loop_delay_s()
@@ -246,6 +258,9 @@
                 },
             )
             self.count_outcome('unreachable')
+            self._skipped_until_by_node[keeper.node] = (
+                trio.current_time() + _RETRY_S
+            )
             return _REFUSED
 
     def _decide(self, request: PermitRequest) -> Decision:
--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -37,6 +37,8 @@
 # Time until an ejected server may be probed again; longer than a healthy
 # server takes to answer.
 _PROBE_INTERVAL_S: Final = 1.0
+# Each request for a permit delays the caller's request by a call to a peer.
+_MAX_REFUSED_PERMITS: Final = 4
 # Reasons for which servers that are in order receive no more requests.
 _OVERLOADED: Final = frozenset(('all_full', 'all_limited'))
 
@@ -207,6 +209,16 @@
         usable = self._parts.store_view.servers.usable(server.entry.service)
         return server in usable
 
+    def _may_choose(
+        self, pending: PendingRequest, server: Server, wait_s: float
+    ) -> bool:
+        if self._parts.limits.limit_of(server.entry) is None:
+            return True
+        return (
+            pending.held_back < _MAX_REFUSED_PERMITS
+            and self._parts.permits.is_open(server.entry, wait_s)
+        )
+
     def _choose(
         self, pending: PendingRequest, service: str, wait_s: float
     ) -> tuple[Server | None, str]:
@@ -214,7 +226,7 @@
         servers = [
             server
             for server in self._parts.store_view.servers.usable(service)
-            if self._parts.permits.is_open(server.entry, wait_s)
+            if self._may_choose(pending, server, wait_s)
         ]
         request = PlacementRequest(
             self._parts.failure_domain,
--- a/tests/test_gateway_send_permits.py
+++ b/tests/test_gateway_send_permits.py
@@ -110,6 +110,21 @@
     def test_unreachable_keeper_refuses_for_a_short_time(self):
         self.assertEqual((False, False, 0.25), self.take(None))
 
+    def test_unreachable_keeper_delays_a_request_once(self):
+        async def main():
+            peer = Peer(None)
+            setting = Setting(peer)
+            other = ENTRY._replace(id='s2')
+            setting.limits.observe(other, NamedLimit(2), 0)
+            for entry in (ENTRY, other):
+                await setting.permits.take(entry, 0)
+            calls = peer.calls
+            await trio.sleep(0.3)
+            await setting.permits.take(other, 0)
+            return calls, peer.calls
+
+        self.assertEqual((1, 2), run(main))
+
     def test_pause_of_any_length_is_bounded(self):
         for pause_s, bound_s in ((1e300, 30), (float('inf'), 30), (-5, 0)):
             outcome = self.take(Decision(False, pause_s))
