--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -28,6 +28,7 @@
 from .registry import Registry
 from .retry_budget import FleetRetryPolicy
 from .roster import count_possible_routers
+from .selection import Selector, SelectorParts
 from .sender import Sender, SenderParts
 from .status_pages import StatusPages
 from .store import Store
@@ -285,14 +286,19 @@
                 self._adapter.decode_response,
             ),
         )
-        return Sender(
-            SenderParts(
-                exchange,
+        selector = Selector(
+            SelectorParts(
                 self._store_view,
                 self._member.limits,
                 self._member.permits,
-                self.telemetry,
                 self._settings.failure_domain,
+            ),
+        )
+        return Sender(
+            SenderParts(
+                exchange,
+                selector,
+                self.telemetry,
                 _retry_policy(self._settings.bounds),
                 partial(count_possible_routers, self._roster),
             ),
--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -13,32 +13,16 @@
 import trio
 
 from ..errors import RequestError
-from ..http_server import CallerDisconnected
-from .choice import (
-    Candidate,
-    ChoicePolicy,
-    PlacementRequest,
-    choose,
-    placement_key,
-)
 from .configuration import Permission
 from .exchange import Exchange
-from .follower import StoreView
-from .limit_table import LimitTable
 from .retry_budget import FleetRetryBudget, FleetRetryPolicy
-from .send_permits import SendPermits
+from .selection import Selector
 from .sending import Attempt, AttemptFailed, ErrorAnswer, PendingRequest
-from .servers import Server
 from .telemetry import Telemetry
-from .timeouts import permit_wait_s, retry_delay_s
+from .timeouts import retry_delay_s
 
 __all__ = ('Sender', 'SenderParts')
 
-# Time until an ejected server may be probed again; longer than a healthy
-# server takes to answer.
-_PROBE_INTERVAL_S: Final = 1.0
-# Each request for a permit delays the caller's request by a call to a peer.
-_MAX_REFUSED_PERMITS: Final = 4
 # Reasons for which servers that are in order receive no more requests.
 _OVERLOADED: Final = frozenset(('all_full', 'all_limited'))
 
@@ -48,19 +32,14 @@
     Dependencies and settings of the sender.
 
     :param exchange: sends a request to one server.
-    :param limits: limits that servers name in their answers.
-    :param permits: permits to send requests to those servers.
-    :param failure_domain: failure domain of this router.
+    :param selector: selects the servers.
     :param retry_policy: limit on the retries of the whole fleet.
     :param routers: returns the number of live routers.
     """
 
     exchange: Exchange
-    store_view: StoreView
-    limits: LimitTable
-    permits: SendPermits
+    selector: Selector
     telemetry: Telemetry
-    failure_domain: str
     retry_policy: FleetRetryPolicy
     routers: Callable[[], int]
 
@@ -70,17 +49,13 @@
 
 class Sender:
     """
-    Selects servers and decides on retries.
+    Sends requests and decides on retries.
 
     :param parts: dependencies and settings.
-    :param policy: cost weights of the selection.
     """
 
-    def __init__(
-        self, parts: SenderParts, policy: ChoicePolicy | None = None
-    ) -> None:
+    def __init__(self, parts: SenderParts) -> None:
         self._parts = parts
-        self._policy = policy or ChoicePolicy()
         self._random = random.Random()
         self._budgets_by_service: dict[str, FleetRetryBudget] = {}
 
@@ -117,7 +92,7 @@
     ) -> None:
         error_answer: ErrorAnswer | None = None
         while error_answer is None or not error_answer.final:
-            _check_caller(pending)
+            pending.check_caller()
             pending.permission = _refreshed(pending, refresh)
             service = self._service(pending)
             budget = self._budget(service)
@@ -143,20 +118,22 @@
         service: str,
         error_answer: ErrorAnswer | None,
     ) -> ErrorAnswer | None:
-        server, reason = await self._select(pending, service)
+        selection = await self._parts.selector.select(pending, service)
+        server = selection.server
         if server is None:
             if error_answer is not None:
                 return error_answer._replace(final=True)
-            raise self._no_server_error(pending, reason)
+            raise self._no_server_error(pending, selection.reason)
         claim_failover = partial(
             self._claim_failover, pending, server.entry.service
         )
         load = server.load(trio.current_time())
-        attempt = Attempt(server, reason, load, pending.head.prompt_tokens)
+        attempt = Attempt(
+            server, selection.reason, load, pending.head.prompt_tokens
+        )
         pending.attempts.append(attempt)
-        limit = self._parts.limits.limit_of(server.entry)
-        if limit is not None:
-            attempt.limit_per_s = limit.per_s
+        if selection.limit_per_s is not None:
+            attempt.limit_per_s = selection.limit_per_s
             self._parts.telemetry.limited_sends.labels(service).inc()
         try:
             return await self._parts.exchange.run(
@@ -173,101 +150,16 @@
             attempt.close()
             self._parts.telemetry.sends.labels(service, attempt.outcome).inc()
 
-    async def _select(
-        self, pending: PendingRequest, service: str
-    ) -> tuple[Server | None, str]:
-        # Servers without a limit are tried before the request waits for a
-        # permit.
-        reason = ''
-        longest_s = permit_wait_s(pending.permission.priority)
-        has_choice = self._parts.limits.count and self._has_unlimited_server(
-            pending, service
-        )
-        for wait_s in (0, longest_s) if has_choice else (longest_s,):
-            while True:
-                server, reason = self._choose(pending, service, wait_s)
-                if server is None:
-                    break
-                if await self._may_send(pending, server, wait_s):
-                    return server, reason
-        return None, self._failure_reason(service, reason)
-
-    def _failure_reason(self, service: str, reason: str) -> str:
-        usable = self._parts.store_view.servers.usable(service)
-        is_limited = any(
-            self._parts.limits.limit_of(server.entry) for server in usable
-        )
-        return 'all_limited' if reason == 'no_server' and is_limited else reason
-
-    async def _may_send(
-        self, pending: PendingRequest, server: Server, wait_s: float
-    ) -> bool:
-        if not await self._parts.permits.take(server.entry, wait_s):
-            pending.held_back += 1
-            return False
-        _check_caller(pending)
-        usable = self._parts.store_view.servers.usable(server.entry.service)
-        return server in usable
-
-    def _may_choose(
-        self, pending: PendingRequest, server: Server, wait_s: float
-    ) -> bool:
-        if self._parts.limits.limit_of(server.entry) is None:
-            return True
-        return (
-            pending.held_back < _MAX_REFUSED_PERMITS
-            and self._parts.permits.is_open(server.entry, wait_s)
-        )
-
-    def _choose(
-        self, pending: PendingRequest, service: str, wait_s: float
-    ) -> tuple[Server | None, str]:
-        now_s = trio.current_time()
-        servers = [
-            server
-            for server in self._parts.store_view.servers.usable(service)
-            if self._may_choose(pending, server, wait_s)
-        ]
-        request = PlacementRequest(
-            self._parts.failure_domain,
-            placement_key(pending.head.parts),
-            pending.tried,
-            pending.permission.route.repeatable,
-        )
-        choice = choose(
-            [_candidate(server, now_s) for server in servers],
-            request,
-            self._policy,
-            self._random,
-        )
-        by_id = {server.entry.id: server for server in servers}
-        server = by_id.get(choice.server_id)
-        if server is not None and choice.reason == 'trial':
-            server.health = server.health._replace(
-                probe_at=now_s + _PROBE_INTERVAL_S
-            )
-        return server, choice.reason
-
     def _claim_failover(self, pending: PendingRequest, service: str) -> bool:
         # A permit for a limited server may be refused after this attempt has
         # ended.
-        if not self._has_unlimited_server(pending, service):
+        if not self._parts.selector.has_unlimited_server(pending, service):
             return False
         if not _may_retry(pending, self._budget(service)):
             return False
         pending.retry_granted = True
         return True
 
-    def _has_unlimited_server(
-        self, pending: PendingRequest, service: str
-    ) -> bool:
-        return any(
-            server.entry.id not in pending.tried
-            and not server.health.ejected
-            and self._parts.limits.limit_of(server.entry) is None
-            for server in self._parts.store_view.servers.usable(service)
-        )
-
     def _service(self, pending: PendingRequest) -> str:
         services = pending.permission.route.services
         weights = [max(0, entry.weight) for entry in services]
@@ -312,26 +204,13 @@
         # If no server may be sent requests now, callers retry after the first
         # pause ends.
         pause_s = min(
-            self._pause_left_s(entry.service)
+            self._parts.selector.pause_left_s(entry.service)
             for entry in pending.permission.route.services
         )
         return pause_s + retry_delay_s(
             pending.permission.route, self._random.random()
         )
 
-    def _pause_left_s(self, service: str) -> float:
-        servers = self._parts.store_view.servers
-        usable = [server.entry for server in servers.usable(service)]
-        if not usable:
-            return servers.pause_left_s(service)
-        return self._parts.permits.pause_left_s(usable)
-
-
-def _check_caller(pending: PendingRequest) -> None:
-    # A busy router may read a request after its caller has disconnected.
-    if pending.call.has_disconnected():
-        raise CallerDisconnected
-
 
 def _refreshed(
     pending: PendingRequest, refresh: RefreshPermission
@@ -364,21 +243,6 @@
         raise RequestError('server_failed', failure.message, 'unknown')
 
 
-def _candidate(server: Server, now_s: float) -> Candidate:
-    return Candidate(
-        server.entry.id,
-        server.entry.failure_domain,
-        server.load(now_s),
-        server.waiting(now_s),
-        server.entry.slots,
-        server.pending_prefill_tokens,
-        server.failures(now_s),
-        server.health.ejected,
-        server.is_due(now_s),
-        server.entry.cold_s > 0,
-    )
-
-
 def _deadline_error(pending: PendingRequest) -> RequestError:
     if pending.may_have_run or pending.sent_count:
         return RequestError(
--- a/eelgrassfork/gateway/sending.py
+++ b/eelgrassfork/gateway/sending.py
@@ -10,7 +10,7 @@
 import trio
 
 from ..errors import EelgrassError, RequestError
-from ..http_server import Call
+from ..http_server import Call, CallerDisconnected
 from .configuration import Permission
 from .event_relay import EventRelay
 from .records import AnswerHead, ForwardHead
@@ -161,6 +161,17 @@
         """Ids of the servers that were tried."""
         return frozenset(attempt.server.entry.id for attempt in self.attempts)
 
+    def check_caller(self) -> None:
+        """
+        Check that the caller still waits for the answer.
+
+        A busy router may read a request after its caller has disconnected.
+
+        :raises CallerDisconnected: if the caller is gone.
+        """
+        if self.call.has_disconnected():
+            raise CallerDisconnected
+
     def spent_tokens(self) -> int:
         """
         Count the tokens that the request has used.
--- a/tests/simulated_callers.py
+++ b/tests/simulated_callers.py
@@ -22,6 +22,7 @@
     WeightedService,
 )
 from eelgrassfork.gateway.retry_budget import FleetRetryPolicy
+from eelgrassfork.gateway.selection import Selector, SelectorParts
 from eelgrassfork.gateway.sender import Sender, SenderParts
 from eelgrassfork.gateway.sending import PendingRequest
 from eelgrassfork.gateway.telemetry import Telemetry
@@ -259,14 +260,16 @@
                 decode_response,
             )
         )
+        selector = Selector(
+            SelectorParts(
+                member.store_view, member.limits, member.permits, router.domain
+            )
+        )
         return Sender(
             SenderParts(
                 exchange,
-                member.store_view,
-                member.limits,
-                member.permits,
+                selector,
                 Telemetry(),
-                router.domain,
                 FleetRetryPolicy(0.2, 10, 58),
                 lambda: member.roster.known_router_count,
             )
