Drop what is kept of keepers that did not answer

Found by reading: the times until which keepers are not called were kept for good. Expired ones are dropped with those of servers now. 18 tests passed.

--- a/eelgrassfork/gateway/send_permits.py
+++ b/eelgrassfork/gateway/send_permits.py
@@ -182,7 +182,7 @@
         return msgspec.msgpack.encode(self._decide(request))
 
     def discard_expired(self) -> None:
-        """Drop what is kept of servers without a limit."""
+        """Drop what is kept of servers without a limit, and of keepers."""
         limited = {
             str(record['server']) for record in self._parts.limits.dump()
         }
@@ -190,6 +190,12 @@
             self._refusals_by_id.pop(server_id)
         for server_id in self._clocks_by_id.keys() - limited:
             self._clocks_by_id.pop(server_id)
+        now_s = trio.current_time()
+        self._skipped_until_by_node = {
+            node: skipped_until
+            for node, skipped_until in self._skipped_until_by_node.items()
+            if now_s < skipped_until
+        }
 
     def dump(self) -> list[dict[str, object]]:
         """
@@ -229,11 +235,8 @@
     def _is_skipped(self, node: str) -> bool:
         # A request that may go to several servers of a domain waits for its
         # keeper only once.
-        skipped_until = self._skipped_until_by_node.pop(node, 0)
-        if trio.current_time() >= skipped_until:
-            return False
-        self._skipped_until_by_node[node] = skipped_until
-        return True
+        skipped_until = self._skipped_until_by_node.get(node, 0)
+        return trio.current_time() < skipped_until
 
     async def _call(self, keeper: Peer, request: PermitRequest) -> Decision:
         timeout_s = (
--- a/tests/test_gateway_send_permits.py
+++ b/tests/test_gateway_send_permits.py
@@ -151,6 +151,24 @@
         self.assertEqual((True, 0), run(main))
 
 
+class ExpiryTests(testtools.TestCase):
+    def test_nothing_is_kept_of_servers_and_keepers_of_the_past(self):
+        async def main():
+            setting = Setting(Peer(None))
+            permits = setting.permits
+            await permits.take(ENTRY, 0)
+            await setting.serve(setting.request(domain='d0'))
+            await trio.sleep(1)
+            await setting.serve(setting.request(domain='d0'))
+            now_s = trio.current_time()
+            setting.limits.observe(ENTRY, NamedLimit(), now_s)
+            permits.discard_expired()
+            kept = permits._refusals_by_id, permits._skipped_until_by_node
+            return kept, permits.dump()
+
+        self.assertEqual((({}, {}), []), run(main))
+
+
 class GrantingTests(testtools.TestCase):
     def test_only_the_elected_keeper_grants(self):
         async def main():
