Forget the limits of servers that are gone

Limits of servers that were gone, and limits that had been withdrawn, were reported for good. Change: an age is taken over once for each change; only limits of servers that the router knows are taken over, and they end with the server; withdrawn ones end a minute after this router heard of it. A keeper that does not know the server keeps the limit that the request names.

--- a/eelgrassfork/gateway/fleet_member.py
+++ b/eelgrassfork/gateway/fleet_member.py
@@ -100,7 +100,9 @@
             parts.store, self.store_view, decoders, self.roles
         )
         self.exchange.on_failure = self._on_exchange_failure
-        self.limits = LimitTable(self.gossip.send_now)
+        self.limits = LimitTable(
+            self.gossip.send_now, self.store_view.servers.is_known
+        )
         self.gossip.get_limits = self.limits.notices
         self.gossip.on_limits = self.limits.merge
         self.permits = SendPermits(
@@ -134,9 +136,8 @@
 
     def discard_expired(self) -> None:
         """Drop servers that are gone, and limits that have ended."""
-        servers = self.store_view.servers
-        servers.discard_expired()
-        self.limits.discard_expired({entry.id for entry in servers.entries})
+        self.store_view.servers.discard_expired()
+        self.limits.discard_expired()
         self.permits.discard_expired()
 
     def close(self) -> None:
--- a/eelgrassfork/gateway/limit_table.py
+++ b/eelgrassfork/gateway/limit_table.py
@@ -7,7 +7,7 @@
 
 import math
 import random
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
 import logbook
@@ -30,7 +30,8 @@
 _SAMPLE_SIZE: Final = 4
 # No server changes its limit as often.
 _MAX_VERSION: Final = 1_000_000_000
-# Longer than routers are usually cut off from each other.
+# Longer than routers are usually cut off from each other, so that an older
+# report does not bring back a limit that was withdrawn.
 _RETENTION_S: Final = 60.0
 
 
@@ -41,7 +42,8 @@
     :param per_s: requests a second from all routers together; ``None`` once
         the server names no limit any more.
     :param version: increases with each change that a router observes.
-    :param observed_at: when an answer last confirmed it, on trio's clock.
+    :param observed_at: when an answer last confirmed it, as far as this router
+        knows, on trio's clock.
     :param changed_at: when this router learned of the current value.
     """
 
@@ -57,10 +59,14 @@
     Limits of the servers that named one, by the id of the server.
 
     :param on_first: called when a server has begun to name a limit.
+    :param is_server: returns whether this router knows a server.
     """
 
-    def __init__(self, on_first: Callable[[], None]) -> None:
+    def __init__(
+        self, on_first: Callable[[], None], is_server: Callable[[str], bool]
+    ) -> None:
         self._on_first = on_first
+        self._is_server = is_server
         self._random = random.Random()
         self._by_id: dict[str, KnownLimit] = {}
 
@@ -77,15 +83,16 @@
             return None
         return known if known.incarnation >= entry.incarnation else None
 
-    def rate_of(self, server_id: str) -> float | None:
+    def rate_of(self, notice: LimitNotice) -> float | None:
         """
-        Look up the limit of the newest known incarnation of a server.
+        Look up the limit of a server that another router knows of.
 
-        :param server_id: id of the server.
-        :returns: requests a second, ``None`` without a limit.
+        :param notice: limit that the other router knows.
+        :returns: requests a second of the newest known incarnation, ``None``
+            once the limit was withdrawn.
         """
-        known = self._by_id.get(server_id)
-        return None if known is None else known.per_s
+        known = self._by_id.get(notice.server_id)
+        return notice.per_s if known is None else known.per_s
 
     @property
     def count(self) -> int:
@@ -124,7 +131,9 @@
         """
         Apply limits that another router reports.
 
-        Of two changes with the same version, the lower limit counts.
+        Of two changes with the same version, the lower limit counts.  Routers
+        would report the limits of servers that are gone to each other for
+        good, so that only those of known servers are taken over.
 
         :param notices: limits that the router knows.
         :param source: VM of the router, for the log.
@@ -137,21 +146,17 @@
                     extra={'server': notice.server_id, 'source': source},
                 )
                 continue
-            observed_at = now_s - max(0, notice.age_ms) / _MS_PER_S
             known = self._by_id.get(notice.server_id)
-            if _supersedes(notice, known):
+            is_newer = _supersedes(notice, known)
+            if is_newer and self._is_server(notice.server_id):
                 newest = KnownLimit(
                     notice.incarnation,
                     notice.per_s,
                     notice.version,
-                    observed_at,
+                    now_s - max(0, notice.age_ms) / _MS_PER_S,
                     now_s,
                 )
                 self._change(notice.server_id, newest, source)
-            elif known is not None and _is_same(notice, known):
-                self._by_id[notice.server_id] = known._replace(
-                    observed_at=max(known.observed_at, observed_at)
-                )
 
     def notice_of(self, entry: ServerEntry) -> LimitNotice | None:
         """
@@ -186,16 +191,12 @@
             for server_id in chosen
         )
 
-    def discard_expired(self, server_ids: Collection[str]) -> None:
-        """
-        Drop limits that have ended, and those of servers that are gone.
-
-        :param server_ids: ids of the known servers.
-        """
+    def discard_expired(self) -> None:
+        """Drop limits that have ended, and those of servers that are gone."""
         oldest = trio.current_time() - _RETENTION_S
         for server_id, known in list(self._by_id.items()):
-            has_ended = known.per_s is None or server_id not in server_ids
-            if has_ended and known.observed_at < oldest:
+            has_ended = known.per_s is None and known.changed_at < oldest
+            if has_ended or not self._is_server(server_id):
                 self._by_id.pop(server_id)
 
     def dump(self) -> list[dict[str, object]]:
@@ -266,14 +267,6 @@
     return order > known_order
 
 
-def _is_same(notice: LimitNotice, known: KnownLimit) -> bool:
-    return (notice.incarnation, notice.version, notice.per_s) == (
-        known.incarnation,
-        known.version,
-        known.per_s,
-    )
-
-
 def _is_outdated(
     known: KnownLimit | None,
     entry: ServerEntry,
--- a/eelgrassfork/gateway/send_permits.py
+++ b/eelgrassfork/gateway/send_permits.py
@@ -278,7 +278,7 @@
         ):
             self._clocks_by_id.pop(server_id, None)
             return _REFUSED
-        per_s = self._parts.limits.rate_of(server_id)
+        per_s = self._parts.limits.rate_of(request.notice)
         if per_s is None:
             return Decision(granted=True, delay_s=0)
         now_s = trio.current_time()
--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -214,6 +214,15 @@
             if server.expires_at is None
         )
 
+    def is_known(self, server_id: str) -> bool:
+        """
+        Check whether a server is known, even if its entry was just removed.
+
+        :param server_id: id of the server.
+        :returns: ``False`` once it has expired.
+        """
+        return server_id in self._by_id
+
     def usable(self, service: str) -> list[Server]:
         """
         List the servers that may receive requests now.
--- a/tests/test_gateway_limit_table.py
+++ b/tests/test_gateway_limit_table.py
@@ -18,8 +18,11 @@
 NONE = NamedLimit()
 
 
-def do_nothing():
-    pass
+def make_table(servers=None):
+    """Create a table of a router that knows all servers, or the given ones."""
+    return LimitTable(
+        lambda: None, lambda name: servers is None or name in servers
+    )
 
 
 def rate(table, entry=ENTRY):
@@ -32,7 +35,7 @@
         """Apply answers as pairs of sending time and limit; return limits."""
 
         async def main():
-            table = LimitTable(do_nothing)
+            table = make_table()
             limits = []
             start = trio.current_time()
             for sent_at, limit in answers:
@@ -66,7 +69,7 @@
 class IncarnationTests(testtools.TestCase):
     def test_limit_ends_with_the_incarnation_that_named_it(self):
         async def main():
-            table = LimitTable(do_nothing)
+            table = make_table()
             table.observe(ENTRY, NamedLimit(2), 0)
             restarted = ENTRY._replace(incarnation=200)
             return rate(table), rate(table, restarted)
@@ -75,7 +78,7 @@
 
     def test_answers_of_an_older_incarnation_are_ignored(self):
         async def main():
-            table = LimitTable(do_nothing)
+            table = make_table()
             table.observe(ENTRY, NamedLimit(2), 0)
             former = ENTRY._replace(incarnation=50)
             await trio.sleep(1)
@@ -88,7 +91,7 @@
 class MergeTests(testtools.TestCase):
     def merge(self, *notices, learned=NamedLimit(2)):
         async def main():
-            table = LimitTable(do_nothing)
+            table = make_table()
             if learned is not None:
                 table.observe(ENTRY, learned, trio.current_time())
             for version, per_s in notices:
@@ -111,7 +114,7 @@
 
     def test_own_change_supersedes_what_peers_reported(self):
         async def main():
-            table = LimitTable(do_nothing)
+            table = make_table()
             table.merge((LimitNotice('s1', 100, 8, 2, 0),), 'n1')
             await trio.sleep(1)
             table.observe(ENTRY, NamedLimit(3), trio.current_time())
@@ -126,7 +129,7 @@
 
     def test_reports_are_bounded_and_favour_changes(self):
         async def main():
-            table = LimitTable(do_nothing)
+            table = make_table()
             for number in range(900):
                 entry = ENTRY._replace(id=f'old{number}')
                 table.observe(entry, NamedLimit(2), 0)
@@ -137,23 +140,43 @@
 
         self.assertEqual((5, 's1'), run(main))
 
-    def test_limits_of_servers_that_are_gone_are_dropped(self):
+    def test_limits_of_servers_that_are_gone_are_not_passed_around(self):
         async def main():
-            table = LimitTable(do_nothing)
-            table.observe(ENTRY, NamedLimit(2), 0)
-            await trio.sleep(61)
-            table.discard_expired({'s1'})
-            kept = table.count
-            table.discard_expired(set())
-            return kept, table.count
+            servers = {'s1'}
+            tables = make_table(servers), make_table(servers)
+            tables[0].observe(ENTRY, NamedLimit(2), 0)
+            tables[1].merge(tables[0].notices(), 'n0')
+            counts = [tables[1].count]
+            servers.clear()
+            for _ in range(3):
+                tables[0].discard_expired()
+                tables[0].merge(tables[1].notices(), 'n1')
+            counts.append(tables[0].count)
+            return counts
+
+        self.assertEqual([1, 0], run(main))
+
+    def test_withdrawn_limits_are_dropped_however_often_they_are_reported(self):
+        async def main():
+            tables = make_table(), make_table()
+            for limit in (NamedLimit(2), NONE):
+                tables[0].observe(ENTRY, limit, trio.current_time())
+                tables[1].merge(tables[0].notices(), 'n0')
+                await trio.sleep(1)
+            for _ in range(62):
+                await trio.sleep(1)
+                for one, other in (tables, tables[::-1]):
+                    one.discard_expired()
+                    other.merge(one.notices(), 'n')
+            return [table.notices() for table in tables]
 
-        self.assertEqual((1, 0), run(main))
+        self.assertEqual([(), ()], run(main))
 
 
 class DumpTests(testtools.TestCase):
     def test_operators_see_limit_and_age(self):
         async def main():
-            table = LimitTable(do_nothing)
+            table = make_table()
             table.observe(ENTRY, NamedLimit(2), trio.current_time())
             await trio.sleep(1.5)
             return table.dump(), table.count
--- a/tests/test_gateway_send_permits.py
+++ b/tests/test_gateway_send_permits.py
@@ -33,10 +33,6 @@
 OWN = NodeIdentity('n0', '10.0.0.9', 'd0')
 
 
-def do_nothing():
-    pass
-
-
 def make_roster(*peers):
     """Create a settled roster from pairs of VM and failure domain."""
     heartbeat = Heartbeat('n0', '10.0.0.9', 1, 'd0')
@@ -74,7 +70,7 @@
     """Permits of one router whose server names a limit of 2 a second."""
 
     def __init__(self, peer=None, peers=(('n1', 'd1'),)):
-        self.limits = LimitTable(do_nothing)
+        self.limits = LimitTable(lambda: None, lambda server_id: True)
         self.limits.observe(ENTRY, NamedLimit(2), trio.current_time())
         self.roster = make_roster(*peers)
         parts = SendPermitsParts(
@@ -224,10 +220,23 @@
             request = setting.request(per_s=1)
             notice = request.notice._replace(version=7)
             await setting.serve(request._replace(notice=notice))
-            return setting.limits.rate_of('s1')
+            return setting.limits.limit_of(ENTRY).per_s
 
         self.assertEqual(1, run(main))
 
+    def test_keeper_that_does_not_know_the_server_keeps_the_limit(self):
+        async def main():
+            setting = Setting(peers=(('n1', 'd0'),))
+            request = setting.request(domain='d0')
+            notice = request.notice._replace(server_id='unknown')
+            setting.limits.merge = lambda *report: None
+            request = request._replace(notice=notice)
+            await setting.serve(request)
+            await trio.sleep(1)
+            return [(await setting.serve(request)).granted for _ in range(9)]
+
+        self.assertEqual({False}, set(run(main)))
+
     def test_malformed_request_is_refused(self):
         async def main():
             setting = Setting()
