--- a/eelgrassfork/gateway/exchange.py
+++ b/eelgrassfork/gateway/exchange.py
@@ -177,7 +177,7 @@
             head.target,
             (*head.headers, *self._parts.encode_metadata(metadata)),
             pending.call.body,
-            # A request that is sent once more would exceed a limit.
+            # The server counts a resent request twice against its limit.
             no_resend=not permission.route.repeatable
             or attempt.limit_per_s is not None,
             host=head.host_header,
--- a/eelgrassfork/gateway/heartbeats.py
+++ b/eelgrassfork/gateway/heartbeats.py
@@ -144,8 +144,8 @@
     """
     Limits of servers that a router knows, sent beside its heartbeats.
 
-    It is a message of its own, as routers without limits accept no heartbeat
-    with more fields.
+    It is a message of its own, as former builds accept no heartbeat with more
+    fields.
 
     :ivar node: VM of the router.
     """
--- a/eelgrassfork/gateway/limit_table.py
+++ b/eelgrassfork/gateway/limit_table.py
@@ -28,7 +28,7 @@
 _MAX_FRESH_NOTICES: Final = 16
 # Older limits, for routers that have just started or were cut off.
 _SAMPLE_SIZE: Final = 4
-# No server changes its limit as often.
+# Bounds the versions that peers report; no server changes its limit as often.
 _MAX_VERSION: Final = 1_000_000_000
 # Longer than routers are usually cut off from each other, so that an older
 # report does not bring back a limit that was withdrawn.
--- a/eelgrassfork/gateway/permit_clock.py
+++ b/eelgrassfork/gateway/permit_clock.py
@@ -9,7 +9,7 @@
 
 __all__ = ('Decision', 'PermitClock')
 
-# Requests that may be sent at once after a time without any.
+# Permits that may be used at once after a time without requests.
 _BURST: Final = 2
 # Routers that were refused ask again at a rate that does not grow with their
 # number: about this many times for each permit.
--- a/eelgrassfork/gateway/send_permits.py
+++ b/eelgrassfork/gateway/send_permits.py
@@ -110,7 +110,7 @@
 
     def is_open(self, entry: ServerEntry, wait_s: float) -> bool:
         """
-        Check whether a request may be meant for a server.
+        Check whether a server may be chosen for a request now.
 
         :param entry: entry of the server.
         :param wait_s: longest time for which the request can wait.
--- a/tests/simulated_callers.py
+++ b/tests/simulated_callers.py
@@ -243,6 +243,7 @@
         """Return the sender of the router's present process."""
         sender = self.senders_by_member.get(router.member)
         if sender is None:
+            # A new process has not passed on any limit yet.
             for server in self.servers:
                 server.told_at_by_node.pop(router.node, None)
             sender = self.make_sender(router)
--- a/tests/test_gateway_server_limits.py
+++ b/tests/test_gateway_server_limits.py
@@ -51,13 +51,13 @@
     ]
 
 
-async def name_limits(fleet, limits, limit, priorities=(5,), total=6):
+async def name_limits(fleet, count, limit, priorities=(5,), total=6):
     """Let some servers name a limit, and wait until the rule counts."""
     servers = make_servers(fleet, total)
     callers = Callers(fleet, servers, priorities)
     await callers.start(requests_per_s=5)
     await trio.sleep(2)
-    for server in servers[:limits]:
+    for server in servers[:count]:
         server.limit = limit
     await trio.sleep(CONTACT_S)
     return servers, callers
@@ -120,16 +120,14 @@
     )
 
 
-def with_fault(fault, limit, limits):
+def with_fault(fault, limit, count):
     """Play a fault while servers name a limit; return requests in 4 s."""
 
     async def scenario(fleet):
-        servers, _ = await name_limits(fleet, limits, limit)
+        servers, _ = await name_limits(fleet, count, limit)
         start_at = trio.current_time()
         await fault(fleet)
-        return max(
-            server.most_requests(start_at) for server in servers[:limits]
-        )
+        return max(server.most_requests(start_at) for server in servers[:count])
 
     return scenario
 
@@ -153,9 +151,9 @@
         )
         for seed in FAULT_SEEDS:
             for fault in faults:
-                for shape, limits in ((SMALL, 1), (MEDIUM, 6)):
-                    most = play(shape, seed, with_fault(fault, '2', limits))
-                    label = f'seed {seed}, {fault.__name__}, {limits} limits'
+                for shape, count in ((SMALL, 1), (MEDIUM, 6)):
+                    most = play(shape, seed, with_fault(fault, '2', count))
+                    label = f'seed {seed}, {fault.__name__}, {count} limits'
                     self.assertLessEqual(most, allowed_requests(2), label)
 
     def test_limit_below_the_number_of_routers_is_kept_and_used(self):
