Show prompt parts and ended servers in logs and metrics

Nothing related a crash of a server to any part of a prompt, and a lost connection also stood for a reset, a cut link or a planned stop. Lines of requests have the parts; a router that loses a connection to a server opens a new one, and logs and counts the server as ended if that is refused.

The additional connection is kept in the pool.

--- a/eelgrassfork/gateway/exchange.py
+++ b/eelgrassfork/gateway/exchange.py
@@ -29,6 +29,7 @@
 from .limit_table import LimitTable
 from .records import AnswerHead, Headers
 from .sending import Attempt, AttemptFailed, ErrorAnswer, PendingRequest
+from .server_crashes import CrashDetector
 from .servers import Server
 from .timeouts import WaitContext, event_gap_timeout_s, first_byte_timeout_s
 
@@ -70,6 +71,7 @@
     :param client: HTTP client for servers.
     :param store_view: state of servers and configuration.
     :param limits: limits that servers name in their answers.
+    :param crashes: detects servers that ended.
     :param encode_metadata: encodes metadata as headers.
     :param decode_response: decodes status and headers of an answer.
     """
@@ -77,6 +79,7 @@
     client: HttpClient
     store_view: StoreView
     limits: LimitTable
+    crashes: CrashDetector
     encode_metadata: Callable[[ForwardMetadata], Headers]
     decode_response: Callable[[int, Headers], AnswerHead]
 
@@ -125,7 +128,7 @@
         try:
             return await self._relay(pending, attempt, response, claim_failover)
         except HttpClientError as error:
-            raise self._connection_failure(attempt, error) from None
+            raise await self._connection_failure(attempt, error) from None
         except (EventsMissing, EventTooLarge) as error:
             self._record_failure(attempt)
             raise AttemptFailed(
@@ -157,7 +160,7 @@
             )
         except HttpClientError as error:
             attempt.maybe_sent = error.sent
-            raise self._connection_failure(attempt, error) from None
+            raise await self._connection_failure(attempt, error) from None
 
     def _encode(
         self, pending: PendingRequest, attempt: Attempt
@@ -327,10 +330,13 @@
             return 1
         return service.engine.tokens_per_event
 
-    def _connection_failure(
+    async def _connection_failure(
         self, attempt: Attempt, error: HttpClientError
     ) -> AttemptFailed:
         self._record_failure(attempt, isinstance(error, ConnectFailed))
+        attempt.server_ended = await self._parts.crashes.has_ended(
+            attempt.server, error
+        )
         silent = isinstance(error, ReceiveTimeout)
         return AttemptFailed(
             'silent' if silent else error.code,
--- a/eelgrassfork/gateway/forwarder.py
+++ b/eelgrassfork/gateway/forwarder.py
@@ -228,6 +228,7 @@
                 'version': self._parts.store_view.configuration.version,
                 'version_age_s': self._parts.store_view.configuration.age_s,
                 'tokens': pending.head.max_total_tokens,
+                'parts': [part.id for part in pending.head.parts],
                 'events': pending.relay.events,
                 'held_back': pending.held_back,
                 'sends': [attempt.log_fields() for attempt in pending.attempts],
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -30,6 +30,7 @@
 from .roster import count_possible_routers
 from .selection import Selector, SelectorParts
 from .sender import Sender, SenderParts
+from .server_crashes import CrashDetector
 from .status_pages import StatusPages
 from .store import Store
 from .telemetry import Telemetry
@@ -277,11 +278,14 @@
         )
 
     def _make_sender(self) -> Sender:
+        crashes = CrashDetector(self._server_http_client)
+        crashes.count_crash = self.telemetry.count_crash
         exchange = Exchange(
             ExchangeParts(
                 self._server_http_client,
                 self._store_view,
                 self._member.limits,
+                crashes,
                 self._adapter.encode_metadata,
                 self._adapter.decode_response,
             ),
--- a/eelgrassfork/gateway/sending.py
+++ b/eelgrassfork/gateway/sending.py
@@ -55,6 +55,7 @@
     :ivar limit_per_s: limit that the server had named, ``None`` without one.
     :ivar outcome: how the attempt ended, for logs and metrics.
     :ivar maybe_sent: whether any byte may have been sent.
+    :ivar server_ended: whether the server ended under the request.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         self.load_age_s = server.load_age_s(trio.current_time())
         self.outcome = 'unknown'
         self.maybe_sent = False
+        self.server_ended = False
         self.started_at = trio.current_time()
         self._prefill_tokens = prompt_tokens
         self._is_prefilled = False
@@ -103,6 +105,7 @@
             'load_age_s': round(self.load_age_s, 1),
             'limit_per_s': self.limit_per_s,
             'outcome': self.outcome,
+            'server_ended': self.server_ended,
         }
 
 
--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -54,6 +54,8 @@
     :ivar expires_at: when to stop using the server; ``None`` while its entry
         exists.
     :ivar paused_until: end of the pause that the server requested.
+    :ivar ended_at: when it was found to have ended with requests in progress,
+        on trio's clock; ``None`` while it runs.
     """
 
     def __init__(self, entry: ServerEntry) -> None:
@@ -63,6 +65,7 @@
         self.pending_prefill_tokens = 0
         self.expires_at: float | None = None
         self.paused_until: float = 0
+        self.ended_at: float | None = None
         self.health = ServerHealth()
         self.latency_s: float | None = None
         self._other_requests: float = 0
@@ -171,6 +174,7 @@
             )
         self._failures = self.failures(now_s) * _SUCCESS_FACTOR
         self._failed_at = now_s
+        self.ended_at = None
         self.health = ServerHealth()
 
     def record_failure(
--- a/eelgrassfork/gateway/telemetry.py
+++ b/eelgrassfork/gateway/telemetry.py
@@ -76,6 +76,13 @@
             _PREFIX,
             registry=registry,
         )
+        self._server_crashes = Counter(
+            'server_crashes',
+            'Backend servers that ended with requests in progress, by service.',
+            ('service',),
+            _PREFIX,
+            registry=registry,
+        )
         self._store_calls = Counter(
             'store_calls',
             'Calls of the store by outcome.',
@@ -124,6 +131,14 @@
         """
         self._permits.labels(outcome).inc()
 
+    def count_crash(self, service: str) -> None:
+        """
+        Count a backend server that ended with requests in progress.
+
+        :param service: service of the server.
+        """
+        self._server_crashes.labels(service).inc()
+
     def add_gauge(
         self, name: str, description: str, read: Callable[[], float]
     ) -> None:
--- a/eelgrassfork/http_client.py
+++ b/eelgrassfork/http_client.py
@@ -19,6 +19,7 @@
     'ClientRequest',
     'ClientTimeouts',
     'ConnectFailed',
+    'ConnectRefused',
     'ReceiveTimeout',
     'HttpClient',
     'HttpClientError',
@@ -61,6 +62,10 @@
     """
 
 
+class ConnectRefused(ConnectFailed):
+    """The host is reachable, and no process listens at the address."""
+
+
 class ConnectionLost(HttpClientError):
     """The connection broke, or the peer violated the protocol."""
 
@@ -424,6 +429,16 @@
             await response.close()
         return response, body
 
+    async def preconnect(self, address: str, connect_s: float) -> None:
+        """
+        Open a connection, and keep it for a later request.
+
+        :param address: ``ip:port``.
+        :param connect_s: time-out in seconds.
+        :raises ConnectFailed: if no connection could be opened.
+        """
+        await self.release(address, await self._open(address, connect_s))
+
     async def release(self, address: str, connection: _Connection) -> None:
         """
         Return a connection to the pool.
@@ -470,6 +485,10 @@
         with trio.move_on_after(connect_s):
             try:
                 return await self._connect(host, int(port))
+            except ConnectionRefusedError as error:
+                raise ConnectRefused(
+                    'connect_failed', f'{address}: {error}', sent=False
+                ) from None
             except OSError as error:
                 raise ConnectFailed(
                     'connect_failed', f'{address}: {error}', sent=False
--- a/eelgrassfork/transport.py
+++ b/eelgrassfork/transport.py
@@ -189,4 +189,15 @@
     return BoundListeners(listeners[0].address, listeners)
 
 
-TCP: Final = Transport(trio.open_tcp_stream, _listen_tcp)
+async def _connect_tcp(host: str, port: int) -> trio.abc.Stream:
+    try:
+        return await trio.open_tcp_stream(host, port)
+    except OSError as error:
+        # An IP address is tried once; only the cause says how that failed.
+        cause = error.__cause__
+        if isinstance(cause, ExceptionGroup):
+            cause = cause.exceptions[0]
+        raise (cause if isinstance(cause, OSError) else error) from None
+
+
+TCP: Final = Transport(_connect_tcp, _listen_tcp)
--- a/tests/simulated_callers.py
+++ b/tests/simulated_callers.py
@@ -25,6 +25,7 @@
 from eelgrassfork.gateway.selection import Selector, SelectorParts
 from eelgrassfork.gateway.sender import Sender, SenderParts
 from eelgrassfork.gateway.sending import PendingRequest
+from eelgrassfork.gateway.server_crashes import CrashDetector
 from eelgrassfork.gateway.telemetry import Telemetry
 from eelgrassfork.http_client import ConnectFailed
 from eelgrassfork.platform.__main__ import _encode_metadata
@@ -252,11 +253,13 @@
 
     def make_sender(self, router):
         member = router.member
+        client = ServerClient(router, self.servers_by_address)
         exchange = Exchange(
             ExchangeParts(
-                ServerClient(router, self.servers_by_address),
+                client,
                 member.store_view,
                 member.limits,
+                CrashDetector(client),
                 _encode_metadata,
                 decode_response,
             )
