--- a/tests/simulated_callers.py
+++ b/tests/simulated_callers.py
@@ -251,9 +251,12 @@
             self.senders_by_member[router.member] = sender
         return sender
 
+    def make_client(self, router):
+        return ServerClient(router, self.servers_by_address)
+
     def make_sender(self, router):
         member = router.member
-        client = ServerClient(router, self.servers_by_address)
+        client = self.make_client(router)
         exchange = Exchange(
             ExchangeParts(
                 client,
