Refuse requests with a prompt part that ends its servers

Callers saw requests of one kind end one backend server after the other, and everything beside them fail. No router remembered which requests were at a server when it ended or told the others, and a request whose server ended was sent to the next one: half of the sends were repeats.

Routers report the parts of requests that were at a server when it ended, and refuse requests with a part that explains the crashes better than servers that end by themselves (a cumulative sum of log-likelihood ratios). A complete answer to a request with the part clears it. Parts that were at the same crashes are refused only together. What waits at servers is cancelled, a repeat goes to the least loaded server, and after two crashes none is sent.

Ruled out: one router that decides for all, counting crashes alone, refusing all requests that were at crashes, all repeats (docs/platform.md).

--- a/eelgrassfork/gateway/exchange.py
+++ b/eelgrassfork/gateway/exchange.py
@@ -27,6 +27,7 @@
 from .event_relay import EventsMissing
 from .follower import StoreView
 from .limit_table import LimitTable
+from .part_quarantine import PartQuarantine
 from .records import AnswerHead, Headers
 from .sending import Attempt, AttemptFailed, ErrorAnswer, PendingRequest
 from .server_crashes import CrashDetector
@@ -72,6 +73,7 @@
     :param store_view: state of servers and configuration.
     :param limits: limits that servers name in their answers.
     :param crashes: detects servers that ended.
+    :param quarantine: records under which requests they did.
     :param encode_metadata: encodes metadata as headers.
     :param decode_response: decodes status and headers of an answer.
     """
@@ -80,6 +82,7 @@
     store_view: StoreView
     limits: LimitTable
     crashes: CrashDetector
+    quarantine: PartQuarantine
     encode_metadata: Callable[[ForwardMetadata], Headers]
     decode_response: Callable[[int, Headers], AnswerHead]
 
@@ -128,7 +131,9 @@
         try:
             return await self._relay(pending, attempt, response, claim_failover)
         except HttpClientError as error:
-            raise await self._connection_failure(attempt, error) from None
+            raise await self._connection_failure(
+                pending, attempt, error
+            ) from None
         except (EventsMissing, EventTooLarge) as error:
             self._record_failure(attempt)
             raise AttemptFailed(
@@ -160,7 +165,9 @@
             )
         except HttpClientError as error:
             attempt.maybe_sent = error.sent
-            raise await self._connection_failure(attempt, error) from None
+            raise await self._connection_failure(
+                pending, attempt, error
+            ) from None
 
     def _encode(
         self, pending: PendingRequest, attempt: Attempt
@@ -209,6 +216,9 @@
             self._record_success(attempt)
             await pending.respond(answer, body)
         attempt.outcome = 'answered'
+        self._parts.quarantine.record_answer(
+            attempt.server.entry.service, pending.head.parts
+        )
         return None
 
     def _check_answer(
@@ -289,7 +299,7 @@
             if events:
                 incoming.progress_at = trio.current_time()
                 if not attempt.is_prefilled:
-                    attempt.mark_prefilled()
+                    attempt.mark_begun()
                     self._record_success(attempt)
                 await pending.relay_events(incoming.answer, events)
         if not relay.at_event_boundary:
@@ -331,12 +341,14 @@
         return service.engine.tokens_per_event
 
     async def _connection_failure(
-        self, attempt: Attempt, error: HttpClientError
+        self, pending: PendingRequest, attempt: Attempt, error: HttpClientError
     ) -> AttemptFailed:
         self._record_failure(attempt, isinstance(error, ConnectFailed))
         attempt.server_ended = await self._parts.crashes.has_ended(
             attempt.server, error
         )
+        if attempt.server_ended:
+            self._parts.quarantine.record_crash(attempt, pending.head.parts)
         silent = isinstance(error, ReceiveTimeout)
         return AttemptFailed(
             'silent' if silent else error.code,
--- a/eelgrassfork/gateway/fleet_member.py
+++ b/eelgrassfork/gateway/fleet_member.py
@@ -17,6 +17,7 @@
 from .heartbeats import Heartbeat
 from .limit_table import LimitTable
 from .node_settings import Bounds, NodeSettings
+from .part_quarantine import PartQuarantine
 from .peer_exchange import PeerExchange, should_pull
 from .roster import NodeIdentity
 from .send_permits import SendPermits, SendPermitsParts
@@ -103,8 +104,14 @@
         self.limits = LimitTable(
             self.gossip.send_now, self.store_view.servers.is_known
         )
-        self.gossip.get_limits = self.limits.notices
-        self.gossip.on_limits = self.limits.merge
+        self.quarantine = PartQuarantine(
+            self.store_view.servers.count, self.gossip.report_now
+        )
+        reports = self.gossip.reports
+        reports.get_limits = self.limits.notices
+        reports.on_limits = self.limits.merge
+        reports.get_parts = self.quarantine.suspects.notices
+        reports.on_parts = self.quarantine.merge
         self.permits = SendPermits(
             SendPermitsParts(
                 settings.node,
@@ -139,6 +146,7 @@
         self.store_view.servers.discard_expired()
         self.limits.discard_expired()
         self.permits.discard_expired()
+        self.quarantine.discard_expired()
 
     def close(self) -> None:
         """Stop exchanging heartbeats."""
--- a/eelgrassfork/gateway/forwarder.py
+++ b/eelgrassfork/gateway/forwarder.py
@@ -131,6 +131,7 @@
     async def _serve(self, pending: PendingRequest) -> None:
         head = pending.head
         name = pending.permission.organisation.name
+        self._parts.sender.check_quarantine(pending)
         limited = pending.permission.organisation.prepaid_tokens is not None
         reserved = head.max_total_tokens if limited else 0
         if reserved:
--- a/eelgrassfork/gateway/gossip.py
+++ b/eelgrassfork/gateway/gossip.py
@@ -5,6 +5,7 @@
 Exchanges heartbeats between routers over UDP.
 """
 
+import itertools
 import socket
 import time
 from collections.abc import Callable
@@ -17,7 +18,8 @@
 import trio
 
 from ..supervision import keep_running
-from .heartbeats import Heartbeat, LimitNotice, LimitReport
+from .fleet_reports import FleetReports
+from .heartbeats import FleetReport, Heartbeat
 from .peers import Peer
 from .roster import NodeIdentity, Roster
 from .standby import FleetTime
@@ -34,6 +36,8 @@
 _log = logbook.Logger('gossip')
 
 _INTERVAL_S: Final = 0.25
+# Bounds the reports that are sent at once, when many servers end together.
+_MIN_REPORT_INTERVAL_S: Final = 0.05
 _DATAGRAM_BYTES: Final = 8192
 # Maximum number of datagrams read at once, a few seconds of heartbeats.  An
 # iteration of a busy event loop takes longer than the interval between
@@ -118,9 +122,7 @@
     :param on_heartbeat: called with each received heartbeat that is not stale.
     :param open_socket: opens the socket.
     :ivar roster: known routers.
-    :ivar get_limits: returns the limits of servers to report.
-    :ivar on_limits: called with the limits that another router reports, and
-        the name of its VM.
+    :ivar reports: sent beside heartbeats.
     """
 
     def __init__(
@@ -132,17 +134,16 @@
         open_socket: OpenSocket = open_udp,
     ) -> None:
         self._open_socket = open_socket
-        self._node = own.node
         self._ip = own.ip
         self._port = port
         self._on_heartbeat = on_heartbeat
         self.roster = Roster(own, make_own_heartbeat)
         self._seed_ips: tuple[str, ...] = ()
         self._socket: DatagramSocket | None = None
-        self.get_limits: Callable[[], tuple[LimitNotice, ...]] = tuple
-        self.on_limits: Callable[[tuple[LimitNotice, ...], str], None] = _ignore
-        self._decoder = msgspec.msgpack.Decoder(Heartbeat | LimitReport)
+        self.reports = FleetReports(own.node)
+        self._decoder = msgspec.msgpack.Decoder(Heartbeat | FleetReport)
         self._send_requested = trio.Event()
+        self._report_requested = trio.Event()
 
     async def start(self, nursery: trio.Nursery) -> None:
         """
@@ -155,6 +156,7 @@
         for name, work in (
             ('receive heartbeats', partial(self._receive, opened)),
             ('send heartbeats', partial(self._send, opened)),
+            ('send reports', partial(self._send_reports, opened)),
         ):
             nursery.start_soon(keep_running, name, work)
 
@@ -177,6 +179,10 @@
         """Send the next heartbeat without waiting for the interval."""
         self._send_requested.set()
 
+    def report_now(self) -> None:
+        """Send a report to the next recipients without a heartbeat."""
+        self._report_requested.set()
+
     def fleet_time(self) -> FleetTime:
         """
         Compute the current median of the routers' clocks.
@@ -194,18 +200,28 @@
     async def _send(self, opened: DatagramSocket) -> None:
         while True:
             targets = self.roster.choose_targets(self._seed_ips)
-            limits = self._encode_limits()
+            reports = self.reports.encode()
             for failure_domain, ips in targets.items():
                 if ips:
                     body = _encode(
                         self.roster.make_heartbeat(failure_domain, False)
                     )
                 for ip in ips:
-                    self._send_all(opened, ip, (body, *limits))
+                    self._send_all(opened, ip, (body, *reports))
             with trio.move_on_after(_INTERVAL_S):
                 await self._send_requested.wait()
             self._send_requested = trio.Event()
 
+    async def _send_reports(self, opened: DatagramSocket) -> None:
+        while True:
+            await self._report_requested.wait()
+            self._report_requested = trio.Event()
+            targets = self.roster.choose_targets(self._seed_ips)
+            reports = self.reports.encode()
+            for ip in itertools.chain.from_iterable(targets.values()):
+                self._send_all(opened, ip, reports)
+            await trio.sleep(_MIN_REPORT_INTERVAL_S)
+
     def _reply_to_joining(
         self, opened: DatagramSocket, heartbeat: Heartbeat
     ) -> None:
@@ -214,14 +230,7 @@
         )
         # Two joining routers must not reply to each other endlessly.
         body = _encode(reply._replace(is_joining=False))
-        self._send_all(opened, heartbeat.ip, (body, *self._encode_limits()))
-
-    def _encode_limits(self) -> tuple[bytes, ...]:
-        limits = self.get_limits()
-        if not limits:
-            return ()
-        report = LimitReport(node=self._node, limits=limits)
-        return (msgspec.msgpack.encode(report),)
+        self._send_all(opened, heartbeat.ip, (body, *self.reports.encode()))
 
     def _send_all(
         self, opened: DatagramSocket, ip: str, bodies: tuple[bytes, ...]
@@ -253,7 +262,7 @@
             _log.warning('dropped invalid heartbeat', extra={'why': str(error)})
             return None
         if not isinstance(message, Heartbeat):
-            self.on_limits(message['limits'], message['node'])
+            self.reports.apply(message)
             return None
         if not self.roster.apply_heartbeat(message):
             return None
@@ -277,10 +286,6 @@
         )
 
 
-def _ignore(limits: tuple[LimitNotice, ...], node: str) -> None:
-    """Ignore reported limits."""
-
-
 def describe_peers(peers: list[Peer]) -> list[dict[str, object]]:
     """
     Describe peers for the operators' status dump.
--- a/eelgrassfork/gateway/heartbeats.py
+++ b/eelgrassfork/gateway/heartbeats.py
@@ -8,10 +8,13 @@
 from typing import NamedTuple, TypedDict
 
 __all__ = (
+    'CrashMention',
     'DomainView',
+    'FleetReport',
     'Heartbeat',
     'LimitNotice',
     'LimitReport',
+    'PartNotice',
     'PeerSummary',
     'StoreRead',
 )
@@ -152,3 +155,45 @@
 
     node: str
     limits: tuple[LimitNotice, ...]
+
+
+class CrashMention(NamedTuple):
+    """
+    End of a backend server with requests in progress.
+
+    :param crash_id: checksum of the server's id and incarnation, so that all
+        routers that lost a request to it report the same crash.
+    :param servers: servers of the service at that time.
+    """
+
+    crash_id: int
+    age_ms: int
+    servers: int
+
+
+class PartNotice(NamedTuple):
+    """
+    Crashes at which requests with a certain part of a prompt were suspect.
+
+    :param crashes: newest crashes since the last complete answer to such a
+        request.
+    :param answered_age_ms: time since that answer; ``None`` without one.
+    :param seen_age_ms: time since the last crash, or since a request with the
+        part was last refused.
+    """
+
+    service: str
+    part_id: str
+    crashes: tuple[CrashMention, ...]
+    answered_age_ms: int | None
+    seen_age_ms: int
+
+
+class FleetReport(LimitReport, total=False):
+    """
+    What a router sends beside its heartbeats; former builds read the limits.
+
+    :ivar parts: parts of prompts that are suspect.
+    """
+
+    parts: tuple[PartNotice, ...]
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -121,6 +121,11 @@
             'Backend servers that name a limit.',
             lambda: self._member.limits.count,
         )
+        self.telemetry.add_gauge(
+            'quarantined_parts',
+            'Prompt parts that are likely to end servers.',
+            lambda: self._member.quarantine.count,
+        )
         self._member.permits.count_outcome = self.telemetry.count_permit
         self._roster = self._member.roster
         self._credit_exchange = CreditExchange(
@@ -255,6 +260,7 @@
             },
             'servers': self._store_view.servers.dump(),
             'limits': self._member.limits.dump(),
+            'quarantine': self._member.quarantine.dump(),
             'permits': self._member.permits.dump(),
             'peers': describe_peers(list(self._roster.peers.by_node.values())),
             'credit': self._credit.dump(),
@@ -286,6 +292,7 @@
                 self._store_view,
                 self._member.limits,
                 crashes,
+                self._member.quarantine,
                 self._adapter.encode_metadata,
                 self._adapter.decode_response,
             ),
@@ -305,6 +312,7 @@
                 self.telemetry,
                 _retry_policy(self._settings.bounds),
                 partial(count_possible_routers, self._roster),
+                self._member.quarantine,
             ),
         )
 
--- /dev/null
+++ b/eelgrassfork/gateway/part_quarantine.py
@@ -0,0 +1,262 @@
+"""
+eelgrassfork.gateway.part_quarantine
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Refuses requests with parts of prompts that are likely to end their servers.
+"""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Final, NamedTuple
+
+import logbook
+import trio
+
+from ..errors import RequestError
+from .crash_evidence import find_cause
+from .heartbeats import PartNotice
+from .records import PromptPart
+from .sending import Attempt
+from .suspect_parts import RETENTION_S, SuspectParts, shared_part_ids
+
+__all__ = ('PartQuarantine',)
+
+_log = logbook.Logger('quarantine')
+
+# An answer that began earlier than this shows that the server survived its
+# prompt.
+_SUSPECT_AFTER_BEGIN_S: Final = 0.5
+
+
+class _Guarded(NamedTuple):
+    part_ids: tuple[str, ...]
+    scope: trio.CancelScope
+
+
+class _Quarantined:
+    def __init__(self, since: float) -> None:
+        self.since = since
+        self.odds: float = 0
+        self.refused = 0
+
+
+class PartQuarantine:
+    """
+    Prompt parts that are likely to end servers, by service.
+
+    All routers apply the same rules to the same crashes, so that none has to
+    be asked.
+
+    :param count_servers: returns the number of servers of a service.
+    :param on_news: called when other routers should learn something at once.
+    """
+
+    def __init__(
+        self,
+        count_servers: Callable[[str], int],
+        on_news: Callable[[], None],
+    ) -> None:
+        self.suspects = SuspectParts()
+        self._count_servers = count_servers
+        self._on_news = on_news
+        self._by_service: dict[str, dict[str, _Quarantined]] = {}
+        self._guarded_by_service: dict[str, dict[Attempt, _Guarded]] = {}
+
+    @property
+    def count(self) -> int:
+        """Number of quarantined parts, of all services."""
+        return sum(map(len, self._by_service.values()))
+
+    def cause(self, service: str, parts: tuple[PromptPart, ...]) -> str | None:
+        """
+        Find the part for which a request must not be sent.
+
+        :param service: name of the service.
+        :param parts: parts of the prompt.
+        :returns: id of the part, ``None`` if the request may be sent.
+        """
+        if service not in self._by_service:
+            return None
+        return self._cause(service, shared_part_ids(parts))
+
+    def refuse(
+        self, service: str, parts: tuple[PromptPart, ...]
+    ) -> RequestError:
+        """
+        Count a request that must not be sent.
+
+        :param service: name of a service for which :meth:`cause` has found a
+            part.
+        :param parts: parts of the prompt.
+        :returns: the error ``part_quarantined``.
+        """
+        part_id = self.cause(service, parts) or ''
+        self._by_service[service][part_id].refused += 1
+        self.suspects.by_service[service][part_id].record_seen()
+        return RequestError(
+            'part_quarantined',
+            f'servers ended under requests with part {part_id} of the prompt',
+            retry_after_s=RETENTION_S,
+        )
+
+    @contextmanager
+    def guard(
+        self, attempt: Attempt, parts: tuple[PromptPart, ...]
+    ) -> Iterator[None]:
+        """
+        Cancel an attempt that has not begun if one of its parts is quarantined.
+
+        :param attempt: the attempt; it is cancelled without an error.
+        :param parts: parts of the prompt.
+        """
+        service = attempt.server.entry.service
+        guarded = self._guarded_by_service.setdefault(service, {})
+        with trio.CancelScope() as scope:
+            guarded[attempt] = _Guarded(shared_part_ids(parts), scope)
+            try:
+                yield
+            finally:
+                guarded.pop(attempt)
+
+    def record_answer(
+        self, service: str, parts: tuple[PromptPart, ...]
+    ) -> None:
+        """
+        Record a complete answer to a request.
+
+        :param service: service of the server.
+        :param parts: parts of the prompt.
+        """
+        part_ids = shared_part_ids(parts)
+        if self.suspects.record_answer(service, part_ids):
+            self._update(service, 'answer')
+            self._on_news()
+
+    def record_crash(
+        self, attempt: Attempt, parts: tuple[PromptPart, ...]
+    ) -> None:
+        """
+        Record that a server ended under an attempt.
+
+        :param attempt: the attempt.
+        :param parts: parts of the prompt.
+        """
+        begun_at = attempt.first_event_at
+        now_s = trio.current_time()
+        if begun_at is not None and now_s - begun_at > _SUSPECT_AFTER_BEGIN_S:
+            return
+        entry = attempt.server.entry
+        if self.suspects.record_crash(
+            entry, shared_part_ids(parts), self._count_servers(entry.service)
+        ):
+            self._update(entry.service, 'own request')
+            self._on_news()
+
+    def merge(self, notices: tuple[PartNotice, ...], source: str) -> None:
+        """
+        Apply what another router reports.
+
+        :param notices: suspect parts that the router knows.
+        :param source: VM of the router, for the log.
+        """
+        changed = {
+            notice.service for notice in notices if self.suspects.merge(notice)
+        }
+        for service in changed:
+            self._update(service, source)
+        if changed:
+            self._on_news()
+
+    def lift(self, service: str, part_id: str) -> bool:
+        """
+        Lift the quarantine of a part at all routers, as an operator demands.
+
+        :param service: name of the service.
+        :param part_id: id of the part.
+        :returns: whether anything was known of the part.
+        """
+        if not self.suspects.mark_cleared(service, part_id):
+            return False
+        self._update(service, 'operator')
+        self._on_news()
+        return True
+
+    def discard_expired(self) -> None:
+        """Drop parts that were not seen for a long time."""
+        self.suspects.discard_expired()
+        for service in tuple(self._by_service):
+            self._update(service, 'expiry')
+
+    def dump(self) -> list[dict[str, object]]:
+        """
+        Describe the quarantined parts for operators.
+
+        :returns: one record per part.
+        """
+        now_s = trio.current_time()
+        return [
+            {
+                'service': service,
+                'part': part_id,
+                'since_s': round(now_s - quarantined.since, 1),
+                'log_odds': round(quarantined.odds, 1),
+                'crashes': self._crash_ages_s(service, part_id),
+                'refused': quarantined.refused,
+            }
+            for service, quarantined_by_part in self._by_service.items()
+            for part_id, quarantined in quarantined_by_part.items()
+        ]
+
+    def _crash_ages_s(self, service: str, part_id: str) -> list[float]:
+        now_s = trio.current_time()
+        crashes = self.suspects.by_service[service][part_id].crashes_by_id
+        return sorted(round(now_s - crash.at, 1) for crash in crashes.values())
+
+    def _cause(self, service: str, part_ids: tuple[str, ...]) -> str | None:
+        quarantined = self._by_service[service]
+        if not any(part_id in quarantined for part_id in part_ids):
+            return None
+        suspects = self.suspects.by_service[service]
+        histories = {
+            part_id: suspect.history for part_id, suspect in suspects.items()
+        }
+        return find_cause(part_ids, histories, quarantined)
+
+    def _update(self, service: str, source: str) -> None:
+        odds_by_part = self.suspects.find_likely(service)
+        former = self._by_service.pop(service, {})
+        now_s = trio.current_time()
+        present = {
+            part_id: former.get(part_id) or _Quarantined(now_s)
+            for part_id in odds_by_part
+        }
+        for likely_id, odds in odds_by_part.items():
+            present[likely_id].odds = odds
+        if present:
+            self._by_service[service] = present
+            self._cancel_waiting(service)
+        for lifted_id in former.keys() - present.keys():
+            self._log('quarantine lifted', service, lifted_id, source)
+        for added_id in present.keys() - former.keys():
+            self._log('part quarantined', service, added_id, source)
+
+    def _cancel_waiting(self, service: str) -> None:
+        guarded_by_attempt = self._guarded_by_service.get(service, {})
+        for attempt, guarded in guarded_by_attempt.items():
+            is_waiting = attempt.first_event_at is None
+            if is_waiting and self._cause(service, guarded.part_ids):
+                guarded.scope.cancel()
+
+    def _log(
+        self, message: str, service: str, part_id: str, source: str
+    ) -> None:
+        fields: dict[str, object] = {
+            'service': service,
+            'prompt_part': part_id,
+            'source': source,
+        }
+        quarantined = self._by_service.get(service, {}).get(part_id)
+        if quarantined is not None:
+            fields['log_odds'] = round(quarantined.odds, 1)
+            fields['crash_ages_s'] = self._crash_ages_s(service, part_id)
+        _log.warning(message, extra=fields)
--- a/eelgrassfork/gateway/selection.py
+++ b/eelgrassfork/gateway/selection.py
@@ -159,7 +159,8 @@
         }
         request = PlacementRequest(
             self._parts.failure_domain,
-            placement_key(pending.head.parts),
+            # Other requests with the same prefix move to its next server.
+            '' if pending.crash_count else placement_key(pending.head.parts),
             pending.tried,
             pending.permission.route.repeatable,
         )
--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -14,7 +14,9 @@
 
 from ..errors import RequestError
 from .configuration import Permission
-from .exchange import Exchange
+from .exchange import ClaimFailover, Exchange
+from .part_quarantine import PartQuarantine
+from .records import WeightedService
 from .retry_budget import FleetRetryBudget, FleetRetryPolicy
 from .selection import Selector
 from .sending import Attempt, AttemptFailed, ErrorAnswer, PendingRequest
@@ -35,6 +37,7 @@
     :param selector: selects the servers.
     :param retry_policy: limit on the retries of the whole fleet.
     :param routers: returns the number of live routers.
+    :param quarantine: knows the requests that must not be sent.
     """
 
     exchange: Exchange
@@ -42,8 +45,12 @@
     telemetry: Telemetry
     retry_policy: FleetRetryPolicy
     routers: Callable[[], int]
+    quarantine: PartQuarantine
 
 
+# A request under which so many servers ended is not sent again.
+_MAX_CRASHES: Final = 2
+
 RefreshPermission = Callable[[PendingRequest], Permission]
 
 
@@ -87,6 +94,22 @@
         if not in_time:
             raise _deadline_error(pending)
 
+    def check_quarantine(self, pending: PendingRequest) -> None:
+        """
+        Refuse a request that is likely to end the servers of its route.
+
+        :param pending: the request.
+        :raises RequestError: ``part_quarantined``; ``server_failed`` if the
+            request may have run.
+        """
+        if self._admissible_services(pending):
+            return
+        service = _weighted_services(pending)[0].service
+        error = self._parts.quarantine.refuse(service, pending.head.parts)
+        if pending.may_have_run:
+            raise RequestError('server_failed', error.message, 'unknown')
+        raise error
+
     async def _send(
         self, pending: PendingRequest, refresh: RefreshPermission
     ) -> None:
@@ -106,6 +129,7 @@
                 _check_repeatable(pending, failure)
             if pending.answered:
                 return
+            self.check_quarantine(pending)
             if not _may_retry(pending, budget):
                 break
         if error_answer is None:
@@ -136,9 +160,7 @@
             attempt.limit_per_s = selection.limit_per_s
             self._parts.telemetry.limited_sends.labels(service).inc()
         try:
-            return await self._parts.exchange.run(
-                pending, attempt, claim_failover
-            )
+            return await self._run(pending, attempt, claim_failover)
         except AttemptFailed as failure:
             attempt.outcome = failure.code
             raise
@@ -160,13 +182,38 @@
         pending.retry_granted = True
         return True
 
+    async def _run(
+        self,
+        pending: PendingRequest,
+        attempt: Attempt,
+        claim_failover: ClaimFailover,
+    ) -> ErrorAnswer | None:
+        with self._parts.quarantine.guard(attempt, pending.head.parts):
+            return await self._parts.exchange.run(
+                pending, attempt, claim_failover
+            )
+        raise AttemptFailed(
+            'quarantined', 'a part of the prompt was quarantined', False
+        )
+
     def _service(self, pending: PendingRequest) -> str:
-        services = pending.permission.route.services
-        weights = [max(0, entry.weight) for entry in services]
+        self.check_quarantine(pending)
+        services = self._admissible_services(pending)
+        weights = [entry.weight for entry in services]
         if len(services) == 1 or not any(weights):
             return services[0].service
         return self._random.choices(services, weights)[0].service
 
+    def _admissible_services(
+        self, pending: PendingRequest
+    ) -> list[WeightedService]:
+        cause = self._parts.quarantine.cause
+        return [
+            entry
+            for entry in _weighted_services(pending)
+            if cause(entry.service, pending.head.parts) is None
+        ]
+
     def _budget(self, service: str) -> FleetRetryBudget:
         budget = self._budgets_by_service.get(service)
         if budget is None:
@@ -223,7 +270,15 @@
         raise RequestError('server_failed', error.message, 'unknown') from None
 
 
+def _weighted_services(pending: PendingRequest) -> list[WeightedService]:
+    services = pending.permission.route.services
+    weighted = [entry for entry in services if entry.weight > 0]
+    return weighted or list(services[:1])
+
+
 def _may_retry(pending: PendingRequest, budget: FleetRetryBudget) -> bool:
+    if pending.crash_count >= _MAX_CRASHES:
+        return False
     if not pending.sent_count:
         # A failed connection does not count as an attempt; the loop ends when
         # all servers have been tried.
--- a/eelgrassfork/gateway/sending.py
+++ b/eelgrassfork/gateway/sending.py
@@ -56,6 +56,8 @@
     :ivar outcome: how the attempt ended, for logs and metrics.
     :ivar maybe_sent: whether any byte may have been sent.
     :ivar server_ended: whether the server ended under the request.
+    :ivar first_event_at: when the first event of the answer arrived, on trio's
+        clock; ``None`` before.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         self.outcome = 'unknown'
         self.maybe_sent = False
         self.server_ended = False
+        self.first_event_at: float | None = None
         self.started_at = trio.current_time()
         self._prefill_tokens = prompt_tokens
         self._is_prefilled = False
@@ -81,6 +84,11 @@
         """Whether the server has prefilled the whole prompt."""
         return self._is_prefilled
 
+    def mark_begun(self) -> None:
+        """Record the first event of the answer."""
+        self.first_event_at = trio.current_time()
+        self.mark_prefilled()
+
     def mark_prefilled(self) -> None:
         """Record that the server has prefilled the whole prompt."""
         if not self._is_prefilled:
@@ -159,6 +167,11 @@
         """Number of attempts that may have sent any byte."""
         return sum(attempt.maybe_sent for attempt in self.attempts)
 
+    @property
+    def crash_count(self) -> int:
+        """Number of servers that ended under the request."""
+        return sum(attempt.server_ended for attempt in self.attempts)
+
     @property
     def tried(self) -> frozenset[str]:
         """Ids of the servers that were tried."""
--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -218,6 +218,15 @@
             if server.expires_at is None
         )
 
+    def count(self, service: str) -> int:
+        """
+        Count the servers of a service that have an entry.
+
+        :param service: name of the service.
+        :returns: number of servers.
+        """
+        return sum(entry.service == service for entry in self.entries)
+
     def is_known(self, server_id: str) -> bool:
         """
         Check whether a server is known, even if its entry was just removed.
--- a/tests/simulated_callers.py
+++ b/tests/simulated_callers.py
@@ -263,6 +263,7 @@
                 member.store_view,
                 member.limits,
                 CrashDetector(client),
+                member.quarantine,
                 _encode_metadata,
                 decode_response,
             )
@@ -279,6 +280,7 @@
                 Telemetry(),
                 FleetRetryPolicy(0.2, 10, 58),
                 lambda: member.roster.known_router_count,
+                member.quarantine,
             )
         )
 
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -164,9 +164,9 @@
     def test_limits_of_servers_reach_other_routers(self):
         first, second = Router(1), Router(2)
         notices = (LimitNotice('s1', 5, 3, 1.5, 20),)
-        first.gossip.get_limits = lambda: notices
+        first.gossip.reports.get_limits = lambda: notices
         reports = []
-        second.gossip.on_limits = lambda *report: reports.append(report)
+        second.gossip.reports.on_limits = lambda *report: reports.append(report)
 
         async def scenario():
             await trio.sleep(0.4)
