Count a stream that ends inside an event as a failure of its server

An answer may end with its connection, without length or chunks. A stream that ended inside an event was resumed elsewhere, or cut for the caller, but its server stayed as good as before, so that each request went there again. The test with four such ends failed before (no failure counted). Streams and plain answers that end with their connection, whole or with a reset, are tested as well; these held before.

--- a/eelgrassfork/gateway/exchange.py
+++ b/eelgrassfork/gateway/exchange.py
@@ -303,6 +303,7 @@
                     self._record_success(attempt)
                 await pending.relay_events(incoming.answer, events)
         if not relay.at_event_boundary:
+            self._record_failure(attempt)
             raise AttemptFailed(
                 'cut', 'the stream ended within an event', False
             )
