Treat an answer without a length as broken off if its server ended

The kernel closes the connections of a process that ends, so that an answer with neither a length nor chunks looked complete when its server crashed after an event, and callers got a part as the whole. Where such an answer ends, a new connection is opened, which later requests use; if it is refused, the stream is resumed elsewhere, or cut, and the crash counts.

Tests with streams of 0, 1 and 3 of 4 events and a plain answer failed before (relayed as complete).

--- a/eelgrassfork/gateway/exchange.py
+++ b/eelgrassfork/gateway/exchange.py
@@ -18,6 +18,7 @@
     ClientRequest,
     ClientTimeouts,
     ConnectFailed,
+    ConnectionLost,
     HttpClient,
     HttpClientError,
     ReceiveTimeout,
@@ -213,6 +214,7 @@
             )
         else:
             body = await response.read()
+            await self._check_end(attempt, response)
             self._record_success(attempt)
             await pending.respond(answer, body)
         attempt.outcome = 'answered'
@@ -307,8 +309,18 @@
             raise AttemptFailed(
                 'cut', 'the stream ended within an event', False
             )
+        await self._check_end(attempt, incoming.response)
         await pending.finish(incoming.answer)
 
+    async def _check_end(self, attempt: Attempt, response: Response) -> None:
+        # The connections of a process that ends are closed as at the end of
+        # an answer.
+        if not response.is_unframed:
+            return
+        lost = ConnectionLost('connection_lost', 'the server ended', sent=True)
+        if await self._parts.crashes.has_ended(attempt.server, lost):
+            raise lost
+
     async def _next_chunk(
         self,
         pending: PendingRequest,
--- a/eelgrassfork/http_client.py
+++ b/eelgrassfork/http_client.py
@@ -38,6 +38,8 @@
 # Twice the largest request body; bounds responses that never end.
 _MAX_BODY_BYTES: Final = 16_777_216
 _MAX_INFORMATIONAL: Final = 16
+_BODILESS_STATUSES: Final = frozenset((204, 304))
+_FRAMING_HEADERS: Final = frozenset(('content-length', 'transfer-encoding'))
 _BODILESS_METHODS: Final = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
 
@@ -267,6 +269,8 @@
     :ivar status: HTTP status.
     :ivar headers: all headers in order, with lower-case names.
     :ivar headers_by_name: headers by lower-case name.
+    :ivar is_unframed: whether the body has neither a length nor chunks, so
+        that it ends with the connection.
     """
 
     def __init__(
@@ -283,6 +287,11 @@
             for name, value in head.headers
         )
         self.headers_by_name = dict(self.headers)
+        self.is_unframed = (
+            request.method != 'HEAD'
+            and self.status not in _BODILESS_STATUSES
+            and _FRAMING_HEADERS.isdisjoint(self.headers_by_name)
+        )
         self._client = client
         self._connection = connection
         self._address = request.address
--- a/tests/simulated_callers.py
+++ b/tests/simulated_callers.py
@@ -138,6 +138,8 @@
 class ServerAnswer:
     """Answer of a server as the HTTP client represents it."""
 
+    is_unframed = False
+
     def __init__(self, headers):
         self.status = 200
         self.headers = headers
--- a/tests/test_gateway_unframed_answers.py
+++ b/tests/test_gateway_unframed_answers.py
@@ -125,10 +125,19 @@
             outcome = self.play(body, 'reset')
             self.assertEqual((WHOLE, True, False), outcome, count)
 
+    def test_stream_of_a_server_that_ended_is_resumed_elsewhere(self):
+        # The kernel closes the connections of a process that ends, which
+        # looked like the end of the stream.
+        for count in (0, 1, 3):
+            body = b''.join(EVENTS[:count])
+            outcome = self.play(body, 'exit')
+            self.assertEqual((WHOLE, True, True), outcome, count)
+
     def test_broken_stream_that_may_not_be_resumed_is_not_complete(self):
         for body, ending in (
             (WHOLE[:-1], 'close'),
             (EVENTS[0], 'reset'),
+            (EVENTS[0], 'exit'),
         ):
             body, failed, _ = self.play(body, ending, '/reply/x')
             self.assertIsNone(body)
@@ -145,3 +154,6 @@
 
     def test_answer_that_is_reset_is_not_relayed(self):
         self.assertEqual((b'i-0', True, False), self.play('reset'))
+
+    def test_answer_of_a_server_that_ended_is_not_relayed(self):
+        self.assertEqual((b'i-0', True, True), self.play('exit'))
