Let operators lift the quarantine of a prompt part

Without it a part stays refused for 10 minutes after the last such request, also once the servers are mended. POST /quarantine/lift at any router clears the part at all of them and in the store.

--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -149,6 +149,7 @@
         self._caller_listener = HttpServer(self._forwarder.forward)
         self._peer_listener = HttpServer(self._member.exchange.serve)
         pages = StatusPages(self.telemetry, self._is_ready, self.dump)
+        pages.lift = self._member.quarantine.lift
         self._readiness_listener = HttpServer(pages.serve_readiness)
         self._metrics_listener = HttpServer(pages.serve_metrics)
         self._draining = False
--- a/tests/test_gateway_status_pages.py
+++ b/tests/test_gateway_status_pages.py
@@ -16,8 +16,10 @@
 
 
 class FakeCall:
-    def __init__(self, path=''):
+    def __init__(self, path='', method='GET', **query):
         self.path = path
+        self.method = method
+        self.query_by_name = query
         self.status = None
         self.body = b''
 
@@ -63,6 +65,19 @@
         body = self.request(self.pages.serve_metrics, '/state').body
         self.assertEqual({'node': 'n1'}, msgspec.json.decode(body))
 
+    def test_quarantine_is_lifted_by_post_only(self):
+        calls = []
+        self.pages.lift = lambda *part: calls.append(part) or True
+        query = {'service': 'model', 'part': 'x'}
+        call = FakeCall('/quarantine/lift', 'POST', **query)
+        trio.run(self.pages.serve_metrics, call)
+        self.assertEqual({'lifted': True}, msgspec.json.decode(call.body))
+        self.assertEqual([('model', 'x')], calls)
+        call = FakeCall('/quarantine/lift', **query)
+        self.assertRaises(
+            RequestError, trio.run, self.pages.serve_metrics, call
+        )
+
     def test_unknown_path_is_rejected(self):
         self.assertRaises(
             RequestError, self.request, self.pages.serve_metrics, '/secret'
