--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -303,6 +303,7 @@
                 self._store_view,
                 self._member.limits,
                 self._member.permits,
+                self._member.quarantine,
                 self._settings.failure_domain,
             ),
         )
--- a/eelgrassfork/gateway/part_quarantine.py
+++ b/eelgrassfork/gateway/part_quarantine.py
@@ -5,14 +5,14 @@
 Refuses requests with parts of prompts that are likely to end their servers.
 """
 
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
-from typing import Final, NamedTuple
+from collections.abc import Callable
+from typing import Final
 
 import logbook
 import trio
 
 from ..errors import RequestError
+from .attempt_guards import AttemptGuards
 from .crash_evidence import find_cause
 from .heartbeats import PartNotice
 from .records import PromptPart
@@ -28,11 +28,6 @@
 _SUSPECT_AFTER_BEGIN_S: Final = 0.5
 
 
-class _Guarded(NamedTuple):
-    part_ids: tuple[str, ...]
-    scope: trio.CancelScope
-
-
 class _Quarantined:
     def __init__(self, since: float) -> None:
         self.since = since
@@ -49,6 +44,8 @@
 
     :param count_servers: returns the number of servers of a service.
     :param on_news: called when other routers should learn something at once.
+    :ivar suspects: parts that were at servers when these ended.
+    :ivar guards: attempts that are cancelled once a part is quarantined.
     """
 
     def __init__(
@@ -57,10 +54,10 @@
         on_news: Callable[[], None],
     ) -> None:
         self.suspects = SuspectParts()
+        self.guards = AttemptGuards()
         self._count_servers = count_servers
         self._on_news = on_news
         self._by_service: dict[str, dict[str, _Quarantined]] = {}
-        self._guarded_by_service: dict[str, dict[Attempt, _Guarded]] = {}
 
     @property
     def count(self) -> int:
@@ -79,6 +76,27 @@
             return None
         return self._cause(service, shared_part_ids(parts))
 
+    def placement_key(self, service: str, parts: tuple[PromptPart, ...]) -> str:
+        """
+        Return the key that places requests with the same suspect part together.
+
+        They end one server at most, and the result tells the most.
+
+        :param service: name of the service.
+        :param parts: parts of the prompt.
+        :returns: the suspect part with the most crashes, the last one of equal
+            ones; empty if none is suspect.
+        """
+        suspects = self.suspects.by_service.get(service, {})
+        crash_count_by_part = {
+            part_id: len(suspects[part_id].crashes_by_id)
+            for part_id in reversed(shared_part_ids(parts))
+            if part_id in suspects and suspects[part_id].is_new
+        }
+        if not crash_count_by_part:
+            return ''
+        return max(crash_count_by_part, key=crash_count_by_part.__getitem__)
+
     def refuse(
         self, service: str, parts: tuple[PromptPart, ...]
     ) -> RequestError:
@@ -99,25 +117,6 @@
             retry_after_s=RETENTION_S,
         )
 
-    @contextmanager
-    def guard(
-        self, attempt: Attempt, parts: tuple[PromptPart, ...]
-    ) -> Iterator[None]:
-        """
-        Cancel an attempt that has not begun if one of its parts is quarantined.
-
-        :param attempt: the attempt; it is cancelled without an error.
-        :param parts: parts of the prompt.
-        """
-        service = attempt.server.entry.service
-        guarded = self._guarded_by_service.setdefault(service, {})
-        with trio.CancelScope() as scope:
-            guarded[attempt] = _Guarded(shared_part_ids(parts), scope)
-            try:
-                yield
-            finally:
-                guarded.pop(attempt)
-
     def record_answer(
         self, service: str, parts: tuple[PromptPart, ...]
     ) -> None:
@@ -259,19 +258,15 @@
             present[likely_id].odds = odds
         if present:
             self._by_service[service] = present
-            self._cancel_waiting(service)
+            self.guards.cancel_waiting(
+                service,
+                lambda part_ids: self._cause(service, part_ids) is not None,
+            )
         for lifted_id in former.keys() - present.keys():
             self._log('quarantine lifted', service, lifted_id, source)
         for added_id in present.keys() - former.keys():
             self._log('part quarantined', service, added_id, source)
 
-    def _cancel_waiting(self, service: str) -> None:
-        guarded_by_attempt = self._guarded_by_service.get(service, {})
-        for attempt, guarded in guarded_by_attempt.items():
-            is_waiting = attempt.first_event_at is None
-            if is_waiting and self._cause(service, guarded.part_ids):
-                guarded.scope.cancel()
-
     def _log(
         self, message: str, service: str, part_id: str, source: str
     ) -> None:
--- a/eelgrassfork/gateway/selection.py
+++ b/eelgrassfork/gateway/selection.py
@@ -19,6 +19,7 @@
 )
 from .follower import StoreView
 from .limit_table import LimitTable
+from .part_quarantine import PartQuarantine
 from .send_permits import SendPermits
 from .sending import PendingRequest
 from .servers import Server
@@ -39,12 +40,14 @@
 
     :param limits: limits that servers name in their answers.
     :param permits: permits to send requests to those servers.
+    :param quarantine: knows the parts of prompts that are suspect.
     :param failure_domain: failure domain of this router.
     """
 
     store_view: StoreView
     limits: LimitTable
     permits: SendPermits
+    quarantine: PartQuarantine
     failure_domain: str
 
 
@@ -157,10 +160,12 @@
             for server in self._usable(service)
             if self._may_choose(pending, server, wait_s)
         }
+        suspect_key = self._parts.quarantine.placement_key(
+            service, pending.head.parts
+        )
         request = PlacementRequest(
             self._parts.failure_domain,
-            # Other requests with the same prefix move to its next server.
-            '' if pending.crash_count else placement_key(pending.head.parts),
+            suspect_key or _placement_key(pending),
             pending.tried,
             pending.permission.route.repeatable,
         )
@@ -175,6 +180,8 @@
             server.health = server.health._replace(
                 probe_at=now_s + _PROBE_INTERVAL_S
             )
+        if suspect_key and choice.reason == 'shared_part':
+            return server, 'suspect_part'
         return server, choice.reason
 
     def _may_choose(
@@ -205,6 +212,11 @@
         )
 
 
+def _placement_key(pending: PendingRequest) -> str:
+    # Other requests with the same prefix move to its next server.
+    return '' if pending.crash_count else placement_key(pending.head.parts)
+
+
 def _candidate(server: Server, now_s: float) -> Candidate:
     return Candidate(
         server.entry.id,
--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -188,7 +188,7 @@
         attempt: Attempt,
         claim_failover: ClaimFailover,
     ) -> ErrorAnswer | None:
-        with self._parts.quarantine.guard(attempt, pending.head.parts):
+        with self._parts.quarantine.guards.guard(attempt, pending.head.parts):
             return await self._parts.exchange.run(
                 pending, attempt, claim_failover
             )
--- a/eelgrassfork/gateway/suspect_parts.py
+++ b/eelgrassfork/gateway/suspect_parts.py
@@ -96,6 +96,11 @@
             first_at - self.answered_at <= _ANSWER_VALID_S,
         )
 
+    @property
+    def is_new(self) -> bool:
+        """Whether it was at a crash, and at no answer before."""
+        return bool(self.crashes_by_id) and not self.history.was_answered
+
     def add_crash(self, crash_id: int, crash: Crash) -> bool:
         """
         Record a crash.
--- a/tests/simulated_callers.py
+++ b/tests/simulated_callers.py
@@ -272,7 +272,11 @@
         )
         selector = Selector(
             SelectorParts(
-                member.store_view, member.limits, member.permits, router.domain
+                member.store_view,
+                member.limits,
+                member.permits,
+                member.quarantine,
+                router.domain,
             )
         )
         return Sender(
--- a/tests/test_gateway_crashing_parts.py
+++ b/tests/test_gateway_crashing_parts.py
@@ -121,6 +121,14 @@
     return callers
 
 
+async def bad_requests_at_one_server(fleet):
+    callers = await start_callers(fleet)
+    for router in fleet.routers:
+        callers.send_soon(router, BAD_PARTS)
+    await trio.sleep(6)
+    return callers
+
+
 async def bad_requests_wait_at_slow_servers(fleet):
     callers = await start_callers(fleet, latency_s=1.2)
     for router in fleet.routers:
@@ -221,6 +229,12 @@
             ends = len(callers.crashes_of(BAD))
             self.assertLessEqual(ends, 2 * MAX_CRASHES, f'seed {seed}')
 
+    def test_repeats_of_several_requests_end_one_server_only(self):
+        # All requests of a server that ended were repeated at others.
+        for seed in SEEDS:
+            callers = play(bad_requests_at_one_server, seed)
+            self.assertLessEqual(len(callers.crashes), 2, f'seed {seed}')
+
     def test_requests_that_wait_at_servers_are_cancelled(self):
         # All of them are sent before the first crash.
         for seed in SEEDS:
