Bound the counts that callers and servers send

A request with a token count of hundreds of digits made each choice of a server at its router fail while it was in progress (OverflowError, so 500 for all other callers), where its organisation has no prepaid limit; a load report of that size did so until the next one. Counts above a billion now count as a billion.

--- a/eelgrassfork/platform/heads.py
+++ b/eelgrassfork/platform/heads.py
@@ -43,6 +43,8 @@
 _DECIMAL: Final = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+')
 _HTTP_DATE: Final = '%a, %d %b %Y %H:%M:%S GMT'
 # Length to which an invalid header value is truncated in the log.
+# Larger counts than any prompt or queue has, so that sums of them stay exact.
+_MAX_COUNT: Final = 1_000_000_000
 _MAX_LOGGED_CHARS: Final = 40
 _MAX_TARGET_LENGTH: Final = 65536
 _REQUEST_ID: Final = 'x-request-id'
@@ -233,7 +235,14 @@
     prompt_tokens, _, max_output = text.partition(',')
     if not (prompt_tokens.isdecimal() and max_output.isdecimal()):
         return 0, 0
-    return int(prompt_tokens), int(max_output)
+    return _parse_count(prompt_tokens), _parse_count(max_output)
+
+
+def _parse_count(digits: str) -> int:
+    significant = digits.lstrip('0')
+    if len(significant) > len(str(_MAX_COUNT)):
+        return _MAX_COUNT
+    return min(int(significant or '0'), _MAX_COUNT)
 
 
 def _parse_remaining_s(text: str) -> float | None:
@@ -296,15 +305,14 @@
     for item in text.split(','):
         part_id, _, tokens = item.strip().partition(':')
         if part_id and tokens.isdecimal():
-            parts.append(PromptPart(part_id, int(tokens)))
+            parts.append(PromptPart(part_id, _parse_count(tokens)))
     return tuple(parts)
 
 
 def _parse_load(text: str) -> ServerLoad | None:
-    counts = text.split(',')
+    counts = [count.strip() for count in text.split(',')]
     if len(counts) != len(ServerLoad._fields):
         return None
-    try:
-        return ServerLoad(*(int(count) for count in counts))
-    except ValueError:
+    if not all(count.isdecimal() for count in counts):
         return None
+    return ServerLoad(*map(_parse_count, counts))
