--- a/eelgrassfork/gateway/crash_evidence.py
+++ b/eelgrassfork/gateway/crash_evidence.py
@@ -90,7 +90,7 @@
     """
     Find the part for which a request has to be refused.
 
-    Parts that were at the same crashes can't be told apart.  A request is
+    Parts that were at the same crashes can't be distinguished.  A request is
     refused only if no part that it lacks explains the crashes as well, so that
     requests which share some of these parts are still sent.
 
--- a/eelgrassfork/gateway/exchange.py
+++ b/eelgrassfork/gateway/exchange.py
@@ -74,7 +74,7 @@
     :param store_view: state of servers and configuration.
     :param limits: limits that servers name in their answers.
     :param crashes: detects servers that ended.
-    :param quarantine: records under which requests they did.
+    :param quarantine: records the requests under which servers ended.
     :param encode_metadata: encodes metadata as headers.
     :param decode_response: decodes status and headers of an answer.
     """
--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -48,7 +48,7 @@
     quarantine: PartQuarantine
 
 
-# A request under which so many servers ended is not sent again.
+# A request is not sent again once this number of servers has ended under it.
 _MAX_CRASHES: Final = 2
 
 RefreshPermission = Callable[[PendingRequest], Permission]
--- a/eelgrassfork/gateway/suspect_parts.py
+++ b/eelgrassfork/gateway/suspect_parts.py
@@ -37,7 +37,7 @@
 _MAX_CRASHES_PER_PART: Final = 16
 _MAX_CRASHES: Final = 1024
 _MAX_SUSPECTS: Final = 1024
-# Every prompt part in frequent use stays among so many.
+# Parts in frequent use are refreshed before they are dropped.
 _MAX_ANSWERED: Final = 4096
 _MAX_ID_CHARS: Final = 64
 # Time for which every report has a change; with a few recipients each quarter
@@ -219,12 +219,15 @@
         suspect.seen_at = max(
             suspect.seen_at, now_s - _seconds(notice.seen_age_ms)
         )
-        told_at = _NEVER
+        reported_at = _NEVER
         if notice.answered_age_ms is not None:
-            told_at = now_s - _seconds(notice.answered_age_ms)
-        if suspect.record_answer(told_at):
+            reported_at = now_s - _seconds(notice.answered_age_ms)
+        if suspect.record_answer(reported_at):
             changed.append(True)
-        elif notice.crashes and suspect.answered_at > told_at + _ANSWER_NEWS_S:
+        elif (
+            notice.crashes
+            and suspect.answered_at > reported_at + _ANSWER_NEWS_S
+        ):
             # The other router does not know this yet.
             suspect.changed_at = now_s
         if any(changed):
