List an old quarantine that a new router does not learn as known to fail

Read as a router that has just started: a part that refused requests keep quarantined for more than 10 minutes is not taken over from peers or from the store, as crashes older than the retention are dropped there. The test shows it; not fixed, as a fix has to change what reports and the record say.

--- a/tests/test_gateway_suspect_parts.py
+++ b/tests/test_gateway_suspect_parts.py
@@ -161,6 +161,23 @@
 
         self.assertEqual({'x'}, run(scenario))
 
+    def test_router_that_has_just_started_learns_of_an_old_quarantine(self):
+        # Its crashes are older than the retention; refused requests keep it.
+        async def scenario():
+            old, fresh = SuspectParts(), SuspectParts()
+            for number in range(2):
+                crash(old, number, 'x')
+            for _ in range(3):
+                await trio.sleep(RETENTION_S / 2)
+                old.by_service[SERVICE]['x'].record_seen()
+                old.discard_expired()
+            exchange(old, fresh)
+            return set(old.find_likely(SERVICE)), set(
+                fresh.find_likely(SERVICE)
+            )
+
+        self.assertEqual(({'x'}, {'x'}), run(scenario))
+
     def test_callers_with_new_parts_do_not_fill_the_memory(self):
         async def scenario():
             table = SuspectParts()
