Show restores of the store in logs, metrics and state

Routers did not read Store-Era, so that nothing told a ledger of an older copy from the newest one. Each answer of the store is now looked at: a restore is logged once a router, the log line of a transfer has the era, and store_era and /state show it. No decision depends on it yet.

--- a/eelgrassfork/gateway/ledger_writer.py
+++ b/eelgrassfork/gateway/ledger_writer.py
@@ -258,6 +258,7 @@
                     'returned': dict(transfer.returned_by_organisation),
                     'spent': dict(transfer.spent_by_organisation),
                     'revision': self._revision,
+                    'era': self._store.era.current,
                 },
             )
         else:
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -101,6 +101,11 @@
         self._store = adapter.make_store(
             self._http_client, self.telemetry.count_store_call
         )
+        self.telemetry.add_gauge(
+            'store_era',
+            'Restores of the store from an older copy, as it counts them.',
+            lambda: self._store.era.current,
+        )
         self._loop_delay = LoopDelayMonitor()
         self.telemetry.add_gauge(
             'loop_delay_seconds',
@@ -256,6 +261,7 @@
             'configuration_version': self._store_view.configuration.version,
             'store_reachable': self._member.follower.reachable,
             'store': {
+                'era': self._store.era.dump(),
                 'configuration': self._member.roles.configuration.dump(),
                 'servers': self._member.roles.servers.dump(),
             },
--- a/eelgrassfork/gateway/store.py
+++ b/eelgrassfork/gateway/store.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple, Protocol
 
 from ..errors import EelgrassError
+from .store_era import StoreEra
 
 __all__ = (
     'Change',
@@ -79,7 +80,13 @@
 
 
 class Store(Protocol):
-    """Objects by kind and name, with conditional writes and watches."""
+    """
+    Objects by kind and name, with conditional writes and watches.
+
+    :ivar era: restores of the store from an older copy.
+    """
+
+    era: StoreEra
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """
--- a/eelgrassfork/platform/store_client.py
+++ b/eelgrassfork/platform/store_client.py
@@ -20,11 +20,13 @@
     StoredObject,
     StoreUnavailable,
 )
+from ..gateway.store_era import StoreEra
 from ..http_client import (
     ClientRequest,
     ClientTimeouts,
     HttpClient,
     HttpClientError,
+    Response,
 )
 
 __all__ = ('StoreClient',)
@@ -35,6 +37,8 @@
 _GONE: Final = 410
 _MS_PER_S: Final = 1000
 _JSON: Final = (('content-type', 'application/json'),)
+_ERA_HEADER: Final = 'store-era'
+_MAX_ERA_DIGITS: Final = 6
 _MAX_PAGES: Final = 1000
 # A slow store responds within a third of a second. A store that doesn't respond
 # is given up early enough to query peers within the limit on configuration
@@ -78,6 +82,7 @@
     :param address: ``ip:port`` of the store.
     :param on_call: called after each call, as calls are billed, with the HTTP
         status or error code.
+    :ivar era: restores of the store, as its answers tell.
     """
 
     def __init__(
@@ -89,6 +94,7 @@
         self._client = client
         self._address = address
         self._on_call = on_call
+        self.era = StoreEra()
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """
@@ -238,10 +244,21 @@
                 raise StoreAnswerLost(error.code, error.message) from None
             raise StoreUnavailable(error.code, error.message) from None
         self._on_call(str(response.status))
+        era = _decode_era(response)
+        if era is not None:
+            self.era.observe(era, 'store')
         _check_status(path, response.status, body is None)
         return response.status, response_body
 
 
+def _decode_era(response: Response) -> int | None:
+    text = response.headers_by_name.get(_ERA_HEADER, '')
+    is_valid = (
+        text.isascii() and text.isdigit() and len(text) <= _MAX_ERA_DIGITS
+    )
+    return int(text) if is_valid else None
+
+
 def _check_status(path: str, status: int, is_read: bool) -> None:
     accepted = {_MISSING} if is_read else {_MISSING, _CONFLICT}
     if status == _GONE:
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -5,6 +5,7 @@
 Stand-in for the users' metadata store, with its published HTTP API.
 """
 
+import copy
 from typing import Any, NamedTuple
 
 import msgspec
@@ -14,7 +15,7 @@
 
 from .serving import HttpStandin
 
-__all__ = ('MetadataStore', 'StoreFaults')
+__all__ = ('MetadataStore', 'StoreCopy', 'StoreFaults')
 
 _PAGE = 500
 _MS = 1000
@@ -39,11 +40,19 @@
     torn: bool = False
 
 
+class StoreCopy(NamedTuple):
+    """State of the metadata store at one moment."""
+
+    objects_by_key: dict[tuple[str, str], dict[str, Any]]
+    revision: int
+
+
 class MetadataStore(HttpStandin):
     """
     Objects by kind and name, with revisions and watches.
 
     :param page: maximum number of objects in one response.
+    :ivar era: number of the era, which each answer names.
     """
 
     def __init__(self, page: int = _PAGE) -> None:
@@ -54,6 +63,7 @@
         self._compacted_revision = 0
         self._changed = trio.Event()
         self.revision = 1
+        self.era = 1
         self.faults = StoreFaults()
         self.calls: list[str] = []
 
@@ -93,6 +103,30 @@
         self.revision += 1
         self._record(kind, {'object': stored, 'deleted': True})
 
+    def copy_state(self) -> StoreCopy:
+        """
+        Copy the present state.
+
+        :returns: a copy that :meth:`restore` accepts.
+        """
+        return StoreCopy(copy.deepcopy(self._objects_by_key), self.revision)
+
+    def restore(self, state: StoreCopy) -> None:
+        """
+        Return to an earlier state and begin the next era.
+
+        Watches that are waiting are answered with 410.
+
+        :param state: state to return to.
+        """
+        self._objects_by_key = copy.deepcopy(state.objects_by_key)
+        self.revision = state.revision
+        self._compacted_revision = state.revision
+        self._events.clear()
+        self.era += 1
+        self._changed.set()
+        self._changed = trio.Event()
+
     def compact(self) -> None:
         """Discard the event history, so that older watches get 410."""
         self._compacted_revision = self.revision
@@ -108,7 +142,7 @@
         if self.faults.silent:
             await trio.sleep_forever()
         if self.faults.refuse:
-            await _respond(call, self.faults.refuse, {})
+            await self._respond(call, self.faults.refuse, {})
             return
         _, _, kind, *path_parts = call.path.split('/')
         if call.method == 'GET':
@@ -119,11 +153,11 @@
     async def _read(self, call: Call, kind: str, path_parts: list[str]) -> None:
         if path_parts:
             stored = self._objects_by_key.get((kind, path_parts[0]))
-            await _respond(call, 200 if stored else 404, stored or {})
+            await self._respond(call, 200 if stored else 404, stored or {})
         elif 'watch' in call.query_by_name:
             await self._watch(call, kind)
         else:
-            await _respond(call, 200, self._list(call, kind))
+            await self._respond(call, 200, self._list(call, kind))
 
     def _list(self, call: Call, kind: str) -> dict[str, Any]:
         after = call.query_by_name.get('afterRevision', '')
@@ -145,14 +179,18 @@
 
     async def _watch(self, call: Call, kind: str) -> None:
         after = int(call.query_by_name['watch'])
-        if after < self._compacted_revision:
-            await _respond(call, 410, {})
+        if not self._compacted_revision <= after <= self.revision:
+            await self._respond(call, 410, {})
             return
+        era = self.era
         with trio.move_on_after(int(call.query_by_name['waitMs']) / _MS):
-            while not self._events_since(kind, after):
+            while era == self.era and not self._events_since(kind, after):
                 await self._changed.wait()
+        if era != self.era:
+            await self._respond(call, 410, {})
+            return
         events = self._events_since(kind, after)
-        await _respond(
+        await self._respond(
             call, 200, {'events': events, 'currentRev': self.revision}
         )
 
@@ -186,8 +224,9 @@
             self.faults = self.faults._replace(lose=self.faults.lose - 1)
             await call.abort()
             return
-        await _respond(call, status, current or {})
-
+        await self._respond(call, status, current or {})
 
-async def _respond(call: Call, status: int, content: object) -> None:
-    await call.respond(status, msgspec.json.encode(content), _JSON)
+    async def _respond(self, call: Call, status: int, content: object) -> None:
+        era = ('store-era', str(self.era))
+        body = msgspec.json.encode(content)
+        await call.respond(status, body, (*_JSON, era))
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -19,6 +19,7 @@
     StoredObject,
     StoreUnavailable,
 )
+from eelgrassfork.gateway.store_era import StoreEra
 
 
 class MemoryStore:
@@ -37,6 +38,7 @@
     """
 
     def __init__(self):
+        self.era = StoreEra()
         self.revision = 10
         self.objects_by_key = {}
         self.changes = []
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -242,6 +242,7 @@
     """Access of one router to the store, with its faults and delays."""
 
     def __init__(self, router):
+        self.era = router.fleet.store.era
         self.router = router
         self.fleet = router.fleet
 
--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -142,3 +142,24 @@
         error, seconds = run_with_store(scenario)
         self.assertIsInstance(error, StoreAnswerLost)
         self.assertLess(seconds, 1.5)
+
+    def test_each_answer_tells_the_era(self):
+        async def scenario(store, client):
+            state = store.copy_state()
+            await client.get('k', 'a')
+            eras = [client.era.current]
+            for call in (
+                lambda: client.get('k', 'a'),
+                lambda: client.list_all('k'),
+                lambda: client.watch('k', 99, 1),
+                lambda: client.replace('k', 'a', {}, None),
+            ):
+                store.restore(state)
+                await error_of(call())
+                eras.append(client.era.current)
+            store.restore(state)
+            store.faults = store.faults._replace(refuse=503)
+            await error_of(client.get('k', 'a'))
+            return [*eras, client.era.current]
+
+        self.assertEqual([1, 2, 3, 4, 5, 6], run_with_store(scenario))
