--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -6,6 +6,8 @@
 """
 
 from collections import Counter
+from functools import partial
+from typing import Any, NamedTuple
 
 import msgspec
 import trio
@@ -22,10 +24,31 @@
 from eelgrassfork.gateway.store_era import StoreEra
 
 
+class StoreCopy(NamedTuple):
+    """State of the store at one moment."""
+
+    objects_by_key: dict
+    revision: int
+
+
+class Answer(NamedTuple):
+    """
+    Answer of the store as it arrives at a client.
+
+    :param era: number of the era in which the call was executed.
+    :param content: result of the call, or the error that it states.
+    """
+
+    era: int
+    content: Any
+
+
 class MemoryStore:
     """
     Objects by kind and name.
 
+    :ivar era_number: rises by one with each restore.
+
     :ivar down: every call is refused and has no effect.
     :ivar stalled_through: number of the last call whose watch has stalled;
         watches up to it receive no more changes.
@@ -39,6 +62,7 @@
 
     def __init__(self):
         self.era = StoreEra()
+        self.era_number = 1
         self.revision = 10
         self.objects_by_key = {}
         self.changes = []
@@ -70,9 +94,10 @@
     async def watch(self, kind, after_revision, wait_s):
         await self._simulate_call()
         number = self.calls
+        era_number = self.era_number
         with trio.move_on_after(wait_s):
             while not self._changes_after(kind, after_revision):
-                if self.down:
+                if self.down or era_number != self.era_number:
                     raise StoreAnswerLost('cut', 'the watch was cut')
                 await self._changed.wait()
                 if number <= self.stalled_through:
@@ -82,7 +107,7 @@
         if number <= self.stalled_through:
             await trio.sleep(1)
             raise StoreAnswerLost('silent', 'no answer')
-        if after_revision < self.oldest_revision:
+        if not self.oldest_revision <= after_revision <= self.revision:
             raise HistoryGone('history_gone', 'compacted')
         return self._changes_after(kind, after_revision), self.revision
 
@@ -112,6 +137,28 @@
         """Drop the history of changes."""
         self.oldest_revision = self.revision
 
+    def copy_state(self):
+        """Return a copy that ``restore`` accepts."""
+        return StoreCopy(dict(self.objects_by_key), self.revision)
+
+    def restore(self, state):
+        """Return to an earlier state and begin the next era."""
+        self.era_number += 1
+        self.objects_by_key = dict(state.objects_by_key)
+        self.revision = state.revision
+        self.oldest_revision = state.revision
+        self.changes = []
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def answer(self, method, *arguments):
+        """Execute a call, and return its answer unless there is none."""
+        try:
+            content = await method(*arguments)
+        except (StoreConflict, HistoryGone) as error:
+            content = error
+        return Answer(self.era_number, content)
+
     def release(self):
         """Apply the delayed writes whose conditions still hold."""
         delayed, self._delayed_writes = self._delayed_writes, []
@@ -167,3 +214,51 @@
             raise StoreAnswerLost('silent', 'no answer')
         if self.down:
             raise StoreUnavailable('down', 'the store is down')
+
+
+async def deliver(perform, wait_s):
+    """Deliver a call to the store at once."""
+    return await perform()
+
+
+class MemoryStoreClient:
+    """
+    Client of one router, as the client of the platform's store.
+
+    :param store: store that the routers share.
+    :param transport: delivers a call and its answer; it may delay or lose
+        either.
+    """
+
+    def __init__(self, store, transport=deliver):
+        self.era = StoreEra()
+        self._store = store
+        self._transport = transport
+
+    async def get(self, kind, name):
+        return await self._call(self._store.get, kind, name)
+
+    async def list_all(self, kind):
+        return await self._call(self._store.list_all, kind)
+
+    async def watch(self, kind, after_revision, wait_s):
+        return await self._call(
+            self._store.watch, kind, after_revision, wait_s, wait_s=wait_s
+        )
+
+    async def create(self, kind, name, content):
+        return await self._call(self._store.create, kind, name, content)
+
+    async def replace(self, kind, name, content, revision):
+        return await self._call(
+            self._store.replace, kind, name, content, revision
+        )
+
+    async def _call(self, method, *arguments, wait_s=0):
+        answer = await self._transport(
+            partial(self._store.answer, method, *arguments), wait_s
+        )
+        self.era.observe(answer.era, 'store')
+        if isinstance(answer.content, Exception):
+            raise answer.content
+        return answer.content
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -30,7 +30,7 @@
 
 from .fault_schedule import HOST, install_run_queue
 from .gateway_world import configuration
-from .memory_store import MemoryStore
+from .memory_store import MemoryStore, MemoryStoreClient
 from .test_gateway_follower import DECODERS, ENTRY
 
 HEARTBEAT_PORT = 7200
@@ -117,6 +117,8 @@
         self.downlink = Link()
         self.store_fault = ''
         self.member = None
+        self.store = None
+        self.services = ()
         self.scope = None
         self.last_fault_at = float('-inf')
         self.draining = False
@@ -145,10 +147,12 @@
             link_mbps=self.link_mbps,
         )
         incarnation = int(trio.current_time() * 1000)
-        parts = FleetMemberParts(RouterStore(self), self, self.open_socket)
+        self.store = MemoryStoreClient(fleet.store, StoreLink(self).deliver)
+        parts = FleetMemberParts(self.store, self, self.open_socket)
         self.draining = False
         self.member = FleetMember(settings, incarnation, parts, DECODERS)
         self.member.get_status = lambda: RouterStatus(self.draining)
+        self.services = fleet.make_services(self, settings, incarnation)
         self.highest_version = 0
         self.last_fault_at = trio.current_time()
         fleet.nursery.start_soon(self.run)
@@ -158,6 +162,8 @@
         with trio.CancelScope() as self.scope:
             async with trio.open_nursery() as nursery:
                 await self.member.start(nursery)
+                for service in self.services:
+                    await service.start(nursery)
 
     def kill(self):
         if self.member is not None:
@@ -238,36 +244,20 @@
         self.fleet.inboxes_by_ip.pop(self.router.ip, None)
 
 
-class RouterStore:
-    """Access of one router to the store, with its faults and delays."""
+class StoreLink:
+    """Connection of one router to the store, with its faults and delays."""
 
     def __init__(self, router):
-        self.era = router.fleet.store.era
         self.router = router
         self.fleet = router.fleet
 
-    async def get(self, kind, name):
-        return await self.call(self.fleet.store.get, ANSWER_S, kind, name)
+    async def deliver(self, perform, wait_s):
+        """
+        Deliver a call and its answer, unless a fault prevents it.
 
-    async def list_all(self, kind):
-        return await self.call(self.fleet.store.list_all, ANSWER_S, kind)
-
-    async def watch(self, kind, after_revision, wait_s):
-        watch = self.fleet.store.watch
-        allowed_s = wait_s + ANSWER_S
-        return await self.call(watch, allowed_s, kind, after_revision, wait_s)
-
-    async def create(self, kind, name, content):
-        return await self.call(
-            self.fleet.store.create, ANSWER_S, kind, name, content
-        )
-
-    async def replace(self, kind, name, content, revision):
-        return await self.call(
-            self.fleet.store.replace, ANSWER_S, kind, name, content, revision
-        )
-
-    async def call(self, method, allowed_s, *arguments):
+        :param perform: executes the call.
+        :param wait_s: time that the store may wait before it answers.
+        """
         self.fleet.calls += 1
         cut = self.cut()
         if cut == 'refuse':
@@ -279,10 +269,10 @@
             await trio.sleep(CONNECT_S)
             raise StoreUnavailable('connect_failed', 'no connection')
         answer = None
-        with trio.move_on_after(allowed_s) as scope:
+        with trio.move_on_after(wait_s + ANSWER_S) as scope:
             await trio.sleep(STORE_LATENCY_S + self.router.random_delay_s())
             silence_count = self.fleet.silence_count
-            answer = await method(*arguments)
+            answer = await perform()
             # An answer that a partition delays arrives after the partition.
             while self.cut():
                 await self.fleet.changed.wait()
@@ -290,7 +280,8 @@
                 await trio.sleep_forever()
         if scope.cancelled_caught:
             raise StoreAnswerLost('connection_silent', 'no answer')
-        await trio.sleep_until(self.router.downlink.reserve(size_of(answer)))
+        size = size_of(answer.content)
+        await trio.sleep_until(self.router.downlink.reserve(size))
         return answer
 
     def cut(self):
@@ -300,7 +291,7 @@
 
 def size_of(answer):
     """Return the total size in bytes of the objects in a store answer."""
-    if answer is None:
+    if answer is None or isinstance(answer, Exception):
         return 0
     if isinstance(answer, StoredObject):
         return len(answer.content)
@@ -351,6 +342,9 @@
         self.store_down = ''
         self.acknowledged = []
         self.servers_by_name = {}
+        self.changes_by_server = {}
+        # Returns what runs in a router's process beside its fleet member.
+        self.make_services = lambda router, settings, incarnation: ()
         self.refused_at = float('-inf')
         self.store_down_at = float('-inf')
         self.restarted = set()
@@ -373,6 +367,7 @@
     def put_server(self, name, **changes):
         """Write the entry of a server, as the server itself does."""
         entry = {**ENTRY, 'service': 'plain', **changes}
+        self.changes_by_server[name] = changes
         self.store.put('servers', name, entry)
         state = entry['state']
         self.servers_by_name[name] = (trio.current_time(), state)
@@ -382,6 +377,17 @@
         self.store.remove('servers', name)
         self.servers_by_name[name] = (trio.current_time(), 'gone')
 
+    def rewrite(self):
+        """Write again what the operator and the servers wrote last."""
+        at, version = self.acknowledged[-1]
+        self.store.put('config', 'main', configuration(version))
+        stored = self.store.objects_by_key
+        for name, (at, state) in self.servers_by_name.items():
+            if state != 'gone':
+                self.put_server(name, **self.changes_by_server[name])
+            elif ('servers', name) in stored:
+                self.remove_server(name)
+
     def silence_connections(self):
         """Stall all open connections to the store for good."""
         self.silence_count += 1
@@ -488,16 +494,19 @@
             self.violations.append(line)
 
 
-async def simulate(shape, seed, scenario):
+async def simulate(shape, seed, scenario, prepare=None):
     """
     Run a scenario in a simulated fleet.
 
     :param shape: size and bounds of the fleet.
     :param seed: seed of all randomness outside the routers.
     :param scenario: takes the fleet; the simulation ends when it returns.
+    :param prepare: takes the fleet before its routers start.
     :returns: the fleet.
     """
     fleet = SimulatedFleet(shape, seed)
+    if prepare is not None:
+        prepare(fleet)
     async with trio.open_nursery() as nursery:
         await fleet.start(nursery)
         await scenario(fleet)
