Hold back entries of servers that left before a restore

A restored copy contains servers that had left since it was made. Once such a server was forgotten, its entry made it a new one, until the store expired it.

--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -11,6 +11,7 @@
 import trio
 
 from ..retries import EjectionPolicy, ServerHealth, after_failure, needs_probe
+from .departed_servers import DepartedServers
 from .records import ServerEntry, ServerLoad
 
 __all__ = ('RetentionPolicy', 'Server', 'ServerSet')
@@ -206,6 +207,7 @@
     def __init__(self, retention: RetentionPolicy | None = None) -> None:
         self._retention = retention or RetentionPolicy()
         self._by_id: dict[str, Server] = {}
+        self._departed = DepartedServers()
         self._store_recovered_at: float | None = None
         self._store_down_since: float | None = None
 
@@ -285,11 +287,14 @@
 
         Entries older than the known one are ignored.  An incarnation that has
         announced its shutdown stays marked as leaving, even if a later entry
-        is not.
+        is not.  Entries of servers that had left before a restore of the store
+        are held back.
 
         :param entry: published entry.
         :returns: whether the state of the server changed.
         """
+        if self._departed.hold_back(entry):
+            return False
         known = self._by_id.get(entry.id)
         if known is None or entry.incarnation > known.entry.incarnation:
             self._by_id[entry.id] = Server(entry)
@@ -313,9 +318,11 @@
         :param server_id: id of the server.
         :returns: whether the server was known and not yet marked.
         """
+        self._departed.discard_doubtful(server_id)
         server = self._by_id.get(server_id)
         if server is None or server.expires_at is not None:
             return False
+        self._departed.record_removal(server.entry)
         now_s = trio.current_time()
         hold_until = now_s + self._retention.removal_hold_s
         if self._store_recovered_at is not None:
@@ -363,6 +370,7 @@
         Entries that it lacks are published again some time after it.
         """
         self._store_recovered_at = trio.current_time()
+        self._departed.record_restore()
 
     @property
     def _is_outage(self) -> bool:
@@ -373,6 +381,9 @@
 
     def discard_expired(self) -> None:
         """Drop expired servers that have no request in progress."""
+        self._departed.discard_expired()
+        for entry in self._departed.take_confirmed():
+            self.apply_entry(entry)
         now_s = trio.current_time()
         for server_id, server in list(self._by_id.items()):
             expired = (
--- a/tests/test_gateway_restored_servers.py
+++ b/tests/test_gateway_restored_servers.py
@@ -10,11 +10,14 @@
 import trio
 
 from eelgrassfork.gateway.follower import StoreFollower
+from eelgrassfork.gateway.records import ServerEntry
+from eelgrassfork.gateway.servers import ServerSet
 
 from .memory_store import MemoryStoreClient
 from .mock_clock import run
 from .test_gateway_follower import DECODERS, ENTRY, Harness
 
+ANNOUNCED = ServerEntry('s1', 'svc', '10.0.0.1:80', 'd0', 6, 100, 5)
 DRAINING = {**ENTRY, 'state': 'draining', 'sequence': 9}
 
 
@@ -110,3 +113,54 @@
             return harness.usable
 
         self.assertEqual(['s1'], follow(scenario))
+
+    def test_server_that_had_left_is_not_used_because_of_the_copy(self):
+        async def scenario(harness):
+            state = harness.store.copy_state()
+            harness.store.put('servers', 's1', DRAINING)
+            await trio.sleep(0.5)
+            harness.store.remove('servers', 's1')
+            await trio.sleep(3)
+            harness.store_view.servers.discard_expired()
+            await restore(harness, state)
+            usable = []
+            for _ in range(30):
+                await trio.sleep(0.1)
+                usable.append('s1' in harness.usable)
+            harness.store.remove('servers', 's1')
+            await trio.sleep(20)
+            return any(usable), harness.usable
+
+        self.assertEqual((False, []), follow(scenario))
+
+
+class ServerSetTests(testtools.TestCase):
+    def is_used(self, entry, after_s):
+        """Check whether a removed server is used for an entry of the copy."""
+
+        async def main():
+            servers = ServerSet()
+            servers.apply_entry(ANNOUNCED)
+            servers.mark_removed('s1')
+            await trio.sleep(3)
+            servers.discard_expired()
+            servers.record_restore()
+            servers.apply_entry(entry)
+            await trio.sleep(after_s)
+            servers.discard_expired()
+            return bool(servers.usable('svc'))
+
+        return run(main)
+
+    def test_entry_that_was_known_before_the_removal_proves_nothing(self):
+        self.assertFalse(self.is_used(ANNOUNCED, 5))
+        self.assertFalse(self.is_used(ANNOUNCED._replace(sequence=4), 5))
+
+    def test_newer_entry_proves_that_the_server_is_back(self):
+        self.assertTrue(self.is_used(ANNOUNCED._replace(sequence=6), 0))
+        newer = ANNOUNCED._replace(incarnation=101, sequence=1)
+        self.assertTrue(self.is_used(newer, 0))
+
+    def test_entry_that_the_store_keeps_is_used_after_all(self):
+        # Entries of silent servers would have expired by then.
+        self.assertTrue(self.is_used(ANNOUNCED, 15))
