Do not reclaim standby credit by a record from before a restore

Found by a test; no caller has reported it. A process that starts again reclaims what its earlier one had on standby, by a record in the store. After a restore this is an older record, and its credit may have been released and used since: 60 of 100 tokens were used, and 100 reclaimed.

The record now has the era in which it was written, and counts in that era only. Records of former builds have none, so that nothing is reclaimed from them. A running process writes its record again after a restore; before, none was on standby after it in the new test.

--- a/eelgrassfork/gateway/standby.py
+++ b/eelgrassfork/gateway/standby.py
@@ -8,7 +8,8 @@
 ``ACTIVATION_S`` after the last renewal that may have taken effect, it may use
 a share of that credit that grows with time.  A process that is restarted on
 the same VM can therefore compute how much of it can't have been used, and
-reclaims that part.
+reclaims that part.  A record from before a restore of the store proves nothing:
+its credit may have been released since.
 """
 
 from collections.abc import Callable, Mapping
@@ -25,8 +26,10 @@
     StoreConflict,
     StoredObject,
     StoreError,
+    StoreRestored,
     StoreUnavailable,
 )
+from .store_era import era_of
 
 __all__ = (
     'ACTIVATION_S',
@@ -75,11 +78,13 @@
     :ivar renewed_ms: fleet time before the write was sent, in Unix
         milliseconds.
     :ivar tokens_by_organisation: credit on standby, in tokens.
+    :ivar era: era of the store in which it was written.
     """
 
     incarnation: int
     renewed_ms: int
     tokens_by_organisation: dict[str, int]
+    era: int = 0
 
 
 def released_fraction(since_renewal_s: float) -> float:
@@ -163,10 +168,12 @@
         if record is None or not any(record.tokens_by_organisation.values()):
             return
         started = self._start_time()
-        is_same_process = record.incarnation == self._incarnation
-        fraction = (
-            1 if is_same_process else reclaimable_fraction(record, started)
-        )
+        fraction = 0.0
+        if record.era == era_of(stored.revision):
+            is_same_process = record.incarnation == self._incarnation
+            fraction = (
+                1 if is_same_process else reclaimable_fraction(record, started)
+            )
         reclaimed = _scale(record.tokens_by_organisation, fraction)
         _log.info(
             'found standby credit of an earlier process',
@@ -175,6 +182,7 @@
                 'renewed_ms': record.renewed_ms,
                 'started_ms': started.unix_ms,
                 'clocks': started.clocks,
+                'era': record.era,
                 'reclaimed': reclaimed,
             },
         )
@@ -308,13 +316,19 @@
         if any(tokens.values()):
             self._renewed_at = trio.current_time()
         record = StandbyRecord(
-            self._incarnation, self._fleet_time().unix_ms, dict(tokens)
+            self._incarnation,
+            self._fleet_time().unix_ms,
+            dict(tokens),
+            self._store.era.current,
         )
         try:
             stored = await self._store_record(record)
         except StoreUnavailable:
             self._renewed_at = previous
             raise
+        except StoreRestored:
+            self._revision = None
+            raise
         except StoreConflict as conflict:
             self._revision = (
                 conflict.current.revision if conflict.current else None
--- a/tests/test_gateway_standby.py
+++ b/tests/test_gateway_standby.py
@@ -23,7 +23,7 @@
 )
 from eelgrassfork.gateway.store import StoreError
 
-from .memory_store import MemoryStore
+from .memory_store import MemoryStore, MemoryStoreClient
 from .mock_clock import run
 
 EPOCH_MS = 1_700_000_000_000
@@ -62,6 +62,31 @@
             self.standby.release_if_due()
 
 
+def restart_after_restore(copy_age_s, downtime_s=1):
+    """Kill a process after a restore, and return the credit of the next one."""
+
+    async def main():
+        store = MemoryStore()
+        first = Process(MemoryStoreClient(store), 1)
+        async with trio.open_nursery() as nursery:
+            await first.standby.put({'a': 100})
+            nursery.start_soon(first.run)
+            await trio.sleep(5 - copy_age_s)
+            state = store.copy_state()
+            await trio.sleep(copy_age_s)
+            await first.standby.renew({'a': 40}, free=False)
+            store.restore(state)
+            first.scope.cancel()
+            await trio.sleep(downtime_s)
+            second = Process(MemoryStoreClient(store), 2)
+            await second.standby.recover()
+            nursery.cancel_scope.cancel()
+        reclaimed = second.standby.tokens_by_organisation.get('a', 0)
+        return first.used, reclaimed
+
+    return run(main)
+
+
 class RuleTests(testtools.TestCase):
     def test_reclaims_only_before_any_use_is_possible(self):
         record = StandbyRecord(1, EPOCH_MS, {'a': 5})
@@ -223,3 +248,31 @@
         setattr(store, fault, True)
         await trio.sleep(healed_after)
         setattr(store, fault, False)
+
+
+class RestoreTests(testtools.TestCase):
+    def test_credit_that_was_released_after_the_copy_is_not_reclaimed(self):
+        # The record of the copy claims credit that the process has used.
+        used, reclaimed = restart_after_restore(copy_age_s=1)
+        self.assertEqual((60, 0), (used, reclaimed))
+
+    def test_record_is_written_again_after_a_restore(self):
+        async def main():
+            store = MemoryStore()
+            client = MemoryStoreClient(store)
+            state = store.copy_state()
+            process = Process(client, 1)
+            await process.standby.put({'a': 100})
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(process.run)
+                await trio.sleep(2)
+                store.restore(state)
+                await trio.sleep(3)
+                await process.standby.put({'a': 80})
+                await trio.sleep(1)
+                nursery.cancel_scope.cancel()
+            second = Process(MemoryStoreClient(store), 2)
+            await second.standby.recover()
+            return second.standby.tokens_by_organisation
+
+        self.assertEqual({'a': 80}, run(main))
