--- a/eelgrassfork/gateway/standby.py
+++ b/eelgrassfork/gateway/standby.py
@@ -168,7 +168,7 @@
         if record is None or not any(record.tokens_by_organisation.values()):
             return
         started = self._start_time()
-        fraction = 0.0
+        fraction: float = 0
         if record.era == era_of(stored.revision):
             is_same_process = record.incarnation == self._incarnation
             fraction = (
