Register again after a restore of the store

A router writes its entry once, so that an entry which a restore undid was missing for good, and routers that hear nobody could not find it. The new test fails without the change.

--- a/eelgrassfork/gateway/registry.py
+++ b/eelgrassfork/gateway/registry.py
@@ -62,6 +62,7 @@
         self._incarnation = incarnation
         self._is_watcher = is_watcher
         self._registered = False
+        store.era.subscribe(self._on_restore)
 
     async def run(self) -> None:
         """Register this router if useful, and discover others if isolated."""
@@ -81,6 +82,10 @@
         if is_isolated:
             await self._retry(self._discover)
 
+    def _on_restore(self) -> None:
+        # The copy may be from before the entry was written.
+        self._registered = False
+
     async def _retry(self, step: Callable[[], Awaitable[None]]) -> None:
         while True:
             try:
--- a/tests/test_gateway_registry.py
+++ b/tests/test_gateway_registry.py
@@ -95,3 +95,18 @@
         before, after, entry = run(scenario)
         self.assertEqual((0, 1), (before, after))
         self.assertIsNotNone(entry)
+
+    def test_entry_that_a_restore_undid_is_written_again(self):
+        async def scenario(store, gossip, registry, nursery):
+            gossip.is_watcher = True
+            store.era.observe(1, 'store')
+            state = store.copy_state()
+            nursery.start_soon(registry.run)
+            await trio.sleep(8)
+            store.restore(state)
+            lost = await store.get(KIND, 'edge-1')
+            store.era.observe(2, 'store')
+            await trio.sleep(8)
+            return lost, (await store.get(KIND, 'edge-1')) is not None
+
+        self.assertEqual((None, True), run(scenario))
