Write the quarantine again after a restore of the store

The record was written at the next change only, so that a part which a restore undid was unknown after a restart of all routers, and one that had been lifted came back. Seeds and keepers now read the record again and complete it. Both new tests fail without the change.

--- a/eelgrassfork/gateway/quarantine_record.py
+++ b/eelgrassfork/gateway/quarantine_record.py
@@ -79,6 +79,7 @@
         self._is_seed = is_seed
         self._random = random.Random()
         self._stored: _State | None = None
+        store.era.subscribe(self._on_restore)
 
     async def run(self) -> None:
         """Keep the record up to date until cancelled."""
@@ -100,6 +101,10 @@
         present = self._quarantine.crash_ids_by_part()
         return present != self._stored.crash_ids_by_part and self._is_keeper()
 
+    def _on_restore(self) -> None:
+        # The copy may lack parts, so the record is read again and completed.
+        self._stored = None
+
     def _is_keeper(self) -> bool:
         return self._roster.is_settled and self._roster.is_keeper
 
@@ -108,6 +113,8 @@
             self._apply(await self._store.get(_KIND, _NAME))
             return
         await trio.sleep(self._random.uniform(0, _MAX_DELAY_S))
+        if self._stored is None:
+            return
         present = self._quarantine.crash_ids_by_part()
         try:
             stored = await self._write(self._stored.revision)
--- a/tests/test_gateway_quarantine_record.py
+++ b/tests/test_gateway_quarantine_record.py
@@ -19,7 +19,7 @@
 from eelgrassfork.gateway.sending import Attempt
 from eelgrassfork.gateway.servers import Server
 
-from .memory_store import MemoryStore
+from .memory_store import MemoryStore, MemoryStoreClient
 
 KIND = 'eelgrassfork-quarantine'
 PARTS = (PromptPart('x', 10), PromptPart('own', 10))
@@ -113,6 +113,36 @@
 
         self.assertEqual((set(), set()), run(scenario))
 
+    def test_part_that_a_restore_undid_is_written_again(self):
+        async def scenario(store, start):
+            state = store.copy_state()
+            first = await start(Router(MemoryStoreClient(store)))
+            first.end_servers()
+            await trio.sleep(2)
+            store.restore(state)
+            first.record._store.era.observe(2, 'n2')
+            await trio.sleep(2)
+            fresh = await start(Router(MemoryStoreClient(store)))
+            return fresh.part_ids
+
+        self.assertEqual({'x'}, run(scenario))
+
+    def test_lifted_part_does_not_come_back_with_a_restored_copy(self):
+        async def scenario(store, start):
+            first = await start(Router(MemoryStoreClient(store)))
+            first.end_servers()
+            await trio.sleep(2)
+            state = store.copy_state()
+            first.quarantine.lift('model', 'x')
+            await trio.sleep(2)
+            store.restore(state)
+            first.record._store.era.observe(2, 'n2')
+            await trio.sleep(2)
+            fresh = await start(Router(MemoryStoreClient(store)))
+            return first.part_ids, fresh.part_ids
+
+        self.assertEqual((set(), set()), run(scenario))
+
     def test_router_that_is_no_keeper_writes_nothing(self):
         async def scenario(store, start):
             router = await start(Router(store, is_keeper=False))
