Assume draws by rate where nobody remembers what a restore has undone

If all routers end between the copy and the recovery, nobody knows what was drawn since.

It stays an estimate: an organisation whose rate rises by more than half in the lost seconds can get more than it paid for, and what was not drawn is given up until its limit is raised.

--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -119,6 +119,7 @@
             self.held,
             parts.prepaid,
             parts.ledger_history,
+            lambda: parts.fleet_time().unix_ms,
         )
         if parts.announce_writes is not None:
             self._ledger.on_write = parts.announce_writes
--- a/eelgrassfork/gateway/ledger.py
+++ b/eelgrassfork/gateway/ledger.py
@@ -88,6 +88,8 @@
         the first serial, and those that follow it.
     :param is_settled: whether credit was drawn since the last restore, after
         all routers could repeat what it had undone.
+    :param started_ms: fleet time of the first write, in Unix milliseconds.
+    :param written_ms: fleet time of the last write.
     """
 
     granted_by_organisation: dict[str, int]
@@ -96,6 +98,8 @@
     position: LedgerPosition = _NO_POSITION
     serials_by_era: dict[int, tuple[int, ...]] = {}
     is_settled: bool = True
+    started_ms: int = 0
+    written_ms: int = 0
 
 
 class Transfer(NamedTuple):
@@ -122,6 +126,8 @@
     position: tuple[int, int] = _NO_POSITION
     serials: dict[int, tuple[int, ...]] = {}
     settled: bool = True
+    started_ms: int = 0
+    written_ms: int = 0
 
 
 def decode_ledger(content: bytes) -> Ledger:
@@ -143,6 +149,8 @@
         LedgerPosition(*wire.position),
         wire.serials,
         wire.settled,
+        wire.started_ms,
+        wire.written_ms,
     )
 
 
@@ -163,6 +171,8 @@
         'position': list(ledger.position),
         'serials': ledger.serials_by_era,
         'settled': ledger.is_settled,
+        'started_ms': ledger.started_ms,
+        'written_ms': ledger.written_ms,
     }
 
 
--- a/eelgrassfork/gateway/ledger_copy.py
+++ b/eelgrassfork/gateway/ledger_copy.py
@@ -14,8 +14,8 @@
 from .ledger import EMPTY, decode_ledger
 from .ledger_history import LedgerHistory
 from .ledger_recovery import (
+    assume_undone_draws,
     complete_ledger,
-    grant_allowance,
     is_newest_known,
 )
 from .store import StoredObject
@@ -40,6 +40,7 @@
     :param era: restores of the store.
     :param history: recent writes of all routers.
     :param prepaid: returns the prepaid limits in tokens by organisation.
+    :param now_ms: returns the fleet time, in Unix milliseconds.
     :ivar ledger: the state, with all known writes.
     :ivar revision: of the stored ledger; ``None`` if there is none.
     :ivar read_at: when it was read, on trio's clock.
@@ -51,10 +52,12 @@
         era: StoreEra,
         history: LedgerHistory,
         prepaid: Callable[[], Mapping[str, int]],
+        now_ms: Callable[[], int],
     ) -> None:
         self._era = era
         self._history = history
         self._prepaid = prepaid
+        self._now_ms = now_ms
         self.ledger = EMPTY
         self.revision: int | None = None
         self.read_at: float = float('-inf')
@@ -111,7 +114,9 @@
                 self._abstains_until = now_s + _ABSTAIN_S
             if now_s < self._abstains_until:
                 return
-            content = grant_allowance(content, self._prepaid())
+            content = assume_undone_draws(
+                content, self._prepaid(), self._now_ms()
+            )
         self._abstains_until = None
         completed = complete_ledger(
             content, self.ledger, self._history.writes(), era
--- a/eelgrassfork/gateway/ledger_recovery.py
+++ b/eelgrassfork/gateway/ledger_recovery.py
@@ -18,13 +18,16 @@
     sum_by_organisation,
 )
 
-__all__ = ('complete_ledger', 'grant_allowance', 'is_newest_known')
+__all__ = ('assume_undone_draws', 'complete_ledger', 'is_newest_known')
 
 # Writes of earlier eras count as included.
 _MAX_ERAS: Final = 4
-# Share of a limit that counts as drawn since the copy was made if no router
-# remembers the writes of that time.
-_ALLOWANCE_FRACTION: Final = 0.25
+# If no router remembers the writes that a restore has undone, more than the
+# mean rate of use counts as drawn, and a share of the limit, as routers hold
+# credit for seconds in advance.
+_ASSUMED_RATE_FACTOR: Final = 1.5
+_ASSUMED_FRACTION: Final = 0.1
+_MIN_OBSERVED_MS: Final = 1000
 
 
 def complete_ledger(
@@ -68,21 +71,25 @@
     return stored.position > max(known.position, newest or EMPTY.position)
 
 
-def grant_allowance(
-    ledger: Ledger, prepaid_by_organisation: Mapping[str, int]
+def assume_undone_draws(
+    ledger: Ledger, prepaid_by_organisation: Mapping[str, int], now_ms: int
 ) -> Ledger:
     """
-    Count a share of all limits as drawn by writes that nobody remembers.
+    Count as drawn what writes that nobody remembers have probably drawn.
 
     :param ledger: restored state.
     :param prepaid_by_organisation: prepaid limits, in tokens.
+    :param now_ms: fleet time, in Unix milliseconds.
     :returns: the changed state.
     """
+    observed_ms = max(_MIN_OBSERVED_MS, ledger.written_ms - ledger.started_ms)
+    undone_ms = max(0, now_ms - ledger.written_ms)
+    factor = _ASSUMED_RATE_FACTOR * undone_ms / observed_ms
     granted = dict(ledger.granted_by_organisation)
     for name, prepaid in prepaid_by_organisation.items():
         present = granted.get(name, 0)
-        assumed = present + int(prepaid * _ALLOWANCE_FRACTION)
-        granted[name] = max(present, min(prepaid, assumed))
+        assumed = int(present * factor + prepaid * _ASSUMED_FRACTION)
+        granted[name] = max(present, min(prepaid, present + assumed))
     return ledger._replace(granted_by_organisation=granted)
 
 
--- a/eelgrassfork/gateway/ledger_writer.py
+++ b/eelgrassfork/gateway/ledger_writer.py
@@ -56,6 +56,7 @@
     :param held: credit held by this router; updated by transfers.
     :param prepaid: returns the prepaid limits in tokens by organisation.
     :param history: recent writes of all routers.
+    :param now_ms: returns the fleet time, in Unix milliseconds.
     :ivar on_write: called after a write of this router was recorded, before
         its credit is used.
     """
@@ -68,6 +69,7 @@
         held: HeldCredit,
         prepaid: Callable[[], Mapping[str, int]],
         history: LedgerHistory | None = None,
+        now_ms: Callable[[], int] = int,
     ) -> None:
         self._store = store
         self._node = node
@@ -75,7 +77,8 @@
         self._held = held
         self._prepaid = prepaid
         self._history = history or LedgerHistory()
-        self._copy = LedgerCopy(store.era, self._history, prepaid)
+        self._now_ms = now_ms
+        self._copy = LedgerCopy(store.era, self._history, prepaid, now_ms)
         self._stored = StoredLedger(store, node, self._copy)
         self._operation_number = 0
         self._random = random.Random()
@@ -258,7 +261,12 @@
         planned, drawn = apply_transfer(
             before, transfer, self._prepaid(), self._node, operation
         )
-        planned = planned._replace(is_settled=self._copy.may_draw)
+        now_ms = self._now_ms()
+        planned = planned._replace(
+            is_settled=self._copy.may_draw,
+            started_ms=before.started_ms or now_ms,
+            written_ms=now_ms,
+        )
         returned = {
             name: self._held.remove(name, amount)
             for name, amount in transfer.returned_by_organisation.items()
--- a/tests/test_gateway_ledger_copy.py
+++ b/tests/test_gateway_ledger_copy.py
@@ -42,7 +42,9 @@
     def __init__(self):
         self.era = StoreEra()
         self.history = LedgerHistory()
-        self.copy = LedgerCopy(self.era, self.history, lambda: {'a': 1000})
+        self.copy = LedgerCopy(
+            self.era, self.history, lambda: {'a': 1000}, lambda: 0
+        )
 
     def adopt(self, *arguments):
         self.copy.adopt(stored(*arguments))
@@ -74,14 +76,14 @@
 
         self.assertEqual((True, 700, False), run(main))
 
-    def test_draws_that_nobody_remembers_count_as_a_share_of_the_limit(self):
+    def test_draws_that_nobody_remembers_are_assumed(self):
         async def main():
             router = Copies()
             router.adopt(2, 1, 5, 100)
             await trio.sleep(2)
             return router.adopt(2, 1, 5, 100), router.copy.is_incomplete
 
-        self.assertEqual((350, True), run(main))
+        self.assertEqual((200, True), run(main))
 
     def test_router_that_was_told_of_all_writes_recovers_at_once(self):
         async def main():
--- a/tests/test_gateway_ledger_recovery.py
+++ b/tests/test_gateway_ledger_recovery.py
@@ -18,8 +18,8 @@
     includes,
 )
 from eelgrassfork.gateway.ledger_recovery import (
+    assume_undone_draws,
     complete_ledger,
-    grant_allowance,
     is_newest_known,
 )
 
@@ -106,8 +106,14 @@
         self.assertTrue(is_newest_known(COPY, EMPTY, LedgerPosition(1, 6)))
         self.assertTrue(is_newest_known(COPY, EMPTY, None))
 
-    def test_allowance_is_a_share_of_the_limit(self):
-        changed = grant_allowance(COPY, {'a': 1000, 'b': 60, 'c': 40})
-        self.assertEqual(
-            {'a': 350, 'b': 60, 'c': 10}, changed.granted_by_organisation
-        )
+    def test_assumed_draws_grow_with_the_rate_and_the_time(self):
+        copy = COPY._replace(started_ms=10_000, written_ms=20_000)
+        for now_ms, expected in (
+            (20_000, {'a': 200, 'b': 56, 'c': 4}),
+            (24_000, {'a': 260, 'b': 60, 'c': 4}),
+            (99_000, {'a': 1000, 'b': 60, 'c': 4}),
+        ):
+            changed = assume_undone_draws(
+                copy, {'a': 1000, 'b': 60, 'c': 40}, now_ms
+            )
+            self.assertEqual(expected, changed.granted_by_organisation)
--- a/tests/test_gateway_restored_store_faults.py
+++ b/tests/test_gateway_restored_store_faults.py
@@ -18,7 +18,7 @@
 SEEDS = tuple(int(seed) for seed in os.environ.get('SEEDS', '0 48').split())
 
 
-async def kill_and_start(fleet, router, after_s, away_s):
+async def kill_and_start(router, after_s, away_s):
     await trio.sleep(after_s)
     router.kill()
     await trio.sleep(away_s)
@@ -48,7 +48,6 @@
     for router in random.sample(fleet.routers, random.choice((0, 1, 2, 3))):
         fleet.nursery.start_soon(
             kill_and_start,
-            fleet,
             router,
             random.uniform(0, 6),
             random.uniform(0.3, 4),
@@ -81,9 +80,28 @@
     await trio.sleep(16)
 
 
+async def all_routers_end(fleet, callers):
+    """Kill all routers around a restore, so that none knows what is undone."""
+    random = fleet.random
+    await trio.sleep(random.uniform(5, 9))
+    for router in fleet.routers:
+        fleet.nursery.start_soon(
+            kill_and_start,
+            router,
+            random.uniform(1, 1.1),
+            random.uniform(0.3, 3),
+        )
+    await callers.restore(age_s=random.uniform(1, 9), away_s=2)
+    await trio.sleep(14)
+
+
 class FaultTests(testtools.TestCase):
     def test_budgets_hold_whatever_fails_around_a_restore(self):
         plays = [play(random_faults, seed) for seed in SEEDS]
         self.assertEqual(
             [{}] * len(SEEDS), [callers.overspent for callers in plays]
         )
+
+    def test_budgets_hold_if_all_routers_end_around_a_restore(self):
+        overspent = [play(all_routers_end, seed).overspent for seed in range(3)]
+        self.assertEqual([{}] * 3, overspent)
