Bound the cost and the log line of completing a ledger

With 150,000 organisations each write of the history copied all entries, and the log line had all of them.

--- a/eelgrassfork/gateway/ledger_copy.py
+++ b/eelgrassfork/gateway/ledger_copy.py
@@ -11,7 +11,7 @@
 import logbook
 import trio
 
-from .ledger import EMPTY, decode_ledger
+from .ledger import EMPTY, Ledger, decode_ledger
 from .ledger_history import LedgerHistory
 from .ledger_recovery import (
     assume_undone_draws,
@@ -129,9 +129,8 @@
                     'era': era,
                     'stored_position': content.position,
                     'position': completed.position,
-                    'granted_before': self.ledger.granted_by_organisation,
-                    'granted_in_copy': content.granted_by_organisation,
-                    'granted': completed.granted_by_organisation,
+                    'granted_in_copy': _sum_granted(content),
+                    'granted': _sum_granted(completed),
                     'nobody_knows_more': is_unknown,
                 },
             )
@@ -158,3 +157,7 @@
             'granted_by_organisation': self.ledger.granted_by_organisation,
             'spent_by_organisation': self.ledger.spent_by_organisation,
         }
+
+
+def _sum_granted(ledger: Ledger) -> int:
+    return sum(ledger.granted_by_organisation.values())
--- a/eelgrassfork/gateway/ledger_recovery.py
+++ b/eelgrassfork/gateway/ledger_recovery.py
@@ -6,6 +6,7 @@
 older copy; pure functions only.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from typing import Final
 
@@ -15,7 +16,6 @@
     LedgerPosition,
     LedgerWrite,
     includes,
-    sum_by_organisation,
 )
 
 __all__ = ('assume_undone_draws', 'complete_ledger', 'is_newest_known')
@@ -119,8 +119,8 @@
 def _add_writes(
     base: Ledger, writes: Iterable[LedgerWrite], era: int
 ) -> Ledger:
-    granted = base.granted_by_organisation
-    spent = base.spent_by_organisation
+    granted = Counter(base.granted_by_organisation)
+    spent = Counter(base.spent_by_organisation)
     last_serial = base.position.serial
     serials_by_era = dict(base.serials_by_era)
     if base.position.era < era:
@@ -128,8 +128,8 @@
     for write in writes:
         if includes(base, write.position):
             continue
-        granted = sum_by_organisation(granted, write.granted_by_organisation)
-        spent = sum_by_organisation(spent, write.spent_by_organisation)
+        granted.update(write.granted_by_organisation)
+        spent.update(write.spent_by_organisation)
         written_in, serial = write.position
         last_serial = max(last_serial, serial)
         if written_in < era:
@@ -138,8 +138,8 @@
             )
     kept_eras = sorted(serials_by_era)[-_MAX_ERAS:]
     return base._replace(
-        granted_by_organisation=granted,
-        spent_by_organisation=spent,
+        granted_by_organisation=dict(granted),
+        spent_by_organisation=dict(spent),
         position=LedgerPosition(era, last_serial),
         serials_by_era={kept: serials_by_era[kept] for kept in kept_eras},
     )
