--- a/eelgrassfork/gateway/forwarder.py
+++ b/eelgrassfork/gateway/forwarder.py
@@ -230,6 +230,7 @@
                 'version_age_s': self._parts.store_view.configuration.age_s,
                 'tokens': pending.head.max_total_tokens,
                 'parts': [part.id for part in pending.head.parts],
+                'digest': pending.digest,
                 'events': pending.relay.events,
                 'held_back': pending.held_back,
                 'sends': [attempt.log_fields() for attempt in pending.attempts],
--- a/eelgrassfork/gateway/sending.py
+++ b/eelgrassfork/gateway/sending.py
@@ -14,6 +14,7 @@
 from .configuration import Permission
 from .event_relay import EventRelay
 from .records import AnswerHead, ForwardHead
+from .request_digest import digest_request
 from .servers import Server
 
 __all__ = ('Attempt', 'AttemptFailed', 'ErrorAnswer', 'PendingRequest')
@@ -156,6 +157,16 @@
         self.outcome = 'answered'
         self.first_byte_at: float = -1
         self.tokens_per_event = 0
+        self._digest = ''
+
+    @property
+    def digest(self) -> str:
+        """Digest that is the same for each repeat of the request."""
+        if not self._digest:
+            self._digest = digest_request(
+                self.head, self.permission.organisation.name, self.call.body
+            )
+        return self._digest
 
     @property
     def remaining_s(self) -> float:
