--- a/tests/simulated_crashes.py
+++ b/tests/simulated_crashes.py
@@ -3,7 +3,8 @@
 ~~~~~~~~~~~~~~~~~~~~~~~
 
 Backend servers of a simulated fleet that end, by themselves or under requests
-with a certain part in their prompts, and callers that repeat once.
+with a certain part in their prompts or a certain path, and callers that repeat
+once.
 """
 
 from typing import NamedTuple
@@ -113,6 +114,7 @@
         )
         answer = await super().request(request, timeouts)
         crashing = self.callers.crashing_parts.intersection(parts[:-1])
+        crashing |= self.callers.crashing_names.intersection(parts)
         if crashing and not server.ended:
             self.callers.crash(server, min(crashing))
         if server.ended:
@@ -131,6 +133,7 @@
     Callers with sound requests and requests that end servers.
 
     :ivar crashing_parts: parts that end servers.
+    :ivar crashing_names: requests without a prompt that end servers.
     :ivar sends: all requests that reached a server.
     :ivar crashes: all ends of servers.
     :ivar attempts: the first attempt of each request.
@@ -139,6 +142,7 @@
     def __init__(self, fleet, servers):
         super().__init__(fleet, servers)
         self.crashing_parts = set()
+        self.crashing_names = set()
         self.sends = []
         self.crashes = []
         self.attempts = []
@@ -209,10 +213,11 @@
         HOST.set(router.node)
         permission = Permission(ROUTE, Organisation(''), 5)
         target = '/' + '.'.join(parts)
-        head = make_head()._replace(
-            target=target,
-            parts=tuple(PromptPart(part, PART_TOKENS) for part in parts),
-        )
+        head = make_head()._replace(target=target)
+        if len(parts) > 1:
+            head = head._replace(
+                parts=tuple(PromptPart(part, PART_TOKENS) for part in parts)
+            )
         pending = PendingRequest(
             CallerConnection(),
             head,
@@ -225,16 +230,23 @@
             return error
         return None
 
+    async def poll(self, name, interval_s):
+        """Send one request without a prompt again and again, at any router."""
+        while True:
+            router = self.fleet.random.choice(self.fleet.routers)
+            self.fleet.nursery.start_soon(self.send_parts, router, (name,))
+            await trio.sleep(self.fleet.random.expovariate(1 / interval_s))
+
     def crashes_of(self, part):
         """Return the times at which servers ended under a part."""
         return [crash.at for crash in self.crashes if crash.part == part]
 
-    def excess_sends(self, part, known_after_s):
-        """Count the sends of a part after its fifth crash became known."""
+    def excess_sends(self, part, known_after_s, crash=CRASHES_BEFORE_RULE):
+        """Count the sends of a part after one of its crashes became known."""
         crashes = self.crashes_of(part)
-        if len(crashes) < CRASHES_BEFORE_RULE:
+        if len(crashes) < crash:
             return 0
-        start_at = crashes[CRASHES_BEFORE_RULE - 1] + known_after_s
+        start_at = crashes[crash - 1] + known_after_s
         return sum(
             send.at > start_at and part in send.parts for send in self.sends
         )
@@ -246,5 +258,6 @@
             for attempt in self.attempts
             if start_at <= attempt.at < end_at
             and not self.crashing_parts.intersection(attempt.parts)
+            and not self.crashing_names.intersection(attempt.parts)
         ]
         return sum(not attempt.code for attempt in sound) / len(sound)
