Refuse a request under which servers ended each time

What callers saw: a request without a prompt ended twelve servers of the order desk in three bursts of four, so that the service had none for seconds, and was sent four times more than the rule allows.

A request had no identity, so that nothing was known of it when it came again.

A request is now a suspect like the parts of its prompt, by a digest of method, host, path, query, organisation and body: the same crashes, the same judgement, reports, record and bounds. A request is not refused while another one explains its crashes as well; the next complete answer tells them apart, and so does a failure that the server sealed. The refusal is 503 request_quarantined, not run.

--- a/eelgrassfork/errors.py
+++ b/eelgrassfork/errors.py
@@ -52,6 +52,7 @@
     'overloaded': CodeSpec(503, retry_after_s=1),
     'no_server': CodeSpec(503, retry_after_s=2),
     'part_quarantined': CodeSpec(503, retry_after_s=600),
+    'request_quarantined': CodeSpec(503, retry_after_s=600),
     'draining': CodeSpec(503, retry_after_s=1),
     'router_busy': CodeSpec(503, retry_after_s=1),
     'not_ready': CodeSpec(503, retry_after_s=2),
--- a/eelgrassfork/gateway/attempt_guards.py
+++ b/eelgrassfork/gateway/attempt_guards.py
@@ -11,15 +11,13 @@
 
 import trio
 
-from .records import PromptPart
 from .sending import Attempt
-from .suspect_parts import shared_part_ids
 
 __all__ = ('AttemptGuards',)
 
 
 class _Guarded(NamedTuple):
-    part_ids: tuple[str, ...]
+    suspect_ids: tuple[str, ...]
     scope: trio.CancelScope
 
 
@@ -31,18 +29,18 @@
 
     @contextmanager
     def guard(
-        self, attempt: Attempt, parts: tuple[PromptPart, ...]
+        self, attempt: Attempt, suspect_ids: tuple[str, ...]
     ) -> Iterator[None]:
         """
         Make an attempt cancellable; it then ends without an error.
 
         :param attempt: the attempt.
-        :param parts: parts of the prompt.
+        :param suspect_ids: the request, and shared parts of its prompt.
         """
         service = attempt.server.entry.service
         guarded = self._guarded_by_service.setdefault(service, {})
         with trio.CancelScope() as scope:
-            guarded[attempt] = _Guarded(shared_part_ids(parts), scope)
+            guarded[attempt] = _Guarded(suspect_ids, scope)
             try:
                 yield
             finally:
@@ -61,5 +59,5 @@
         guarded_by_attempt = self._guarded_by_service.get(service, {})
         for attempt, guarded in guarded_by_attempt.items():
             is_waiting = attempt.first_event_at is None
-            if is_waiting and is_refused(guarded.part_ids):
+            if is_waiting and is_refused(guarded.suspect_ids):
                 guarded.scope.cancel()
--- a/eelgrassfork/gateway/crash_evidence.py
+++ b/eelgrassfork/gateway/crash_evidence.py
@@ -2,13 +2,16 @@
 eelgrassfork.gateway.crash_evidence
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Judges which part of a prompt ends backend servers; pure functions only.
+Judges which request, or part of a prompt, ends backend servers; pure functions
+only.
 """
 
 import math
 from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple
 
+from .suspect_ids import is_request
+
 __all__ = (
     'RATE_WINDOW_S',
     'CrashRate',
@@ -83,45 +86,48 @@
 
 
 def find_cause(
-    part_ids: Iterable[str],
-    histories_by_part: Mapping[str, PartHistory],
+    suspect_ids: Iterable[str],
+    histories_by_suspect: Mapping[str, PartHistory],
     quarantined: Mapping[str, object],
 ) -> str | None:
     """
-    Find the part for which a request has to be refused.
+    Find the suspect for which a request has to be refused.
 
-    Parts that were at the same crashes can't be distinguished.  A request is
-    refused only if no part that it lacks explains the crashes as well, so that
-    requests which share some of these parts are still sent.
+    Suspects that were at the same crashes can't be distinguished.  A request is
+    refused only if nothing that it lacks explains the crashes as well, so that
+    requests which share some of these parts are still sent.  Other requests
+    don't explain the crashes of a part, as it is in each of them.
 
-    :param part_ids: parts that the request shares with others.
-    :param histories_by_part: known parts of the same service.
+    :param suspect_ids: the request, and shared parts of its prompt.
+    :param histories_by_suspect: known suspects of the same service.
     :param quarantined: those that are likely to end servers.
-    :returns: the part with the most crashes, the last one of equal ones;
+    :returns: the suspect with the most crashes, the last one of equal ones;
         ``None`` if the request may be sent.
     """
-    own = tuple(part_ids)
+    own = tuple(suspect_ids)
     causes = [
-        part_id
-        for part_id in own
-        if part_id in quarantined
-        and not _is_explained(part_id, own, histories_by_part)
+        suspect_id
+        for suspect_id in own
+        if suspect_id in quarantined
+        and not _is_explained(suspect_id, own, histories_by_suspect)
     ]
     return max(
         reversed(causes),
-        key=lambda part_id: len(histories_by_part[part_id].crash_ids),
+        key=lambda suspect_id: len(histories_by_suspect[suspect_id].crash_ids),
         default=None,
     )
 
 
 def _is_explained(
-    part_id: str,
+    suspect_id: str,
     own: tuple[str, ...],
-    histories_by_part: Mapping[str, PartHistory],
+    histories_by_suspect: Mapping[str, PartHistory],
 ) -> bool:
-    crash_ids = histories_by_part[part_id].crash_ids
+    crash_ids = histories_by_suspect[suspect_id].crash_ids
     return any(
         crash_ids <= history.crash_ids
-        for other, history in histories_by_part.items()
-        if other not in own and not history.was_answered
+        for other, history in histories_by_suspect.items()
+        if other not in own
+        and not history.was_answered
+        and (is_request(suspect_id) or not is_request(other))
     )
--- a/eelgrassfork/gateway/exchange.py
+++ b/eelgrassfork/gateway/exchange.py
@@ -219,7 +219,7 @@
             await pending.respond(answer, body)
         attempt.outcome = 'answered'
         self._parts.quarantine.record_answer(
-            attempt.server.entry.service, pending.head.parts
+            attempt.server.entry.service, pending.suspect_ids
         )
         return None
 
@@ -281,6 +281,11 @@
             raise AttemptFailed(
                 'unproven', f'HTTP {answer.status}', not_run=False
             )
+        if answer.sealed:
+            # The server survived the request, but may not have read its prompt.
+            self._parts.quarantine.record_answer(
+                attempt.server.entry.service, pending.suspect_ids[:1]
+            )
         repeatable = pending.permission.route.repeatable
         return ErrorAnswer(answer, body, not (is_server_error and repeatable))
 
@@ -361,7 +366,7 @@
             attempt.server, error
         )
         if attempt.server_ended:
-            self._parts.quarantine.record_crash(attempt, pending.head.parts)
+            self._parts.quarantine.record_crash(attempt, pending.suspect_ids)
         silent = isinstance(error, ReceiveTimeout)
         return AttemptFailed(
             'silent' if silent else error.code,
--- a/eelgrassfork/gateway/part_quarantine.py
+++ b/eelgrassfork/gateway/part_quarantine.py
@@ -2,7 +2,8 @@
 eelgrassfork.gateway.part_quarantine
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Refuses requests with parts of prompts that are likely to end their servers.
+Refuses requests that are likely to end their servers, or have parts of prompts
+that are.
 """
 
 from collections.abc import Callable
@@ -15,9 +16,9 @@
 from .attempt_guards import AttemptGuards
 from .crash_evidence import find_cause
 from .heartbeats import PartNotice
-from .records import PromptPart
 from .sending import Attempt
-from .suspect_parts import RETENTION_S, SuspectParts, shared_part_ids
+from .suspect_ids import is_request
+from .suspect_parts import RETENTION_S, SuspectParts
 
 __all__ = ('PartQuarantine',)
 
@@ -37,7 +38,7 @@
 
 class PartQuarantine:
     """
-    Prompt parts that are likely to end servers, by service.
+    Requests and prompt parts that are likely to end servers, by service.
 
     All routers apply the same rules to the same crashes, so that none has to
     be asked.
@@ -64,33 +65,33 @@
         """Number of quarantined parts, of all services."""
         return sum(map(len, self._by_service.values()))
 
-    def cause(self, service: str, parts: tuple[PromptPart, ...]) -> str | None:
+    def cause(self, service: str, suspect_ids: tuple[str, ...]) -> str | None:
         """
-        Find the part for which a request must not be sent.
+        Find the reason for which a request must not be sent.
 
         :param service: name of the service.
-        :param parts: parts of the prompt.
-        :returns: id of the part, ``None`` if the request may be sent.
+        :param suspect_ids: the request, and shared parts of its prompt.
+        :returns: id of the suspect, ``None`` if the request may be sent.
         """
         if service not in self._by_service:
             return None
-        return self._cause(service, shared_part_ids(parts))
+        return self._cause(service, suspect_ids)
 
-    def placement_key(self, service: str, parts: tuple[PromptPart, ...]) -> str:
+    def placement_key(self, service: str, suspect_ids: tuple[str, ...]) -> str:
         """
-        Return the key that places requests with the same suspect part together.
+        Return the key that places requests with the same suspect together.
 
         They end one server at most, and the result tells the most.
 
         :param service: name of the service.
-        :param parts: parts of the prompt.
-        :returns: the suspect part with the most crashes, the last one of equal
+        :param suspect_ids: the request, and shared parts of its prompt.
+        :returns: the suspect with the most crashes, the last part of equal
             ones; empty if none is suspect.
         """
         suspects = self.suspects.by_service.get(service, {})
         crash_count_by_part = {
             part_id: len(suspects[part_id].crashes_by_id)
-            for part_id in reversed(shared_part_ids(parts))
+            for part_id in reversed(suspect_ids)
             if part_id in suspects and suspects[part_id].is_new
         }
         if not crash_count_by_part:
@@ -98,47 +99,50 @@
         return max(crash_count_by_part, key=crash_count_by_part.__getitem__)
 
     def refuse(
-        self, service: str, parts: tuple[PromptPart, ...]
+        self, service: str, suspect_ids: tuple[str, ...]
     ) -> RequestError:
         """
         Count a request that must not be sent.
 
         :param service: name of a service for which :meth:`cause` has found a
             part.
-        :param parts: parts of the prompt.
-        :returns: the error ``part_quarantined``.
+        :param suspect_ids: the request, and shared parts of its prompt.
+        :returns: the error ``part_quarantined`` or ``request_quarantined``.
         """
-        part_id = self.cause(service, parts) or ''
-        self._by_service[service][part_id].refused += 1
-        self.suspects.by_service[service][part_id].record_seen()
+        cause = self.cause(service, suspect_ids) or ''
+        self._by_service[service][cause].refused += 1
+        self.suspects.by_service[service][cause].record_seen()
+        if is_request(cause):
+            return RequestError(
+                'request_quarantined',
+                'servers ended each time that this request was sent',
+                retry_after_s=RETENTION_S,
+            )
         return RequestError(
             'part_quarantined',
-            f'servers ended under requests with part {part_id} of the prompt',
+            f'servers ended under requests with part {cause} of the prompt',
             retry_after_s=RETENTION_S,
         )
 
-    def record_answer(
-        self, service: str, parts: tuple[PromptPart, ...]
-    ) -> None:
+    def record_answer(self, service: str, suspect_ids: tuple[str, ...]) -> None:
         """
         Record a complete answer to a request.
 
         :param service: service of the server.
-        :param parts: parts of the prompt.
+        :param suspect_ids: the request, and shared parts of its prompt.
         """
-        part_ids = shared_part_ids(parts)
-        if self.suspects.record_answer(service, part_ids):
+        if self.suspects.record_answer(service, suspect_ids):
             self._update(service, 'answer')
             self._on_news()
 
     def record_crash(
-        self, attempt: Attempt, parts: tuple[PromptPart, ...]
+        self, attempt: Attempt, suspect_ids: tuple[str, ...]
     ) -> None:
         """
         Record that a server ended under an attempt.
 
         :param attempt: the attempt.
-        :param parts: parts of the prompt.
+        :param suspect_ids: the request, and shared parts of its prompt.
         """
         begun_at = attempt.first_event_at
         now_s = trio.current_time()
@@ -146,7 +150,7 @@
             return
         entry = attempt.server.entry
         if self.suspects.record_crash(
-            entry, shared_part_ids(parts), self._count_servers(entry.service)
+            entry, suspect_ids, self._count_servers(entry.service)
         ):
             self._update(entry.service, 'own request')
             self._on_news()
@@ -236,15 +240,15 @@
         crashes = self.suspects.by_service[service][part_id].crashes_by_id
         return sorted(round(now_s - crash.at, 1) for crash in crashes.values())
 
-    def _cause(self, service: str, part_ids: tuple[str, ...]) -> str | None:
+    def _cause(self, service: str, suspect_ids: tuple[str, ...]) -> str | None:
         quarantined = self._by_service[service]
-        if not any(part_id in quarantined for part_id in part_ids):
+        if not any(one in quarantined for one in suspect_ids):
             return None
         suspects = self.suspects.by_service[service]
         histories = {
             part_id: suspect.history for part_id, suspect in suspects.items()
         }
-        return find_cause(part_ids, histories, quarantined)
+        return find_cause(suspect_ids, histories, quarantined)
 
     def _update(self, service: str, source: str) -> None:
         odds_by_part = self.suspects.find_likely(service)
@@ -260,7 +264,9 @@
             self._by_service[service] = present
             self.guards.cancel_waiting(
                 service,
-                lambda part_ids: self._cause(service, part_ids) is not None,
+                lambda suspect_ids: (
+                    self._cause(service, suspect_ids) is not None
+                ),
             )
         for lifted_id in former.keys() - present.keys():
             self._log('quarantine lifted', service, lifted_id, source)
--- a/eelgrassfork/gateway/selection.py
+++ b/eelgrassfork/gateway/selection.py
@@ -161,7 +161,7 @@
             if self._may_choose(pending, server, wait_s)
         }
         suspect_key = self._parts.quarantine.placement_key(
-            service, pending.head.parts
+            service, pending.suspect_ids
         )
         request = PlacementRequest(
             self._parts.failure_domain,
--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -105,7 +105,7 @@
         if self._admissible_services(pending):
             return
         service = _weighted_services(pending)[0].service
-        error = self._parts.quarantine.refuse(service, pending.head.parts)
+        error = self._parts.quarantine.refuse(service, pending.suspect_ids)
         if pending.may_have_run:
             raise RequestError('server_failed', error.message, 'unknown')
         raise error
@@ -188,7 +188,7 @@
         attempt: Attempt,
         claim_failover: ClaimFailover,
     ) -> ErrorAnswer | None:
-        with self._parts.quarantine.guards.guard(attempt, pending.head.parts):
+        with self._parts.quarantine.guards.guard(attempt, pending.suspect_ids):
             return await self._parts.exchange.run(
                 pending, attempt, claim_failover
             )
@@ -211,7 +211,7 @@
         return [
             entry
             for entry in _weighted_services(pending)
-            if cause(entry.service, pending.head.parts) is None
+            if cause(entry.service, pending.suspect_ids) is None
         ]
 
     def _budget(self, service: str) -> FleetRetryBudget:
--- a/eelgrassfork/gateway/sending.py
+++ b/eelgrassfork/gateway/sending.py
@@ -16,6 +16,7 @@
 from .records import AnswerHead, ForwardHead
 from .request_digest import digest_request
 from .servers import Server
+from .suspect_ids import suspect_ids
 
 __all__ = ('Attempt', 'AttemptFailed', 'ErrorAnswer', 'PendingRequest')
 
@@ -168,6 +169,11 @@
             )
         return self._digest
 
+    @property
+    def suspect_ids(self) -> tuple[str, ...]:
+        """What may be the reason if a server ends under the request."""
+        return suspect_ids(self.head.parts, self.digest)
+
     @property
     def remaining_s(self) -> float:
         """Time until the deadline, in seconds."""
--- a/eelgrassfork/gateway/suspect_parts.py
+++ b/eelgrassfork/gateway/suspect_parts.py
@@ -2,7 +2,8 @@
 eelgrassfork.gateway.suspect_parts
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Parts of prompts that were at servers when these ended, as all routers know.
+Requests, and parts of prompts, that were at servers when these ended, as all
+routers know.
 """
 
 import random
@@ -14,7 +15,7 @@
 
 from .crash_evidence import RATE_WINDOW_S, CrashRate, PartHistory, log_odds
 from .heartbeats import CrashMention, PartNotice
-from .records import PromptPart, ServerEntry
+from .records import ServerEntry
 
 __all__ = (
     'RETENTION_S',
@@ -22,7 +23,6 @@
     'Suspect',
     'SuspectParts',
     'crash_id_of',
-    'shared_part_ids',
 )
 
 # Time after the last crash, or the last refused request, until a part may be
@@ -39,7 +39,6 @@
 _MAX_SUSPECTS: Final = 1024
 # Parts in frequent use are refreshed before they are dropped.
 _MAX_ANSWERED: Final = 4096
-_MAX_ID_CHARS: Final = 64
 # Time for which every report has a change; with a few recipients each quarter
 # of a second it reaches thousands of routers.
 _SPREAD_S: Final = 2.0
@@ -375,25 +374,11 @@
     return _digest(f'{entry.id}/{entry.incarnation}')
 
 
-def shared_part_ids(parts: tuple[PromptPart, ...]) -> tuple[str, ...]:
-    """
-    List the parts that a request shares with others.
-
-    :param parts: parts of the prompt in order; the last one is not shared.
-    :returns: their ids, of bounded length.
-    """
-    return tuple(_bounded(part.id) for part in parts[:-1])
-
-
 def _digest(text: str) -> int:
     digest = blake2b(text.encode(), digest_size=_DIGEST_BYTES).digest()
     return int.from_bytes(digest, 'big')
 
 
-def _bounded(part_id: str) -> str:
-    return part_id if len(part_id) <= _MAX_ID_CHARS else f'{_digest(part_id):x}'
-
-
 def _retention_s(suspect: Suspect) -> float:
     return RETENTION_S if suspect.crashes_by_id else _ANSWER_VALID_S
 
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -115,3 +115,47 @@
             callers = play(one_request, seed)
             excess = callers.excess_sends(BAD, CONTACT_S, CRASHES_BEFORE_RULE)
             self.assertLessEqual(excess, SENDS_ALLOWED, f'seed {seed}')
+
+    def test_few_servers_end_whatever_else_happens(self):
+        for scenario in (
+            one_request,
+            two_requests,
+            slow_servers,
+            request_and_part,
+            routers_restart_in_turn,
+            all_routers_restart,
+            heartbeats_are_lost,
+        ):
+            for seed in SEEDS:
+                callers = play(scenario, seed)
+                label = f'seed {seed}, {scenario.__name__}'
+                for name in callers.crashing_names:
+                    ends = len(callers.crashes_of(name))
+                    self.assertLessEqual(ends, MAX_CRASHES, label)
+
+    def test_sound_requests_beside_them_are_served(self):
+        for scenario in (one_request, two_requests):
+            for seed in SEEDS:
+                callers = play(scenario, seed)
+                start_at = max(crash.at for crash in callers.crashes)
+                share = callers.served_share(start_at + CONTACT_S, INF)
+                self.assertEqual(1, share, f'seed {seed}')
+
+    def test_refused_request_has_not_run(self):
+        callers = play(one_request, 0)
+        refused = [
+            attempt
+            for attempt in callers.attempts
+            if attempt.code == 'request_quarantined'
+        ]
+        self.assertGreater(len(refused), 3)
+        self.assertEqual({'not_run'}, {one.outcome for one in refused})
+
+
+class SpontaneousCrashTests(testtools.TestCase):
+    def test_servers_that_end_by_themselves_cost_no_sound_request(self):
+        # Polling callers repeat equal requests during the crashes.
+        for seed in SEEDS:
+            callers = play(servers_end_by_themselves, seed)
+            self.assertEqual(1, callers.served_share(0, INF), f'seed {seed}')
+            self.assertEqual({frozenset()}, callers.quarantines)
--- a/tests/test_gateway_part_quarantine.py
+++ b/tests/test_gateway_part_quarantine.py
@@ -13,11 +13,13 @@
 from eelgrassfork.gateway.records import PromptPart, ServerEntry
 from eelgrassfork.gateway.sending import Attempt
 from eelgrassfork.gateway.servers import Server
+from eelgrassfork.gateway.suspect_ids import suspect_ids
 
 from .gateway_world import run_world
 from .test_gateway_forwarder import code_of, parts
 
 PARTS = (PromptPart('0', 10), PromptPart('1', 10), PromptPart('own', 10))
+SUSPECT_IDS = suspect_ids(PARTS, 'digest')
 
 
 def quarantine_part(node, service='model'):
@@ -27,7 +29,7 @@
             f'i-gone-{number}', service, '10.0.0.1:80', 'd0', 8, 1, 1
         )
         attempt = Attempt(Server(entry), 'least_load', 0, 10)
-        node._member.quarantine.record_crash(attempt, PARTS)
+        node._member.quarantine.record_crash(attempt, SUSPECT_IDS)
 
 
 class RefusalTests(testtools.TestCase):
@@ -67,8 +69,8 @@
         async def scenario(world, nursery):
             quarantine_part(world.node)
             quarantine = world.node._member.quarantine
-            refused = quarantine.cause('model', PARTS)
-            lifted = [quarantine.lift('model', part) for part in ('0', '1')]
+            refused = quarantine.cause('model', SUSPECT_IDS)
+            lifted = [quarantine.lift('model', one) for one in SUSPECT_IDS]
             response, _ = await world.call(
                 '/match/x', x_prompt_prefix=parts(10, 10, 10)
             )
@@ -76,7 +78,43 @@
             return refused, lifted, response.status, unknown
 
         outcome = run_world(scenario, model=[['stream:2']])
-        self.assertEqual(('1', [True, True], 200, False), outcome)
+        self.assertEqual(('1', [True, True, True], 200, False), outcome)
+
+
+class RequestTests(testtools.TestCase):
+    def test_request_is_refused_once_two_servers_ended_under_it(self):
+        async def main():
+            quarantine = PartQuarantine(lambda service: 6, lambda: None)
+            bad, sound = suspect_ids((), 'bad'), suspect_ids((), 'sound')
+            causes = []
+            for number in range(2):
+                causes.append(quarantine.cause('plain', bad))
+                quarantine.record_crash(attempt_at(f'i-{number}'), bad)
+            error = quarantine.refuse('plain', bad)
+            return causes, error.code, quarantine.cause('plain', sound)
+
+        self.assertEqual(
+            ([None, None], 'request_quarantined', None), trio.run(main)
+        )
+
+    def test_request_at_the_same_crashes_is_told_apart_by_an_answer(self):
+        async def main():
+            quarantine = PartQuarantine(lambda service: 6, lambda: None)
+            bad, sound = suspect_ids((), 'bad'), suspect_ids((), 'sound')
+            for number in range(2):
+                for one in (bad, sound):
+                    quarantine.record_crash(attempt_at(f'i-{number}'), one)
+            before = quarantine.cause('plain', bad)
+            quarantine.record_answer('plain', sound)
+            after = quarantine.cause('plain', bad)
+            return before, after, quarantine.cause('plain', sound)
+
+        self.assertEqual((None, 'request:bad', None), trio.run(main))
+
+
+def attempt_at(server_id):
+    entry = ServerEntry(server_id, 'plain', '10.0.0.1:80', 'd0', 8, 1, 1)
+    return Attempt(Server(entry), 'least_load', 0, 10)
 
 
 class SuspicionTests(testtools.TestCase):
@@ -90,7 +128,7 @@
                 attempt = Attempt(Server(entry), 'least_load', 0, 10)
                 attempt.mark_begun()
                 await trio.sleep(0.6)
-                quarantine.record_crash(attempt, PARTS)
+                quarantine.record_crash(attempt, SUSPECT_IDS)
             return quarantine.count
 
         self.assertEqual(0, trio.run(main))
--- a/tests/test_gateway_suspect_parts.py
+++ b/tests/test_gateway_suspect_parts.py
@@ -11,11 +11,10 @@
 from trio.testing import MockClock
 
 from eelgrassfork.gateway.heartbeats import CrashMention, PartNotice
-from eelgrassfork.gateway.records import PromptPart, ServerEntry
+from eelgrassfork.gateway.records import ServerEntry
 from eelgrassfork.gateway.suspect_parts import (
     RETENTION_S,
     SuspectParts,
-    shared_part_ids,
 )
 
 SERVICE = 'model'
@@ -225,19 +224,3 @@
             return suspect.seen_at <= trio.current_time()
 
         self.assertTrue(run(scenario))
-
-
-class SharedPartTests(testtools.TestCase):
-    def test_last_part_is_never_suspect(self):
-        parts = (PromptPart('x', 1), PromptPart('own', 1))
-        self.assertEqual(('x',), shared_part_ids(parts))
-        self.assertEqual((), shared_part_ids(parts[1:]))
-        self.assertEqual((), shared_part_ids(()))
-
-    def test_long_ids_are_shortened_and_stay_different(self):
-        parts = tuple(
-            PromptPart(letter * 5000, 1) for letter in ('x', 'y', 'z')
-        )
-        first, second = shared_part_ids(parts)
-        self.assertLessEqual(len(first), 64)
-        self.assertNotEqual(first, second)
