Send sound requests that were beside two that end servers

A part of a prompt that was twice beside a request that ends servers stayed refused, as requests did not explain the crashes of parts; and a request that was once beside each of two others was explained by neither.

A request at more crashes than a part now explains those of the part, since a request with the part would be at no crash without it. The crashes of a request are explained by those of all other likely suspects together.

--- a/eelgrassfork/gateway/crash_evidence.py
+++ b/eelgrassfork/gateway/crash_evidence.py
@@ -95,8 +95,7 @@
 
     Suspects that were at the same crashes can't be distinguished.  A request is
     refused only if nothing that it lacks explains the crashes as well, so that
-    requests which share some of these parts are still sent.  Other requests
-    don't explain the crashes of a part, as it is in each of them.
+    requests which share some of these parts are still sent.
 
     :param suspect_ids: the request, and shared parts of its prompt.
     :param histories_by_suspect: known suspects of the same service.
@@ -105,29 +104,41 @@
         ``None`` if the request may be sent.
     """
     own = tuple(suspect_ids)
-    causes = [
-        suspect_id
-        for suspect_id in own
+    others = {
+        suspect_id: history.crash_ids
+        for suspect_id, history in histories_by_suspect.items()
+        if suspect_id not in own and not history.was_answered
+    }
+    likely_others = [
+        crash_ids
+        for suspect_id, crash_ids in others.items()
         if suspect_id in quarantined
-        and not _is_explained(suspect_id, own, histories_by_suspect)
     ]
+    # Several requests may end servers at the same time.
+    explained_ids: frozenset[int] = frozenset().union(*likely_others)
+    crash_count_by_cause = {}
+    for own_id in reversed(own):
+        if own_id not in quarantined:
+            continue
+        own_crash_ids = histories_by_suspect[own_id].crash_ids
+        if is_request(own_id):
+            is_explained = own_crash_ids <= explained_ids
+        else:
+            is_explained = _is_part_explained(own_crash_ids, others)
+        if not is_explained:
+            crash_count_by_cause[own_id] = len(own_crash_ids)
     return max(
-        reversed(causes),
-        key=lambda suspect_id: len(histories_by_suspect[suspect_id].crash_ids),
-        default=None,
+        crash_count_by_cause, key=crash_count_by_cause.__getitem__, default=None
     )
 
 
-def _is_explained(
-    suspect_id: str,
-    own: tuple[str, ...],
-    histories_by_suspect: Mapping[str, PartHistory],
+def _is_part_explained(
+    crash_ids: frozenset[int], others: Mapping[str, frozenset[int]]
 ) -> bool:
-    crash_ids = histories_by_suspect[suspect_id].crash_ids
+    # A request with the part is at no crash without it, so that only requests
+    # at more crashes explain those of the part.
     return any(
-        crash_ids <= history.crash_ids
-        for other, history in histories_by_suspect.items()
-        if other not in own
-        and not history.was_answered
-        and (is_request(suspect_id) or not is_request(other))
+        crash_ids < other_ids
+        or (crash_ids == other_ids and not is_request(suspect_id))
+        for suspect_id, other_ids in others.items()
     )
--- a/tests/test_gateway_crash_evidence.py
+++ b/tests/test_gateway_crash_evidence.py
@@ -143,6 +143,29 @@
         self.assertEqual('x', find_cause(('x',), known, likely(known, QUIET)))
         self.assertIsNone(find_cause(('y',), known, likely(known, QUIET)))
 
+    def test_sound_request_beside_two_that_end_servers_is_sent(self):
+        known = {
+            'request:x': PartHistory(frozenset({1, 3}), False),
+            'request:y': PartHistory(frozenset({2, 4}), False),
+            'request:s': PartHistory(frozenset({1, 4}), False),
+        }
+        quarantined = likely(known, CrashRate(2, 6))
+        causes = [find_cause((one,), known, quarantined) for one in known]
+        self.assertEqual(['request:x', 'request:y', None], causes)
+
+    def test_part_beside_a_request_that_ends_servers_is_sent(self):
+        known = {'x': history(2), 'request:y': history(3)}
+        quarantined = likely(known, QUIET)
+        self.assertIsNone(find_cause(('request:z', 'x'), known, quarantined))
+
+    def test_request_with_a_part_does_not_excuse_the_part(self):
+        # Another request with the part would end the next server.
+        known = {'x': history(2), 'request:y': history(2)}
+        quarantined = likely(known, QUIET)
+        self.assertEqual(
+            'x', find_cause(('request:z', 'x'), known, quarantined)
+        )
+
     def test_two_parts_that_end_servers_are_both_found(self):
         known = {
             'x': PartHistory(frozenset({1, 3}), False),
