Write a ledger that a restore removed at once

Found by reading. If the copy was older than the first ledger, routers waited for the next draw to write it again, so that one whose writes were not told could not add them first. A ledger of a former build, on the other hand, was taken for incomplete and written at each read. Messages of the quarantine tell requests from parts.

--- a/eelgrassfork/gateway/heartbeats.py
+++ b/eelgrassfork/gateway/heartbeats.py
@@ -177,6 +177,7 @@
     """
     Crashes at which requests with a certain part of a prompt were suspect.
 
+    :param part_id: id of the part, or of one request, see ``suspect_ids``.
     :param crashes: newest crashes since the last complete answer to such a
         request.
     :param answered_age_ms: time since that answer; ``None`` without one.
--- a/eelgrassfork/gateway/ledger_copy.py
+++ b/eelgrassfork/gateway/ledger_copy.py
@@ -121,7 +121,11 @@
         completed = complete_ledger(
             content, self.ledger, self._history.writes(), era
         )
-        self.is_incomplete = completed is not content and stored is not None
+        # A ledger of a former build is numbered with the next write.
+        is_numbered = content.position != EMPTY.position
+        self.is_incomplete = completed is not content and (
+            is_numbered or not completed.is_settled
+        )
         if self.is_incomplete or is_unknown:
             _log.warning(
                 'completing the credit ledger after a restore of the store',
--- a/eelgrassfork/gateway/part_quarantine.py
+++ b/eelgrassfork/gateway/part_quarantine.py
@@ -271,7 +271,8 @@
         for lifted_id in former.keys() - present.keys():
             self._log('quarantine lifted', service, lifted_id, source)
         for added_id in present.keys() - former.keys():
-            self._log('part quarantined', service, added_id, source)
+            kind = 'request' if is_request(added_id) else 'part'
+            self._log(f'{kind} quarantined', service, added_id, source)
 
     def _log(
         self, message: str, service: str, part_id: str, source: str
--- a/eelgrassfork/gateway/suspect_parts.py
+++ b/eelgrassfork/gateway/suspect_parts.py
@@ -68,7 +68,7 @@
 
 class Suspect:
     """
-    A part of a prompt that was at servers when these ended.
+    A request, or a part of a prompt, that was at servers when these ended.
 
     :ivar crashes_by_id: newest crashes since the last complete answer to a
         request with the part.
@@ -144,9 +144,11 @@
 
 class SuspectParts:
     """
-    Table of suspect parts by service, merged from all routers.
+    Table of suspects by service, merged from all routers.
 
-    It is bounded in size: what was seen longest ago is dropped first.
+    A suspect is a part of a prompt or a request; ``part_id`` names either, as
+    in the messages of former builds.  The table is bounded in size: what was
+    seen longest ago is dropped first.
 
     :ivar by_service: suspects by the id of the part.
     """
--- a/tests/test_gateway_ledger_copy.py
+++ b/tests/test_gateway_ledger_copy.py
@@ -104,3 +104,27 @@
             return before, router.copy.must_read
 
         self.assertEqual((False, True), run(main))
+
+    def test_ledger_that_a_restore_removed_is_written_at_once(self):
+        async def main():
+            router = Copies()
+            router.adopt(1, 1, 9, 700)
+            router.era.observe(1, 'store')
+            router.era.observe(2, 'store')
+            router.copy.adopt(None)
+            granted = router.copy.ledger.granted_by_organisation
+            return granted, router.copy.is_incomplete, router.copy.may_draw
+
+        self.assertEqual(({'a': 700}, True, False), run(main))
+
+    def test_first_ledger_and_that_of_a_former_build_need_no_recovery(self):
+        async def main():
+            states = []
+            for content in (None, b'{"granted": {"a": 40}, "spent": {}}'):
+                router = Copies()
+                found = content and StoredObject('ledger', 7, content)
+                router.copy.adopt(found)
+                states.append((router.copy.is_incomplete, router.copy.may_draw))
+            return states
+
+        self.assertEqual([(False, True)] * 2, run(main))
