--- a/eelgrassfork/gateway/ledger_writer.py
+++ b/eelgrassfork/gateway/ledger_writer.py
@@ -278,10 +278,14 @@
             raise
         except StoreRestored:
             # Others may have drawn what was returned.
-            _log.warning(
-                'credit given up, as the store was restored during its return',
-                extra={'returned': returned, 'era': self._store.era.current},
-            )
+            if any(returned.values()):
+                _log.warning(
+                    'credit given up, as the store was restored at its return',
+                    extra={
+                        'returned': returned,
+                        'era': self._store.era.current,
+                    },
+                )
             raise
         if applied:
             self._record(before, planned, transfer)
