Pause before a listing that a former era interrupts is repeated

Found by reading. A store that answers from an earlier era than the known one, or a wrong era told by a peer, made a router list without a pause.

--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -279,12 +279,6 @@
                 revision = await self._read(
                     kind, revision, on_listing, on_changes
                 )
-            except (HistoryGone, StoreRestored) as error:
-                _log.info(
-                    'changes can not be followed; listing all objects',
-                    extra={'of': kind, 'why': error.code},
-                )
-                revision = None
             except StoreError as error:
                 self._record_call(False, error.code)
                 await self._pause(kind, failures, called_at)
@@ -315,7 +309,7 @@
         revision: int | None,
         on_listing: Callable[[Listing], None],
         on_changes: Callable[[list[Change]], None],
-    ) -> int:
+    ) -> int | None:
         # An answer may be delayed in transit, so the view is only known to be
         # current as of the time of the call, or of the scheduled end of a watch
         # without changes.
@@ -326,11 +320,18 @@
             revision = listing.revision
         else:
             wait_s = self._pick_watch_s() if self._reachable else _PROBE_WATCH_S
-            changes, revision = await cancel_if_outdated(
-                self._roles_by_kind[kind],
-                self._store.era,
-                partial(self._store.watch, kind, revision, wait_s),
-            )
+            try:
+                changes, revision = await cancel_if_outdated(
+                    self._roles_by_kind[kind],
+                    self._store.era,
+                    partial(self._store.watch, kind, revision, wait_s),
+                )
+            except (HistoryGone, StoreRestored) as error:
+                _log.info(
+                    'changes can not be followed; listing all objects',
+                    extra={'of': kind, 'why': error.code},
+                )
+                return None
             on_changes(changes)
             ended_at = read_at + wait_s
             if not changes and trio.current_time() >= ended_at:
--- a/eelgrassfork/gateway/part_quarantine.py
+++ b/eelgrassfork/gateway/part_quarantine.py
@@ -45,8 +45,9 @@
 
     :param count_servers: returns the number of servers of a service.
     :param on_news: called when other routers should learn something at once.
-    :ivar suspects: parts that were at servers when these ended.
-    :ivar guards: attempts that are cancelled once a part is quarantined.
+    :ivar suspects: requests and parts that were at servers when these
+        ended.
+    :ivar guards: attempts that are cancelled once they must not be answered.
     """
 
     def __init__(
@@ -62,7 +63,7 @@
 
     @property
     def count(self) -> int:
-        """Number of quarantined parts, of all services."""
+        """Number of quarantined requests and parts, of all services."""
         return sum(map(len, self._by_service.values()))
 
     def cause(self, service: str, suspect_ids: tuple[str, ...]) -> str | None:
--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -99,8 +99,8 @@
         Refuse a request that is likely to end the servers of its route.
 
         :param pending: the request.
-        :raises RequestError: ``part_quarantined``; ``server_failed`` if the
-            request may have run.
+        :raises RequestError: ``part_quarantined`` or ``request_quarantined``;
+            ``server_failed`` if the request may have run.
         """
         if self._admissible_services(pending):
             return
@@ -193,7 +193,7 @@
                 pending, attempt, claim_failover
             )
         raise AttemptFailed(
-            'quarantined', 'a part of the prompt was quarantined', False
+            'quarantined', 'the request must not be answered any more', False
         )
 
     def _service(self, pending: PendingRequest) -> str:
--- a/tests/test_gateway_restored_servers.py
+++ b/tests/test_gateway_restored_servers.py
@@ -134,6 +134,19 @@
         self.assertEqual((False, []), follow(scenario))
 
 
+class FormerEraTests(testtools.TestCase):
+    def test_store_that_answers_from_a_former_era_is_not_asked_at_once(self):
+        # A copy of the store that lags behind, or a wrong era told by a peer.
+        async def scenario(harness):
+            await trio.sleep(1)
+            harness.follower._store.era.observe(3, 'n2')
+            calls = harness.store.calls
+            await trio.sleep(5)
+            return harness.store.calls - calls
+
+        self.assertLess(follow(scenario), 60)
+
+
 class ServerSetTests(testtools.TestCase):
     def is_used(self, entry, after_s):
         """Check whether a removed server is used for an entry of the copy."""
