Leave the recovery of the ledger to routers that know all undone writes

Found by reading as a router that starts just before a restore. It had heard of some of the undone writes and not read the ledger itself; since it knew a write newer than the copy, it completed the ledger at once, without the writes that it had missed. A late write of an earlier era misled a new router in the same way.

A router now needs each write after its newest ledger, up to the last one that it has heard of; the last writer always has them. Both new tests of the copy fail without the change. The field nobody_knows_more of the log is is_estimated.

--- a/eelgrassfork/gateway/ledger_copy.py
+++ b/eelgrassfork/gateway/ledger_copy.py
@@ -16,7 +16,7 @@
 from .ledger_recovery import (
     assume_undone_draws,
     complete_ledger,
-    is_newest_known,
+    knows_undone_writes,
 )
 from .store import StoredObject
 from .store_era import StoreEra, era_of
@@ -106,21 +106,20 @@
             era = era_of(stored.revision)
             content = decode_ledger(stored.content)
         self.revision = None if stored is None else stored.revision
-        is_unknown = EMPTY.position.era < content.position.era < era and (
-            is_newest_known(content, self.ledger, self._history.newest)
+        writes = self._history.writes()
+        # Nothing was undone, or the ledger has no positions.
+        is_complete = content.position.era in {EMPTY.position.era, era}
+        is_unknown = not is_complete and not knows_undone_writes(
+            content, self.ledger, writes
         )
+        if is_unknown and self._must_abstain():
+            return
+        self._abstains_until = None
+        completed = complete_ledger(content, self.ledger, writes, era)
         if is_unknown:
-            if self._abstains_until is None:
-                self._abstains_until = now_s + _ABSTAIN_S
-            if now_s < self._abstains_until:
-                return
-            content = assume_undone_draws(
-                content, self._prepaid(), self._now_ms()
+            completed = assume_undone_draws(
+                completed, self._prepaid(), self._now_ms()
             )
-        self._abstains_until = None
-        completed = complete_ledger(
-            content, self.ledger, self._history.writes(), era
-        )
         # A ledger of a former build is numbered with the next write.
         is_numbered = content.position != EMPTY.position
         self.is_incomplete = completed is not content and (
@@ -135,7 +134,7 @@
                     'position': completed.position,
                     'granted_in_copy': _sum_granted(content),
                     'granted': _sum_granted(completed),
-                    'nobody_knows_more': is_unknown,
+                    'is_estimated': is_unknown,
                 },
             )
         self.ledger = completed
@@ -144,6 +143,12 @@
             self._unsettled_era = era
             self._settles_at = now_s + _SETTLE_S
 
+    def _must_abstain(self) -> bool:
+        now_s = trio.current_time()
+        if self._abstains_until is None:
+            self._abstains_until = now_s + _ABSTAIN_S
+        return now_s < self._abstains_until
+
     def dump(self) -> dict[str, object]:
         """
         Return the state of the ledger for operators.
--- a/eelgrassfork/gateway/ledger_recovery.py
+++ b/eelgrassfork/gateway/ledger_recovery.py
@@ -18,7 +18,7 @@
     includes,
 )
 
-__all__ = ('assume_undone_draws', 'complete_ledger', 'is_newest_known')
+__all__ = ('assume_undone_draws', 'complete_ledger', 'knows_undone_writes')
 
 # Writes of earlier eras count as included.
 _MAX_ERAS: Final = 4
@@ -57,18 +57,25 @@
     return _add_writes(stored, former, era)
 
 
-def is_newest_known(
-    stored: Ledger, known: Ledger, newest: LedgerPosition | None
+def knows_undone_writes(
+    stored: Ledger, known: Ledger, writes: Iterable[LedgerWrite]
 ) -> bool:
     """
-    Check whether a stored ledger is newer than all that a router knows.
+    Check whether a router can tell what a restore has undone.
 
-    :param stored: stored state, from before a restore.
+    :param stored: stored state, from before the restore.
     :param known: last state that the router knew.
-    :param newest: last write that it knows; ``None`` without any.
-    :returns: whether it can't tell what the restore has undone.
+    :param writes: recent writes that it knows.
+    :returns: whether it knows as much as the copy contains, and each write
+        after that up to the last one that it has heard of.
     """
-    return stored.position > max(known.position, newest or EMPTY.position)
+    base = max(known, stored, key=_position)
+    positions = {write.position for write in writes}
+    if stored.position > max({known.position, *positions}):
+        return False
+    serials = {one.serial for one in positions if one > base.position}
+    first = base.position.serial + 1
+    return serials == set(range(first, max(serials, default=0) + 1))
 
 
 def assume_undone_draws(
--- a/tests/test_gateway_ledger_copy.py
+++ b/tests/test_gateway_ledger_copy.py
@@ -128,3 +128,27 @@
             return states
 
         self.assertEqual([(False, True)] * 2, run(main))
+
+    def test_router_that_knows_only_some_of_the_lost_writes_waits(self):
+        # It had started shortly before the restore.
+        async def main():
+            router = Copies()
+            for serial in (6, 9):
+                position = LedgerPosition(1, serial)
+                router.history.merge([LedgerWrite(position, {'a': 40}, {})])
+            router.copy.adopt(stored(2, 1, 5, 100))
+            return router.copy.is_abstaining
+
+        self.assertTrue(run(main))
+
+    def test_late_write_of_an_earlier_era_does_not_mislead_a_new_router(self):
+        # It replaced a ledger of the present era, and the router knows only
+        # a write after that one.
+        async def main():
+            router = Copies()
+            position = LedgerPosition(2, 14)
+            router.history.merge([LedgerWrite(position, {'a': 40}, {})])
+            router.copy.adopt(stored(2, 1, 6, 100))
+            return router.copy.is_abstaining
+
+        self.assertTrue(run(main))
--- a/tests/test_gateway_ledger_recovery.py
+++ b/tests/test_gateway_ledger_recovery.py
@@ -20,7 +20,7 @@
 from eelgrassfork.gateway.ledger_recovery import (
     assume_undone_draws,
     complete_ledger,
-    is_newest_known,
+    knows_undone_writes,
 )
 
 COPY = EMPTY._replace(
@@ -99,13 +99,31 @@
         self.assertEqual(completed, decode_ledger(content))
 
 
-class UnknownTests(testtools.TestCase):
+class UndoneTests(testtools.TestCase):
+    def knows(self, known, *serials):
+        writes = [write(serial, {'a': 1}) for serial in serials]
+        return knows_undone_writes(COPY, known, writes)
+
     def test_router_that_knows_as_much_as_the_copy_can_recover_it(self):
-        self.assertFalse(is_newest_known(COPY, COPY, None))
-        self.assertFalse(is_newest_known(COPY, EMPTY, LedgerPosition(1, 8)))
-        self.assertTrue(is_newest_known(COPY, EMPTY, LedgerPosition(1, 6)))
-        self.assertTrue(is_newest_known(COPY, EMPTY, None))
+        self.assertTrue(self.knows(COPY))
+        self.assertTrue(self.knows(EMPTY, 7))
+        self.assertTrue(self.knows(EMPTY, 8, 9))
+        self.assertFalse(self.knows(EMPTY, 6))
+        self.assertFalse(self.knows(EMPTY))
+
+    def test_router_that_missed_a_write_can_not(self):
+        self.assertFalse(self.knows(EMPTY, 9))
+        self.assertFalse(self.knows(COPY, 8, 10))
+        newer = COPY._replace(position=LedgerPosition(1, 9))
+        self.assertTrue(self.knows(newer, 8, 10))
+
+    def test_writes_of_a_later_era_follow_those_before(self):
+        later = [write(8, {'a': 1}), write(9, {'a': 1}, era=2)]
+        self.assertTrue(knows_undone_writes(COPY, EMPTY, later))
+        self.assertFalse(knows_undone_writes(COPY, EMPTY, later[1:]))
+
 
+class AssumptionTests(testtools.TestCase):
     def test_assumed_draws_grow_with_the_rate_and_the_time(self):
         copy = COPY._replace(started_ms=10_000, written_ms=20_000)
         for now_ms, expected in (
