Wait before a ledger is made in a later era

Found by reading as a router that starts while the store has the old copy. If that is from before the first ledger, the router made an empty one at once and drew from it, and the others took their own writes for included. It now leaves this to others for two seconds, an empty ledger includes no write of the era before, and nobody draws for a second. The new test fails without the change: the ledger was settled, and included a lost write.

--- a/eelgrassfork/gateway/ledger_copy.py
+++ b/eelgrassfork/gateway/ledger_copy.py
@@ -19,7 +19,7 @@
     knows_undone_writes,
 )
 from .store import StoredObject
-from .store_era import StoreEra, era_of
+from .store_era import FIRST_ERA, StoreEra, era_of
 
 __all__ = ('LedgerCopy',)
 
@@ -112,7 +112,9 @@
         is_unknown = not is_complete and not knows_undone_writes(
             content, self.ledger, writes
         )
-        if is_unknown and self._must_abstain():
+        is_first = stored is None and era > FIRST_ERA and not writes
+        is_first = is_first and self.ledger.position == EMPTY.position
+        if (is_unknown or is_first) and self._must_abstain():
             return
         self._abstains_until = None
         completed = complete_ledger(content, self.ledger, writes, era)
--- a/eelgrassfork/gateway/ledger_recovery.py
+++ b/eelgrassfork/gateway/ledger_recovery.py
@@ -17,6 +17,7 @@
     LedgerWrite,
     includes,
 )
+from .store_era import FIRST_ERA
 
 __all__ = ('assume_undone_draws', 'complete_ledger', 'knows_undone_writes')
 
@@ -118,7 +119,8 @@
         ),
     )
     former = [write for write in writes if write.position.era < era]
-    if former or EMPTY.position.era < known.position.era < era:
+    is_lost = era > FIRST_ERA and stored == EMPTY
+    if former or is_lost or EMPTY.position.era < known.position.era < era:
         return _add_writes(merged, former, era)._replace(is_settled=False)
     return merged._replace(position=known.position._replace(era=era))
 
@@ -130,7 +132,10 @@
     spent = Counter(base.spent_by_organisation)
     last_serial = base.position.serial
     serials_by_era = dict(base.serials_by_era)
-    if base.position.era < era:
+    if base.position == EMPTY.position:
+        # A ledger of the era before may have been lost as a whole.
+        serials_by_era[era - 1] = (last_serial,)
+    elif base.position.era < era:
         serials_by_era[base.position.era] = (last_serial,)
     for write in writes:
         if includes(base, write.position):
--- a/tests/test_gateway_ledger_copy.py
+++ b/tests/test_gateway_ledger_copy.py
@@ -15,6 +15,7 @@
     LedgerPosition,
     LedgerWrite,
     encode_ledger,
+    includes,
 )
 from eelgrassfork.gateway.ledger_copy import LedgerCopy
 from eelgrassfork.gateway.ledger_history import LedgerHistory
@@ -152,3 +153,22 @@
             return router.copy.is_abstaining
 
         self.assertTrue(run(main))
+
+    def test_new_router_waits_before_it_makes_a_ledger_in_a_later_era(self):
+        # The copy may be from before the first ledger, and others know more.
+        async def main():
+            router = Copies()
+            router.era.observe(2, 'store')
+            router.copy.adopt(None)
+            abstained = router.copy.is_abstaining
+            await trio.sleep(2)
+            router.copy.adopt(None)
+            lost = LedgerPosition(1, 1)
+            return (
+                abstained,
+                router.copy.is_abstaining,
+                router.copy.may_draw,
+                includes(router.copy.ledger, lost),
+            )
+
+        self.assertEqual((True, False, False, False), run(main))
