--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -70,7 +70,7 @@
     :param fleet_time: returns the median of the routers' clocks.
     :param is_first_start: whether no earlier process ran on this VM.
     :param ledger_history: recent writes of all routers to the ledger.
-    :param announce_writes: tells other routers what this one wrote.
+    :param announce_writes: reports the writes of this router to others.
     """
 
     prepaid: Callable[[], Tokens]
--- a/eelgrassfork/gateway/departed_servers.py
+++ b/eelgrassfork/gateway/departed_servers.py
@@ -19,7 +19,7 @@
 _RETENTION_S: Final = 120.0
 # Exceeds the silence after which the store expires an entry, a few intervals
 # of the servers' own heartbeats.
-_DOUBT_S: Final = 10.0
+_CONFIRMATION_S: Final = 10.0
 
 
 class _Departure(NamedTuple):
@@ -33,7 +33,7 @@
 
     def __init__(self) -> None:
         self._by_id: dict[str, _Departure] = {}
-        self._doubtful_by_id: dict[str, ServerEntry] = {}
+        self._unconfirmed_by_id: dict[str, ServerEntry] = {}
         self._restored_at: float = float('-inf')
 
     def record_removal(self, entry: ServerEntry) -> None:
@@ -46,13 +46,13 @@
             entry.incarnation, entry.sequence, trio.current_time()
         )
 
-    def discard_doubtful(self, server_id: str) -> None:
+    def discard_unconfirmed(self, server_id: str) -> None:
         """
         Forget an entry that was held back, as it was removed.
 
         :param server_id: id of the server.
         """
-        self._doubtful_by_id.pop(server_id, None)
+        self._unconfirmed_by_id.pop(server_id, None)
 
     def record_restore(self) -> None:
         """Record that the store came back from an older copy."""
@@ -69,23 +69,23 @@
         departure = self._by_id.get(entry.id)
         if departure is None:
             return False
-        if self._is_doubtful(entry, departure):
-            self._doubtful_by_id[entry.id] = entry
+        if self._may_be_outdated(entry, departure):
+            self._unconfirmed_by_id[entry.id] = entry
             return True
         self._by_id.pop(entry.id)
-        self._doubtful_by_id.pop(entry.id, None)
+        self._unconfirmed_by_id.pop(entry.id, None)
         return False
 
     def take_confirmed(self) -> list[ServerEntry]:
         """
-        Take the entries that the store has kept for so long that they hold.
+        Take the entries that the store has kept long enough to be valid.
 
         :returns: entries that were held back.
         """
-        if self._is_in_doubt:
+        if self._is_confirmation_pending:
             return []
-        confirmed = list(self._doubtful_by_id.values())
-        self._doubtful_by_id.clear()
+        confirmed = list(self._unconfirmed_by_id.values())
+        self._unconfirmed_by_id.clear()
         return confirmed
 
     def discard_expired(self) -> None:
@@ -96,11 +96,16 @@
                 self._by_id.pop(server_id)
 
     @property
-    def _is_in_doubt(self) -> bool:
-        return trio.current_time() < self._restored_at + _DOUBT_S
-
-    def _is_doubtful(self, entry: ServerEntry, departure: _Departure) -> bool:
-        if departure.at >= self._restored_at or not self._is_in_doubt:
+    def _is_confirmation_pending(self) -> bool:
+        return trio.current_time() < self._restored_at + _CONFIRMATION_S
+
+    def _may_be_outdated(
+        self, entry: ServerEntry, departure: _Departure
+    ) -> bool:
+        if (
+            departure.at >= self._restored_at
+            or not self._is_confirmation_pending
+        ):
             return False
         return (entry.incarnation, entry.sequence) <= (
             departure.incarnation,
--- a/eelgrassfork/gateway/ledger_announcer.py
+++ b/eelgrassfork/gateway/ledger_announcer.py
@@ -2,7 +2,7 @@
 eelgrassfork.gateway.ledger_announcer
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Tells other routers what this one wrote to the credit ledger.
+Reports the writes of this router to the credit ledger to other routers.
 
 A restore of the store may undo a write after its router has ended; others then
 repeat it.
@@ -17,8 +17,8 @@
 from .gossip import Gossip
 from .heartbeats import FleetReport
 from .ledger import LedgerWrite
-from .ledger_history import MAX_TOLD_ORGANISATIONS, LedgerHistory
-from .roster import ledger_witness_ips
+from .ledger_history import MAX_REPORTED_ORGANISATIONS, LedgerHistory
+from .roster import ledger_report_ips
 
 __all__ = ('LedgerAnnouncer',)
 
@@ -58,8 +58,8 @@
             self._send()
 
     def _send(self) -> None:
-        ips = ledger_witness_ips(self._gossip.roster)
-        for writes in _batches(self._history.news()):
+        ips = ledger_report_ips(self._gossip.roster)
+        for writes in _batches(self._history.recent_own()):
             report = FleetReport(
                 node=self._node, limits=(), ledger_writes=writes
             )
@@ -77,7 +77,7 @@
             len(write.spent_by_organisation),
             1,
         )
-        if batch and size + organisations > MAX_TOLD_ORGANISATIONS:
+        if batch and size + organisations > MAX_REPORTED_ORGANISATIONS:
             yield tuple(batch)
             batch = []
             size = 0
--- a/eelgrassfork/gateway/ledger_history.py
+++ b/eelgrassfork/gateway/ledger_history.py
@@ -20,13 +20,13 @@
 # Bounds the memory; writes of the retention period at 60 a second.
 _MAX_WRITES: Final = 4096
 # Covers the repetition of a report.
-_NEWS_S: Final = 0.5
+_REPORT_WINDOW_S: Final = 0.5
 # A report of writes has to fit into one datagram.
-MAX_TOLD_ORGANISATIONS: Final = 80
+MAX_REPORTED_ORGANISATIONS: Final = 80
 
 
 class LedgerHistory:
-    """Writes that this router made, or that others told."""
+    """Writes of this router, and those that others reported."""
 
     def __init__(self) -> None:
         self._writes_by_position: dict[LedgerPosition, LedgerWrite] = {}
@@ -49,7 +49,7 @@
 
     def merge(self, writes: Iterable[LedgerWrite]) -> None:
         """
-        Record writes that another router tells.
+        Record writes that another router reports.
 
         :param writes: their effects; a large write may come in parts.
         """
@@ -73,13 +73,13 @@
         """Whether this router has written recently."""
         return bool(self._own)
 
-    def news(self) -> tuple[LedgerWrite, ...]:
+    def recent_own(self) -> tuple[LedgerWrite, ...]:
         """
         List the own writes of the last half second.
 
-        :returns: effects to tell to other routers, large ones in parts.
+        :returns: effects to report to other routers, large ones in parts.
         """
-        oldest = trio.current_time() - _NEWS_S
+        oldest = trio.current_time() - _REPORT_WINDOW_S
         return tuple(
             part
             for position in sorted(self._own)
@@ -120,8 +120,8 @@
             _pick(write.granted_by_organisation, chosen),
             _pick(write.spent_by_organisation, chosen),
         )
-        for start in range(0, len(names), MAX_TOLD_ORGANISATIONS)
-        if (chosen := names[start : start + MAX_TOLD_ORGANISATIONS])
+        for start in range(0, len(names), MAX_REPORTED_ORGANISATIONS)
+        if (chosen := names[start : start + MAX_REPORTED_ORGANISATIONS])
     ]
 
 
--- a/eelgrassfork/gateway/roster.py
+++ b/eelgrassfork/gateway/roster.py
@@ -26,7 +26,7 @@
     'NodeIdentity',
     'Roster',
     'count_possible_routers',
-    'ledger_witness_ips',
+    'ledger_report_ips',
 )
 
 # Maximum number of peers for which each heartbeat goes to all of them.
@@ -371,7 +371,7 @@
         return max(_PEER_TIMEOUT_S, _MISSED_REPORTS * mean_s)
 
 
-def ledger_witness_ips(roster: Roster) -> tuple[str, ...]:
+def ledger_report_ips(roster: Roster) -> tuple[str, ...]:
     """
     List the routers that remember what this one writes to the ledger.
 
@@ -386,10 +386,10 @@
         roster.failure_domain, list(roster.fleet_view().same_domain_nodes)
     )
     successors = [peers.get(node) for node in order[: 1 + _SUCCESSORS]]
-    witnesses = {
+    recipients = {
         peer.ip for peer in (*roster.keepers(), *successors) if peer is not None
     }
-    return tuple(sorted(witnesses))
+    return tuple(sorted(recipients))
 
 
 def count_possible_routers(roster: Roster) -> int:
--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -318,7 +318,7 @@
         :param server_id: id of the server.
         :returns: whether the server was known and not yet marked.
         """
-        self._departed.discard_doubtful(server_id)
+        self._departed.discard_unconfirmed(server_id)
         server = self._by_id.get(server_id)
         if server is None or server.expires_at is not None:
             return False
--- a/tests/test_gateway_ledger_announcer.py
+++ b/tests/test_gateway_ledger_announcer.py
@@ -24,7 +24,7 @@
         await callers[0].start(4)
         fleet.heartbeat_loss = loss
         await trio.sleep(10)
-        # Requests in progress at the end are not told yet.
+        # Writes in progress at the end are not reported yet.
         await trio.sleep(0.01)
         for router in fleet.routers:
             keeper = callers[0].keepers_by_member[router.member]
--- a/tests/test_gateway_ledger_copy.py
+++ b/tests/test_gateway_ledger_copy.py
@@ -38,7 +38,7 @@
 
 
 class Copies:
-    """A router's copy of the ledger, and what it is told."""
+    """A router's copy of the ledger, and the writes reported to it."""
 
     def __init__(self):
         self.era = StoreEra()
--- a/tests/test_gateway_ledger_history.py
+++ b/tests/test_gateway_ledger_history.py
@@ -11,7 +11,7 @@
 
 from eelgrassfork.gateway.ledger import LedgerPosition, LedgerWrite
 from eelgrassfork.gateway.ledger_history import (
-    MAX_TOLD_ORGANISATIONS,
+    MAX_REPORTED_ORGANISATIONS,
     LedgerHistory,
 )
 
@@ -23,7 +23,9 @@
 
 
 def large_write(serial):
-    names = [f'o{number:04}' for number in range(2 * MAX_TOLD_ORGANISATIONS)]
+    names = [
+        f'o{number:04}' for number in range(2 * MAX_REPORTED_ORGANISATIONS)
+    ]
     return write(serial, dict.fromkeys(names, 7))
 
 
@@ -32,21 +34,21 @@
         async def main():
             sender, receiver = LedgerHistory(), LedgerHistory()
             sender.record(large_write(3))
-            parts = sender.news()
+            parts = sender.recent_own()
             for part in reversed(parts):
                 receiver.merge([part])
             return len(parts), receiver.writes()
 
         self.assertEqual((2, [large_write(3)]), run(main))
 
-    def test_own_writes_are_told_for_a_moment_and_those_of_others_never(self):
+    def test_only_own_writes_are_reported_and_only_at_first(self):
         async def main():
             history = LedgerHistory()
             history.record(write(1))
             history.merge([write(2)])
-            first = history.news()
+            first = history.recent_own()
             await trio.sleep(1)
-            return first, history.news(), history.newest.serial
+            return first, history.recent_own(), history.newest.serial
 
         self.assertEqual(((write(1),), (), 2), run(main))
 
--- a/tests/test_gateway_restored_servers.py
+++ b/tests/test_gateway_restored_servers.py
@@ -136,7 +136,7 @@
 
 class FormerEraTests(testtools.TestCase):
     def test_store_that_answers_from_a_former_era_is_not_asked_at_once(self):
-        # A copy of the store that lags behind, or a wrong era told by a peer.
+        # A replica of the store that lags behind, or a wrong era from a peer.
         async def scenario(harness):
             await trio.sleep(1)
             harness.follower._store.era.observe(3, 'n2')
