--- /dev/null
+++ b/review/bed/__init__.py
@@ -0,0 +1,1 @@
+"""Shared parts of the review's scripts: processes, stand-ins, client, record."""
