--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,120 +1,110 @@
-"""A replica that is draining crashes while it answers."""
+"""SIGHUP reaches a router that is finishing its requests after SIGTERM."""
 
-import os
 import signal
-import subprocess
-import sys
-from pathlib import Path
 
 import trio
 
 from review.bed import case, world
-from review.bed.http import ask_once
-from review.bed.processes import ROOT, Routers
+from review.bed.http import Server, ask_once
+from review.bed.processes import Routers
 from standins.metadata_store import MetadataStore
 
-PIECES = 20
-HERE = Path(__file__).resolve().parent
-# Route, method, and how many pieces the caller got.
-REQUESTS = (
-    *((f'{n:016x}', '/match/1', b'id:') for n in range(5)),
-    *((f'{n:016x}', '/order/1', b'line') for n in range(5, 10)),
-)
+STREAMS = 10
+EVENTS = 30
+PAUSE_S = 0.1
 
 
-def start_server(record):
-    process = subprocess.Popen(
-        [sys.executable, str(HERE / 'server.py')],
-        cwd=ROOT,
-        env={
-            **os.environ,
-            'PYTHONPATH': f'{ROOT / "target/deps"}:{ROOT}',
-            'PYTHONDONTWRITEBYTECODE': '1',
-        },
-        stdout=subprocess.PIPE,
-        text=True,
-    )
-    address = process.stdout.readline().strip()
-    record.note(f'the replica listens at {address}')
-    return process, address
+class Model:
+    """Sends a stream of 30 events in 3 s."""
+
+    def __init__(self, record):
+        self._record = record
+        self.ran = {}
+
+    async def handle(self, request, send):
+        request_id = request.headers['x-request-id']
+        self._record.note(f'server runs {request_id}')
+        self.ran[request_id] = 'broken off by the router'
+        await send(
+            b'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n'
+            b'x-request-id: %b\r\nx-response-seal: s.%b\r\n'
+            b'transfer-encoding: chunked\r\n\r\n'
+            % (request_id.encode(), request_id.encode())
+        )
+        for number in range(1, EVENTS + 1):
+            event = b'id: %d\ndata: x\n\n' % number
+            await send(b'%x\r\n%b\r\n' % (len(event), event))
+            await trio.sleep(PAUSE_S)
+        await send(b'0\r\n\r\n')
+        self.ran[request_id] = 'whole answer sent'
+        return True
 
 
 async def play(record, has_trouble):
+    model = Model(record)
     store = MetadataStore()
-    process, address = start_server(record)
     routers = None
     answers = {}
 
-    async def ask(request_id, target):
+    async def ask(number):
+        request_id = f'{number:016x}'
         answers[request_id] = await ask_once(
             routers.front(0),
             'POST',
-            target,
+            '/match/1',
             {
                 'host': 'shop.example',
                 'x-request-id': request_id,
                 'x-model': 'm',
                 'x-token-counts': '10,40',
-                'x-prompt-prefix': f'{request_id[-8:]}:10',
+                'x-prompt-prefix': f'{number:08x}:10',
                 'x-request-deadline': '12000',
                 'api-key': 'key-1',
             },
             b'{}',
         )
+        answer = answers[request_id]
+        record.note(
+            f'caller of {request_id} got {answer.status}, {answer.end}, '
+            f'{answer.body.count(b"id:")} of {EVENTS} events'
+        )
 
     try:
         async with trio.open_nursery() as nursery:
+            server = Server(model.handle)
+            await server.start(nursery)
             await store.start(nursery, '127.0.0.1', 0)
-            configuration = world.configuration(1)
-            for route in configuration['routes']:
-                route['timeoutMs'] = 12000
-                route['service'] = 'matcher'
-            store.put('config', 'main', configuration)
-            entry = world.entry('matcher', address, 'a')
-            store.put('servers', 'i-1', entry)
+            store.put('config', 'main', world.configuration(1))
+            store.put('servers', 'i-1', world.entry('matcher', server.address, 'a'))
             routers = Routers(['a'], store.address)
             routers.start(0, bootstrap=True)
             if not await routers.wait_ready([0]):
                 raise case.CannotRun('the router is not ready')
             await trio.sleep(1)
             async with trio.open_nursery() as callers:
-                for request_id, target, _ in REQUESTS:
-                    callers.start_soon(ask, request_id, target)
-                await trio.sleep(0.4)
-                store.put(
-                    'servers', 'i-1', {**entry, 'sequence': 2, 'state': 'draining'}
-                )
-                record.note('the replica reports that it is draining')
-                await trio.sleep(0.6)
+                for number in range(STREAMS):
+                    callers.start_soon(ask, number)
+                await trio.sleep(0.5)
+                if len(model.ran) < STREAMS:
+                    raise case.CannotRun('the streams have not begun')
+                record.note('SIGTERM to the router')
+                routers.signal(0, signal.SIGTERM)
+                await trio.sleep(1)
                 if has_trouble:
-                    process.send_signal(signal.SIGKILL)
-                    record.note('the replica crashes')
+                    routers.write_settings(0)
+                    record.note('settings file written again; SIGHUP')
+                    routers.signal(0, signal.SIGHUP)
+            code = await routers.wait_end(0, 8)
+            record.note(f'the router ended with exit code {code}')
             nursery.cancel_scope.cancel()
     finally:
         if routers is not None:
             routers.close()
-        if process.poll() is None:
-            process.kill()
-        output = process.communicate()[0]
-        for line in output.splitlines():
-            record.note(f'replica: {line}')
-    wrong = 0
-    for request_id, target, mark in REQUESTS:
-        answer = answers[request_id]
-        pieces = answer.body.count(mark)
-        looks_whole = answer.status == 200 and answer.end == 'complete'
-        wrong += looks_whole and pieces < PIECES
-        record.note(
-            f'caller of {request_id} ({target}) got {answer.status}, '
-            f'{answer.end}, {pieces} of {PIECES} pieces'
-        )
-    if not has_trouble and any(
-        answer.end != 'complete' or answer.status != 200
-        for answer in answers.values()
-    ):
-        raise case.CannotRun('not every answer is whole without trouble')
-    record.note(f'{wrong} answers that ended early look complete')
-    return not wrong
+    lost = [one for one, answer in answers.items() if answer.end != 'complete']
+    for request_id, outcome in model.ran.items():
+        record.note(f'server: {request_id}: {outcome}')
+    record.note(f'{len(lost)} of {STREAMS} requests have no complete answer')
+    return not lost
 
 
 if __name__ == '__main__':
