--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,6 @@
 """SIGHUP reaches a router that is finishing its requests after SIGTERM."""
 
+import os
 import signal
 
 import trio
@@ -108,4 +109,5 @@
 
 
 if __name__ == '__main__':
-    case.run(play, __file__)
+    # TROUBLE=0 does the same without the disruption.
+    case.run(play, __file__, os.environ.get('TROUBLE') != '0')
--- a/review/bed/case.py
+++ b/review/bed/case.py
@@ -1,6 +1,5 @@
 """Record and exit code of a script."""
 
-import os
 import sys
 import time
 import traceback
@@ -32,10 +31,9 @@
         self._file.close()
 
 
-def run(play, script):
+def run(play, script, has_trouble):
     """Run ``play(record, has_trouble)``, which returns whether the rule held."""
     record = Record(Path(script).parent)
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record.note(f'trouble: {"yes" if has_trouble else "no"}')
 
     async def limited():
