platform: handle signals from the first import until the exit

Cause: the handlers existed only while _wait_for_stop read from trio.open_signal_receiver. The signal masks of a router showed it: before 0.38 s of its life, and from SIGTERM on, SIGHUP and SIGTERM had their default action, which ends a process. Ruled out: an exception in the reload (exit code -1, no traceback), and a signal that trio raises again when the receiver closes (the SIGHUP came 1 s later). SIGQUIT, SIGUSR1 and others never had a handler.

Change: process_signals records all signals that end a process by default, from the first import (handlers are there 0.06 s after the start instead of 0.38 s) until the exit, where they are ignored, as the interpreter restores the default action of handlers. signal_dispatcher answers them by one table of phases. The first stop signal counts and no later one shortens the drain; reloads still apply in a drain, whose deadline is fixed at its start. Each answer is logged with signal, phase and age.

--- /dev/null
+++ b/eelgrassfork/platform/daemon.py
@@ -0,0 +1,126 @@
+"""
+eelgrassfork.platform.daemon
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Runs a router on an entry VM of the users' platform until it is stopped.
+"""
+
+import sys
+from functools import partial
+from pathlib import Path
+from typing import Final
+
+import logbook
+import trio
+
+from ..gateway.node import GatewayNode
+from ..gateway.node_settings import NodeSettings
+from ..line_writer import LineWriter
+from ..logs import LogOptions, configure_logging
+from ..process_signals import ProcessSignals
+from ..signal_dispatcher import SignalDispatcher
+from ..supervision import keep_running
+from . import boot_file
+from .adapter import make_adapter
+
+__all__ = ('run',)
+
+_log = logbook.Logger('daemon')
+
+_EXIT_OK: Final = 0
+_EXIT_USAGE: Final = 2
+_STDOUT: Final = 1
+_SETTINGS_POLL_INTERVAL_S: Final = 1.0
+
+
+def run(signals: ProcessSignals) -> int:
+    """
+    Run a router with the settings file that the platform provides.
+
+    :param signals: signals received by this process.
+    :returns: exit code: 0 after a drain, 2 for invalid settings.
+    """
+    path = boot_file.settings_path()
+    try:
+        settings = boot_file.read_settings(path)
+    except boot_file.BootFileError as error:
+        sys.stderr.write(f'{error.message}\n')
+        return _EXIT_USAGE
+    writer = LineWriter(_STDOUT)
+    options = LogOptions('json', 'info', settings.node)
+    configure_logging(options, writer)  # type: ignore[arg-type]
+    node = partial(_serve, path, settings, writer)
+    trio.run(node, signals)
+    return _EXIT_OK
+
+
+async def _serve(
+    path: str,
+    settings: NodeSettings,
+    writer: LineWriter,
+    signals: ProcessSignals,
+) -> None:
+    node = GatewayNode(settings, make_adapter(settings))
+    node.telemetry.add_gauge(
+        'log_lines_dropped',
+        'Log lines dropped beyond the rate or for a slow reader.',
+        lambda: writer.dropped,
+    )
+    dispatcher = SignalDispatcher(
+        signals, partial(_reload, node, path, 'SIGHUP')
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(keep_running, 'write log lines', writer.run)
+        await dispatcher.start(nursery)
+        if dispatcher.is_stopping:
+            _log.info('stopped before the listeners were opened')
+        else:
+            nursery.start_soon(
+                keep_running, 'settings', partial(_watch_settings, node, path)
+            )
+            await node.start(nursery)
+            await _run_until_stopped(node, dispatcher)
+        dispatcher.close()
+        writer.flush()
+        nursery.cancel_scope.cancel()
+
+
+async def _run_until_stopped(
+    node: GatewayNode, dispatcher: SignalDispatcher
+) -> None:
+    dispatcher.phase = 'serving'
+    await dispatcher.wait_stop()
+    dispatcher.phase = 'draining'
+    await node.drain()
+    dispatcher.phase = 'exiting'
+    await node.close()
+
+
+async def _watch_settings(node: GatewayNode, path: str) -> None:
+    last_modified_at = _modified_at(path)
+    while True:
+        await trio.sleep(_SETTINGS_POLL_INTERVAL_S)
+        modified_at = _modified_at(path)
+        if modified_at != last_modified_at:
+            last_modified_at = modified_at
+            _reload(node, path, 'settings file changed')
+
+
+def _modified_at(path: str) -> float:
+    try:
+        return Path(path).stat().st_mtime
+    except OSError as error:
+        _log.warning('settings file is unreadable', extra={'why': str(error)})
+        return 0
+
+
+def _reload(node: GatewayNode, path: str, reason: str) -> None:
+    try:
+        settings = boot_file.read_settings(path)
+    except boot_file.BootFileError as error:
+        _log.error(
+            'invalid settings; keeping the current ones',
+            extra={'why': error.message},
+        )
+        return
+    node.reload(settings, reason)
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -10,7 +10,7 @@
 from eelgrassfork.gateway.node import GatewayNode
 from eelgrassfork.http_client import ClientRequest, ClientTimeouts, HttpClient
 from eelgrassfork.platform import boot_file
-from eelgrassfork.platform.__main__ import make_adapter
+from eelgrassfork.platform.adapter import make_adapter
 from standins.metadata_store import MetadataStore
 from standins.replica import Replica
 
--- /dev/null
+++ b/tests/router_process.py
@@ -0,0 +1,239 @@
+"""
+tests.router_process
+~~~~~~~~~~~~~~~~~~~~
+
+Routers as real processes, with stand-ins for the store and a backend server.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import trio
+
+from eelgrassfork.http_client import (
+    ClientRequest,
+    ClientTimeouts,
+    HttpClient,
+    HttpClientError,
+)
+from eelgrassfork.process_signals import ACTIONS_BY_SIGNAL
+from standins.metadata_store import MetadataStore
+from standins.replica import Replica
+
+from .gateway_world import SETTINGS, World, configuration, free_ports
+
+GRACE_S = 6
+READY_TIMEOUT_S = 15
+EXIT_TIMEOUT_S = 12
+POLL_S = 0.01
+# The stand-in's slow streams have a pause of 0.3 s before each event.
+STREAM_EVENTS = 10
+STREAM_TIMEOUTS = ClientTimeouts(first_byte_s=5, silence_s=5)
+
+
+def handled_signals(pid):
+    """Read the signals that a process handles or ignores."""
+    handled = 0
+    for line in Path(f'/proc/{pid}/status').read_text().splitlines():
+        name, _, text = line.partition(':')
+        if name in {'SigCgt', 'SigIgn'}:
+            handled |= int(text, 16)
+    return {
+        number for number in signal.valid_signals() if handled >> number - 1 & 1
+    }
+
+
+class Program:
+    """
+    A started program.
+
+    :param command: module and arguments for the interpreter.
+    :param variables: additional environment variables.
+    """
+
+    def __init__(self, command, variables=()):
+        self._log = tempfile.TemporaryFile()
+        self.popen = subprocess.Popen(
+            [sys.executable, '-m', *command],
+            stdin=subprocess.DEVNULL,
+            stdout=self._log,
+            stderr=subprocess.STDOUT,
+            env={**os.environ, **dict(variables)},
+        )
+
+    def signal(self, number):
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    async def wait_handlers(self):
+        """Wait until no signal takes its default action any more."""
+        with trio.fail_after(READY_TIMEOUT_S):
+            while not handled_signals(self.popen.pid) >= set(ACTIONS_BY_SIGNAL):
+                if self.popen.poll() is not None:
+                    raise AssertionError(self.log_text())
+                await trio.sleep(0.001)
+
+    async def wait_exit(self, timeout_s=EXIT_TIMEOUT_S):
+        """Wait for the end of the process; returns its exit code."""
+        with trio.fail_after(timeout_s):
+            while self.popen.poll() is None:
+                await trio.sleep(POLL_S)
+        return self.popen.returncode
+
+    async def wait_logged(self, message):
+        """Wait until a line of the log has a message."""
+        with trio.fail_after(READY_TIMEOUT_S):
+            while message not in self.log_text():
+                if self.popen.poll() is not None:
+                    raise AssertionError(self.log_text())
+                await trio.sleep(POLL_S)
+
+    def log_text(self):
+        size = os.fstat(self._log.fileno()).st_size
+        return os.pread(self._log.fileno(), size, 0).decode('utf-8', 'replace')
+
+    def log_lines(self):
+        """Return the log lines that are JSON objects."""
+        return [
+            json.loads(line)
+            for line in self.log_text().splitlines()
+            if line.startswith('{')
+        ]
+
+    def messages(self):
+        return [line['message'] for line in self.log_lines()]
+
+    def close(self):
+        if self.popen.poll() is None:
+            self.popen.kill()
+        self.popen.wait()
+        self._log.close()
+
+
+class Streams:
+    """
+    Callers that read streams of 3 s through a router.
+
+    :ivar events_by_id: events received by each caller whose stream has ended;
+        ``None`` if it ended without being complete.
+    """
+
+    def __init__(self, address):
+        self._address = address
+        self._client = HttpClient()
+        self.events_by_id = {}
+        self.started = 0
+
+    async def read(self, request_id):
+        request = ClientRequest(
+            self._address,
+            'GET',
+            '/reply/x',
+            (
+                ('x-request-id', request_id),
+                ('x-request-deadline', '9000'),
+                ('api-key', 'bigkey'),
+            ),
+            fresh=True,
+            host='shop.example',
+        )
+        self.events_by_id[request_id] = None
+        self.started += 1
+        try:
+            _, body = await self._client.fetch(request, STREAM_TIMEOUTS)
+        except HttpClientError:
+            return
+        if body.count(b'id:') == STREAM_EVENTS:
+            self.events_by_id[request_id] = STREAM_EVENTS
+
+    def incomplete(self):
+        return [
+            name for name, events in self.events_by_id.items() if not events
+        ]
+
+
+class RouterProcess:
+    """
+    A router process with its settings file.
+
+    :param store: address of the store.
+    """
+
+    def __init__(self, store):
+        self._folder = tempfile.TemporaryDirectory()
+        self.path = Path(self._folder.name, 'settings.conf')
+        ports = free_ports(3)
+        base = free_ports(1)
+        self.caller_address = f'127.0.0.1:{ports[0]}'
+        self._ready_address = f'127.0.0.1:{ports[1]}'
+        # Metrics are on the second internal port.
+        self.settings = SETTINGS.format(
+            ports=(*ports, base[0], base[0] + 1), store=store
+        ).replace('graceS=3', f'graceS={GRACE_S}')
+        self.path.write_text(self.settings)
+        self.program = Program(
+            ('eelgrassfork.platform',), {'EELGRASSFORK_BOOT': str(self.path)}
+        )
+
+    async def wait_ready(self):
+        client = HttpClient()
+        request = ClientRequest(self._ready_address, 'GET', '/readyz')
+        with trio.fail_after(READY_TIMEOUT_S):
+            while True:
+                try:
+                    answer, _ = await client.fetch(request)
+                except HttpClientError:
+                    answer = None
+                if answer is not None and answer.status == 200:
+                    return
+                await trio.sleep(POLL_S)
+
+    def close(self):
+        self.program.close()
+        self._folder.cleanup()
+
+
+class ProcessWorld:
+    """Stand-ins in this process that router processes use."""
+
+    def __init__(self):
+        self.store = MetadataStore()
+        self._replica = Replica('i-0', [f'slow:{STREAM_EVENTS}'])
+
+    async def start(self, nursery):
+        await self.store.start(nursery, '127.0.0.1', 0)
+        wire = configuration()
+        for route in wire['routes']:
+            route.update(timeoutMs=9000, gapAimMs=1000)
+        self.store.put('config', 'main', wire)
+        await self._replica.start(nursery, '127.0.0.1', 0)
+        World.register(self, self._replica, 'model')
+
+
+def run_processes(scenario):
+    """
+    Run a scenario in real time with stand-ins.
+
+    :param scenario: called with a :class:`ProcessWorld` and a nursery.
+    :returns: result of the scenario.
+    """
+
+    async def main():
+        world = ProcessWorld()
+        async with trio.open_nursery() as nursery:
+            await world.start(nursery)
+            outcome = await scenario(world)
+            nursery.cancel_scope.cancel()
+        return outcome
+
+    return trio.run(main)
+
+
+def elapsed_s(started_at):
+    return time.monotonic() - started_at
--- a/tests/simulated_callers.py
+++ b/tests/simulated_callers.py
@@ -28,7 +28,7 @@
 from eelgrassfork.gateway.server_crashes import CrashDetector
 from eelgrassfork.gateway.telemetry import Telemetry
 from eelgrassfork.http_client import ConnectFailed
-from eelgrassfork.platform.__main__ import _encode_metadata
+from eelgrassfork.platform.adapter import encode_metadata
 from eelgrassfork.platform.heads import decode_response
 
 from .fault_schedule import HOST
@@ -266,7 +266,7 @@
                 member.limits,
                 CrashDetector(client),
                 member.quarantine,
-                _encode_metadata,
+                encode_metadata,
                 decode_response,
             )
         )
--- /dev/null
+++ b/tests/test_process_life.py
@@ -0,0 +1,178 @@
+"""
+tests.test_process_life
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against processes that a signal ends early, at any time between their
+first import and their exit.
+"""
+
+import signal
+
+import testtools
+import trio
+
+from eelgrassfork.process_signals import ACTIONS_BY_SIGNAL
+
+from .router_process import RouterProcess, Streams, run_processes
+
+STREAMS = 10
+# All streams have begun, and the load balancer still sends requests.
+SIGNAL_AFTER_S = 0.5
+SERIES_INTERVAL_S = 0.05
+
+STOP_SIGNALS = [
+    number for number, action in ACTIONS_BY_SIGNAL.items() if action == 'stop'
+]
+OTHER_SIGNALS = [
+    number for number, action in ACTIONS_BY_SIGNAL.items() if action != 'stop'
+]
+
+
+async def send_series(program, numbers):
+    for number in numbers:
+        program.signal(number)
+        await trio.sleep(SERIES_INTERVAL_S)
+
+
+async def flood(program, numbers):
+    """Send signals until the process is gone."""
+    while program.popen.poll() is None:
+        for number in numbers:
+            program.signal(number)
+        await trio.sleep(0.001)
+
+
+async def play_with_streams(world, disturb):
+    """
+    Start a router, read streams through it and disturb it meanwhile.
+
+    :param disturb: called with the router once the streams have begun; has to
+        make it stop.
+    :returns: exit code, IDs of incomplete streams and log messages.
+    """
+    router = RouterProcess(world.store.address)
+    try:
+        await router.wait_ready()
+        streams = Streams(router.caller_address)
+        async with trio.open_nursery() as nursery:
+            for number in range(STREAMS):
+                nursery.start_soon(streams.read, f'{number:016x}')
+            await trio.sleep(SIGNAL_AFTER_S)
+            await disturb(router)
+            code = await router.program.wait_exit()
+        return code, streams.incomplete(), router.program.messages()
+    finally:
+        router.close()
+
+
+class RouterLifeTests(testtools.TestCase):
+    def assert_drained(self, outcome):
+        code, incomplete, messages = outcome
+        last = '\n'.join(messages[-20:])
+        self.assertEqual([], incomplete, last)
+        self.assertEqual(0, code, last)
+        self.assertTrue('node: stopped' in messages, last)
+
+    def test_reload_signal_in_a_drain_cuts_no_stream(self):
+        """SIGHUP had its default action while a router was draining."""
+
+        async def disturb(router):
+            router.program.signal(signal.SIGTERM)
+            await trio.sleep(1)
+            router.path.write_text(router.settings)
+            router.program.signal(signal.SIGHUP)
+
+        async def scenario(world):
+            return await play_with_streams(world, disturb)
+
+        self.assert_drained(run_processes(scenario))
+
+    def test_each_signal_in_service_and_in_the_drain_cuts_no_stream(self):
+        """Signals without a handler end a process by default."""
+
+        def disturb_with(stop_number):
+            async def disturb(router):
+                await send_series(router.program, OTHER_SIGNALS)
+                router.program.signal(stop_number)
+                await send_series(
+                    router.program, [*ACTIONS_BY_SIGNAL, *ACTIONS_BY_SIGNAL]
+                )
+
+            return disturb
+
+        outcomes = []
+
+        async def scenario(world):
+            async def play(number):
+                outcomes.append(
+                    await play_with_streams(world, disturb_with(number))
+                )
+
+            async with trio.open_nursery() as nursery:
+                for number in STOP_SIGNALS:
+                    nursery.start_soon(play, number)
+
+        run_processes(scenario)
+        self.assertEqual(len(STOP_SIGNALS), len(outcomes))
+        for outcome in outcomes:
+            self.assert_drained(outcome)
+
+    def test_signals_until_the_process_is_gone_keep_the_exit_code(self):
+        """The interpreter restores default actions before it exits."""
+
+        async def disturb(router):
+            router.program.signal(signal.SIGTERM)
+            await flood(router.program, list(ACTIONS_BY_SIGNAL))
+
+        async def scenario(world):
+            return await play_with_streams(world, disturb)
+
+        self.assert_drained(run_processes(scenario))
+
+    def test_signals_during_the_imports_are_kept(self):
+        """Handlers were installed after the imports, 0.3 s after the start."""
+
+        async def scenario(world):
+            router = RouterProcess(world.store.address)
+            try:
+                await router.program.wait_handlers()
+                for number in OTHER_SIGNALS:
+                    router.program.signal(number)
+                await router.wait_ready()
+                router.program.signal(signal.SIGTERM)
+                code = await router.program.wait_exit()
+                return code, router.program.log_lines()
+            finally:
+                router.close()
+
+        code, lines = run_processes(scenario)
+        self.assertEqual(0, code)
+        answered = {
+            line['signal']
+            for line in lines
+            if line['part'] == 'signals' and line['phase'] == 'starting'
+        }
+        self.assertEqual({number.name for number in OTHER_SIGNALS}, answered)
+
+    def test_stop_during_the_imports_opens_no_listener(self):
+        """A stop signal in the first 0.3 s ended the process by a signal."""
+
+        async def scenario(world):
+            outcomes = []
+            for number in STOP_SIGNALS:
+                router = RouterProcess(world.store.address)
+                try:
+                    await router.program.wait_handlers()
+                    router.program.signal(number)
+                    code = await router.program.wait_exit()
+                    outcomes.append((code, router.program.messages()))
+                finally:
+                    router.close()
+            return outcomes
+
+        for code, messages in run_processes(scenario):
+            self.assertEqual(0, code)
+            self.assertNotIn('node: started', messages)
+            self.assertIn(
+                'daemon: stopped before the listeners were opened', messages
+            )
