--- a/tests/process_faults.py
+++ b/tests/process_faults.py
@@ -19,6 +19,7 @@
 from demo.calls import Caller, chat_body
 from demo.fleet import SERVERS, Fleet
 from eelgrassfork.http_client import ClientRequest, HttpClientError
+from eelgrassfork.process_signals import ACTIONS_BY_SIGNAL
 from standins.engine_text import completion_text
 
 __all__ = ('CASES', 'Case', 'main', 'run_cases')
@@ -289,6 +290,30 @@
     return f'whole, exit code 0, billed {tokens}, nothing held'
 
 
+async def signalled_while_draining(case: Case) -> str:
+    """Signals of all kinds don't end a router that finishes its streams."""
+    caller = Caller(
+        case.fleet, 'threadlantern/matale-b', 'threadlantern/lakeside-linen'
+    )
+    body = chat_body('eelgrass-llm', 'Which thread is red?', True, WORDS)
+    vm = case.vm('threadlantern/matale-b')
+
+    def send_series() -> None:
+        case.signal(vm, signal.SIGHUP)
+        case.signal(vm, signal.SIGTERM)
+        for number in ACTIONS_BY_SIGNAL:
+            case.signal(vm, number)
+
+    complete = await case.read_stream(caller, body, 'stream-3', send_series)
+    assert complete, 'the stream was interrupted'
+    popen = case.fleet.processes.by_name[vm].popen
+    while popen.poll() is None:
+        case.signal(vm, signal.SIGHUP)
+        await trio.sleep(0.01)
+    assert popen.returncode == 0, f'the router exited with {popen.returncode}'
+    return 'whole, exit code 0'
+
+
 async def _wait_claimed(case: Case) -> None:
     with trio.fail_after(10):
         while True:
@@ -317,6 +342,7 @@
     killed_with_unreported_spend,
     platform_stopped,
     terminated_mid_stream,
+    signalled_while_draining,
 )
 
 
--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -6,14 +6,19 @@
 first import and their exit.
 """
 
+import json
 import signal
+import tempfile
 
 import testtools
 import trio
 
+from demo.processes import free_ports
 from eelgrassfork.process_signals import ACTIONS_BY_SIGNAL
 
-from .router_process import RouterProcess, Streams, run_processes
+from .process_faults import run_cases, signalled_while_draining
+from .router_process import Program, RouterProcess, Streams, run_processes
+from .test_settings import VALID as VALID_SETTINGS
 
 STREAMS = 10
 # All streams have begun, and the load balancer still sends requests.
@@ -176,3 +181,48 @@
             self.assertIn(
                 'daemon: stopped before the listeners were opened', messages
             )
+
+
+class ProductRouterLifeTests(testtools.TestCase):
+    """The daemon of the product's own interface."""
+
+    def test_signals_in_a_drain_cut_no_stream(self):
+        """SIGHUP always ended the daemon, and so did others."""
+        (outcome,) = run_cases((signalled_while_draining,)).values()
+        self.assertTrue(outcome.startswith('whole'), outcome)
+
+    def test_signals_during_the_imports(self):
+        """The daemon had no handlers until its event loop ran."""
+        for number, expected in (
+            (signal.SIGHUP, 'settings are only read at the start'),
+            (signal.SIGTERM, 'stopped before the listeners were opened'),
+        ):
+            with tempfile.NamedTemporaryFile('w') as settings:
+                json.dump(router_settings(), settings)
+                settings.flush()
+                trio.run(self.check_signal, settings.name, number, expected)
+
+    async def check_signal(self, path, number, expected):
+        program = Program(('eelgrassfork.routerd', path))
+        try:
+            await program.wait_handlers()
+            program.signal(number)
+            await program.wait_logged(expected)
+            program.signal(signal.SIGTERM)
+            self.assertEqual(0, await program.wait_exit())
+        finally:
+            program.close()
+
+
+def router_settings():
+    ports = free_ports(4)
+    listeners = ('callers', 'peers', 'operators')
+    return {
+        **VALID_SETTINGS,
+        **{
+            name: {'host': '127.0.0.1', 'port': port}
+            for name, port in zip(listeners, ports)
+        },
+        'platform': f'127.0.0.1:{ports[3]}',
+        'drain_grace_ms': 100,
+    }
