standins: finish requests after a stop signal, and survive the others

What callers saw: a stand-in of a server that was told to stop, or got any other signal, cut its answers; no test with them could tell a server that drains from one that crashes.

Cause: that of the routers; the stand-ins had no handlers at all.

Change: python -m standins NAME runs them through the shared entry point; a stop signal closes the listener and finishes requests for up to 10 s.

--- a/demo/processes.py
+++ b/demo/processes.py
@@ -44,7 +44,7 @@
         :param module: module within ``standins``.
         :param options: command-line options.
         """
-        popen = self._popen(name, f'standins.{module}', *options)
+        popen = self._popen(name, 'standins', module, *options)
         self.by_name[name] = Process(name, popen, '')
 
     def wait_listening(self, name: str) -> str:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import sys
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, NamedTuple
@@ -14,6 +15,7 @@
 import trio
 
 from eelgrassfork.http_server import Call
+from eelgrassfork.process_signals import ProcessSignals
 from eelgrassfork.transport import TCP, Transport
 
 from .engine_answers import respond_completion, respond_stream
@@ -28,7 +30,7 @@
     admin_fields,
     respond_error,
     respond_json,
-    serve_forever,
+    serve_until_stopped,
 )
 
 __all__ = ('EngineSettings', 'EngineStandin')
@@ -327,8 +329,13 @@
         await respond_json(call, records)
 
 
-def main() -> None:
-    """Run an engine until it is killed."""
+def run(signals: ProcessSignals) -> int:
+    """
+    Run an engine until it is stopped.
+
+    :param signals: signals received by this process.
+    :returns: exit code.
+    """
     parser = argparse.ArgumentParser(description='Stand-in for an engine.')
     parser.add_argument('--host', default='127.0.0.1')
     parser.add_argument('--port', type=int, default=0)
@@ -338,12 +345,10 @@
         default = EngineSettings._field_defaults[field]
         option = field.replace('_', '-')
         parser.add_argument(f'--{option}', type=type(default), default=default)
-    options = parser.parse_args()
+    options = parser.parse_args(sys.argv[2:])
     settings = EngineSettings(
         *[getattr(options, name) for name in EngineSettings._fields]
     )
-    serve_forever(EngineStandin(settings), options.host, options.port)
-
-
-if __name__ == '__main__':
-    main()
+    return serve_until_stopped(
+        EngineStandin(settings), options.host, options.port, signals
+    )
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -7,11 +7,13 @@
 
 import argparse
 import collections
+import sys
 from typing import Any, Final
 
 import trio
 
 from eelgrassfork.http_server import Call, CallerDisconnected
+from eelgrassfork.process_signals import ProcessSignals
 from eelgrassfork.transport import TCP, Transport
 
 from .server_faults import FaultInjector, FaultsBody
@@ -21,7 +23,7 @@
     admin_fields,
     respond_error,
     respond_json,
-    serve_forever,
+    serve_until_stopped,
 )
 
 __all__ = ('PlainServiceStandin',)
@@ -128,16 +130,17 @@
         await respond_json(call, {})
 
 
-def main() -> None:
-    """Run a plain service until it is killed."""
+def run(signals: ProcessSignals) -> int:
+    """
+    Run a plain service until it is stopped.
+
+    :param signals: signals received by this process.
+    :returns: exit code.
+    """
     parser = argparse.ArgumentParser(description='Stand-in for a service.')
     parser.add_argument('--host', default='127.0.0.1')
     parser.add_argument('--port', type=int, default=0)
     parser.add_argument('--work-ms', type=float, default=0)
-    options = parser.parse_args()
+    options = parser.parse_args(sys.argv[2:])
     standin = PlainServiceStandin(options.work_ms / 1000)
-    serve_forever(standin, options.host, options.port)
-
-
-if __name__ == '__main__':
-    main()
+    return serve_until_stopped(standin, options.host, options.port, signals)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import sys
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
@@ -19,6 +20,7 @@
     PlatformRefused,
     StoredObject,
 )
+from eelgrassfork.process_signals import ProcessSignals
 from eelgrassfork.transport import TCP, Transport
 from eelgrassfork.vm_list import VmRecord
 
@@ -29,7 +31,7 @@
     admin_fields,
     respond_error,
     respond_json,
-    serve_forever,
+    serve_until_stopped,
 )
 
 __all__ = ('PlatformStandin',)
@@ -276,17 +278,18 @@
         raise InvalidAdminRequest(str(error)) from None
 
 
-def main() -> None:
-    """Run the platform until it is killed."""
+def run(signals: ProcessSignals) -> int:
+    """
+    Run the platform until it is stopped.
+
+    :param signals: signals received by this process.
+    :returns: exit code.
+    """
     parser = argparse.ArgumentParser(description='Stand-in for the platform.')
     parser.add_argument('--host', default='127.0.0.1')
     parser.add_argument('--port', type=int, default=0)
     parser.add_argument('--vm-lag-ms', type=float, default=0)
-    options = parser.parse_args()
+    options = parser.parse_args(sys.argv[2:])
     standin = PlatformStandin()
     standin.core.vm_lists.lag_s = options.vm_lag_ms / 1000
-    serve_forever(standin, options.host, options.port)
-
-
-if __name__ == '__main__':
-    main()
+    return serve_until_stopped(standin, options.host, options.port, signals)
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -6,12 +6,14 @@
 """
 
 import sys
-from typing import Any, Protocol
+from typing import Any, Final, Protocol
 
 import msgspec
 import trio
 
 from eelgrassfork.http_server import Call, Handler, HttpServer
+from eelgrassfork.process_signals import ProcessSignals
+from eelgrassfork.signal_dispatcher import SignalDispatcher
 from eelgrassfork.transport import TCP, Transport
 
 __all__ = (
@@ -21,9 +23,12 @@
     'admin_fields',
     'respond_error',
     'respond_json',
-    'serve_forever',
+    'serve_until_stopped',
 )
 
+_DRAIN_TIMEOUT_S: Final = 10.0
+_DRAIN_POLL_INTERVAL_S: Final = 0.02
+
 
 class InvalidAdminRequest(Exception):
     """The body of an admin request is invalid."""
@@ -39,6 +44,9 @@
     async def start(self, nursery: trio.Nursery, host: str, port: int) -> None:
         """Listen and serve in the nursery."""
 
+    async def drain(self, timeout_s: float) -> None:
+        """Stop listening and finish the requests in progress."""
+
 
 class HttpStandin:
     """
@@ -66,33 +74,55 @@
         """
         await self._server.start(nursery, host, port)
 
+    async def drain(self, timeout_s: float) -> None:
+        """
+        Stop listening and finish the requests in progress.
+
+        :param timeout_s: longest wait for them, in seconds.
+        """
+        self._server.stop_accepting()
+        with trio.move_on_after(timeout_s):
+            while self._server.active_requests:
+                await trio.sleep(_DRAIN_POLL_INTERVAL_S)
+
     async def close(self) -> None:
         """Stop listening and abort all connections; the state is kept."""
         await self._server.close()
 
 
-def serve_forever(standin: Standin, host: str, port: int) -> None:
+def serve_until_stopped(
+    standin: Standin, host: str, port: int, signals: ProcessSignals
+) -> int:
     """
-    Run a stand-in in this process until it is killed.
+    Run a stand-in in this process until a stop signal.
 
     Prints ``{"address": "ip:port"}`` on a line once it is listening.
 
     :param standin: the stand-in.
     :param host: IP address to bind.
     :param port: port, or 0 for any free port.
+    :param signals: signals received by this process.
+    :returns: exit code.
     """
 
     async def main() -> None:
+        dispatcher = SignalDispatcher(signals, _do_nothing)
         async with trio.open_nursery() as nursery:
-            await standin.start(nursery, host, port)
-            line = msgspec.json.encode({'address': standin.address})
-            sys.stdout.write(f'{line.decode()}\n')
-            sys.stdout.flush()
-
-    try:
-        trio.run(main)
-    except KeyboardInterrupt:
-        sys.stdout.flush()
+            await dispatcher.start(nursery)
+            if not dispatcher.is_stopping:
+                await standin.start(nursery, host, port)
+                line = msgspec.json.encode({'address': standin.address})
+                sys.stdout.write(f'{line.decode()}\n')
+                sys.stdout.flush()
+                dispatcher.phase = 'serving'
+                await dispatcher.wait_stop()
+                dispatcher.phase = 'draining'
+                await standin.drain(_DRAIN_TIMEOUT_S)
+            dispatcher.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    return 0
 
 
 def admin_fields(body: bytes, kind: type[msgspec.Struct]) -> dict[str, Any]:
@@ -140,3 +170,7 @@
     """
     error = {'code': code, 'message': message}
     await respond_json(call, {'error': error}, status)
+
+
+def _do_nothing() -> None:
+    """Do nothing."""
--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -14,10 +14,17 @@
 import trio
 
 from demo.processes import free_ports
+from eelgrassfork.http_client import ClientRequest, HttpClient
 from eelgrassfork.process_signals import ACTIONS_BY_SIGNAL
 
 from .process_faults import run_cases, signalled_while_draining
-from .router_process import Program, RouterProcess, Streams, run_processes
+from .router_process import (
+    STREAM_TIMEOUTS,
+    Program,
+    RouterProcess,
+    Streams,
+    run_processes,
+)
 from .test_settings import VALID as VALID_SETTINGS
 
 STREAMS = 10
@@ -226,3 +233,39 @@
         'platform': f'127.0.0.1:{ports[3]}',
         'drain_grace_ms': 100,
     }
+
+
+class StandinLifeTests(testtools.TestCase):
+    def test_signals_cut_no_answer_of_a_server(self):
+        """Stand-ins of servers ended at any signal, in the middle of answers."""
+        trio.run(self.check_standin)
+
+    async def check_standin(self):
+        program = Program(('standins', 'plain_service', '--work-ms', '2000'))
+        client = HttpClient()
+        outcomes = []
+
+        async def ask(address):
+            request = ClientRequest(address, 'POST', '/order', (), b'{}')
+            answer, _ = await client.fetch(request, STREAM_TIMEOUTS)
+            outcomes.append(answer.status)
+
+        try:
+            await program.wait_handlers()
+            program.signal(signal.SIGHUP)
+            await program.wait_logged('address')
+            address = next(
+                line['address']
+                for line in program.log_lines()
+                if 'address' in line
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask, address)
+                await trio.sleep(SIGNAL_AFTER_S)
+                program.signal(signal.SIGTERM)
+                await send_series(program, ACTIONS_BY_SIGNAL)
+            await flood(program, list(ACTIONS_BY_SIGNAL))
+            self.assertEqual([200], outcomes)
+            self.assertEqual(0, await program.wait_exit())
+        finally:
+            program.close()
