--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -476,7 +476,7 @@
     def test_each_process_prints_its_address(self):
         cases = ('platform', 'engine --model m', 'plain_service')
         for case in cases:
-            command = f'{sys.executable} -m standins.{case} --port 0'.split()
+            command = f'{sys.executable} -m standins {case} --port 0'.split()
             with subprocess.Popen(command, stdout=subprocess.PIPE) as process:
                 address = json.loads(process.stdout.readline())['address']
                 process.terminate()
