gateway: give credit up at a stop that the store refuses

What operators saw: a router that was stopped while the store could not be reached ended with exit code 1 and a traceback, without the line "stopped" and without closing its connections.

Cause: CreditKeeper.close did not catch what LedgerWriter.transfer raises; the error left the nursery of the process. The same errors were caught in the periodic transfers only.

The return is planned anew at each attempt, so that credit lent meanwhile is not returned.

--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
+from functools import partial
 from typing import Final, NamedTuple
 
 import logbook
@@ -189,22 +190,23 @@
         Deposit all free credit with a keeper, or return it to the ledger.
 
         The keeper is tried first, as the store may be unavailable or become
-        so next.
+        so next.  Credit that neither accepts in time is given up.
 
         :param timeout_s: time-out for the whole operation, in seconds.
         """
         self._tasks_scope.cancel()
-        with trio.move_on_after(timeout_s):
+        plan_return = partial(_plan_return, self.held)
+        scope = trio.move_on_after(timeout_s)
+        with scope:
             await self._deposit(self.held.free_by_organisation())
             await self._standby.release()
             await self._deposit(self.held.free_by_organisation())
-            free = self.held.free_by_organisation()
-            await self._ledger.transfer(
-                lambda: Transfer(
-                    {},
-                    {name: amount for name, amount in free.items() if amount},
-                    {name: self.held.unflushed(name) for name in free},
-                ),
+            await _try_transfer(self._ledger, plan_return, reread=False)
+        kept = plan_return().returned_by_organisation
+        if kept or scope.cancelled_caught:
+            _log.warning(
+                'credit given up, as it could not be returned',
+                extra={'kept': kept, 'timed_out': scope.cancelled_caught},
             )
 
     def dump(self) -> dict[str, object]:
@@ -318,22 +320,7 @@
             await self._refill()
             return
         plan = self._plan if may_write else _plan_nothing
-        try:
-            await self._ledger.transfer(plan, reread=urgent)
-        except StoreRestored as error:
-            _log.info(
-                'store was restored during a transfer',
-                extra={'error': error.code},
-            )
-        except StoreError as error:
-            _log.warning(
-                'credit ledger is unreachable', extra={'error': error.code}
-            )
-        except msgspec.DecodeError as error:
-            _log.error(
-                'credit ledger could not be decoded',
-                extra={'error': str(error)},
-            )
+        await _try_transfer(self._ledger, plan, urgent)
 
     async def _refill(self) -> None:
         context = self._context()
@@ -397,6 +384,36 @@
         return CreditContext(self.held, inputs, self._policy, now_s)
 
 
+async def _try_transfer(
+    ledger: LedgerWriter, plan: Callable[[], Transfer], reread: bool
+) -> None:
+    try:
+        await ledger.transfer(plan, reread)
+    except StoreRestored as error:
+        _log.info(
+            'store was restored during a transfer',
+            extra={'error': error.code},
+        )
+    except StoreError as error:
+        _log.warning(
+            'credit ledger is unreachable', extra={'error': error.code}
+        )
+    except msgspec.DecodeError as error:
+        _log.error(
+            'credit ledger could not be decoded',
+            extra={'error': str(error)},
+        )
+
+
+def _plan_return(held: HeldCredit) -> Transfer:
+    free = held.free_by_organisation()
+    return Transfer(
+        {},
+        {name: amount for name, amount in free.items() if amount},
+        {name: held.unflushed(name) for name in free},
+    )
+
+
 def _plan_nothing() -> Transfer:
     return Transfer({}, {}, {})
 
--- a/tests/test_gateway_credit_keeper.py
+++ b/tests/test_gateway_credit_keeper.py
@@ -414,6 +414,18 @@
         self.assertEqual((both, 0), (stays, leaves))
         self.assertGreater(both, 0)
 
+    def test_close_while_the_store_refuses_gives_the_credit_up(self):
+        """The error of the store ended the process during its stop."""
+
+        async def scenario(fleet, nursery):
+            keeper = await fleet.add(nursery, 'n0')
+            await trio.sleep(4)
+            fleet.store.down = True
+            await keeper.close(0.6)
+            return keeper.held.free('a')
+
+        self.assertGreater(run(scenario), 0)
+
     def test_close_after_its_timeout_starts_no_further_call(self):
         async def scenario(fleet, nursery):
             keeper = await fleet.add(nursery, 'n0')
--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -141,6 +141,18 @@
 
         self.assert_drained(run_processes(scenario))
 
+    def test_stop_while_the_store_is_away_is_complete(self):
+        """A failed return of credit ended the process with a traceback."""
+
+        async def scenario(world):
+            async def disturb(router):
+                await world.store.close()
+                router.program.signal(signal.SIGTERM)
+
+            return await play_with_streams(world, disturb)
+
+        self.assert_drained(run_processes(scenario))
+
     def test_signals_during_the_imports_are_kept(self):
         """Handlers were installed after the imports, 0.3 s after the start."""
 
