platform: a settings file cut within a character is invalid, no crash

What callers saw: SIGHUP, or the next poll of the settings file, ended a router whose settings file was half written and ended within a character: the UnicodeDecodeError left the nursery of the process and cut all requests.

Cause: read_settings caught OSError only, and decoded by the locale.

Change: bytes that are not UTF-8 are a BootFileError like any invalid field, so that a reload keeps the current settings and a start ends with exit code 2. The poll compares time, size and inode of the file, and starts from the state before the first read, so that a file read half written is read again.

Measured: the test in test_platform_boot_file failed before with UnicodeDecodeError and passes.

--- a/eelgrassfork/platform/boot_file.py
+++ b/eelgrassfork/platform/boot_file.py
@@ -52,8 +52,8 @@
         invalid.
     """
     try:
-        text = Path(path).read_text()
-    except OSError as error:
+        text = Path(path).read_text('utf-8')
+    except (OSError, UnicodeDecodeError) as error:
         raise BootFileError('settings_unreadable', f'{path}: {error}') from None
     return parse_settings(text)
 
--- a/eelgrassfork/platform/daemon.py
+++ b/eelgrassfork/platform/daemon.py
@@ -8,7 +8,7 @@
 import sys
 from functools import partial
 from pathlib import Path
-from typing import Final
+from typing import Final, NamedTuple
 
 import logbook
 import trio
@@ -32,6 +32,15 @@
 _STDOUT: Final = 1
 _SETTINGS_POLL_INTERVAL_S: Final = 1.0
 
+# Time of the last change in nanoseconds, size in bytes and inode number of a
+# file; None if it can't be read.
+_FileVersion = tuple[int, int, int] | None
+
+
+class _SettingsSource(NamedTuple):
+    path: str
+    version: _FileVersion
+
 
 def run(signals: ProcessSignals) -> int:
     """
@@ -41,6 +50,7 @@
     :returns: exit code: 0 after a drain, 2 for invalid settings.
     """
     path = boot_file.settings_path()
+    version = _file_version(path)
     try:
         settings = boot_file.read_settings(path)
     except boot_file.BootFileError as error:
@@ -49,13 +59,13 @@
     writer = LineWriter(_STDOUT)
     options = LogOptions('json', 'info', settings.node)
     configure_logging(options, writer)  # type: ignore[arg-type]
-    node = partial(_serve, path, settings, writer)
-    trio.run(node, signals)
+    source = _SettingsSource(path, version)
+    trio.run(_serve, source, settings, writer, signals)
     return _EXIT_OK
 
 
 async def _serve(
-    path: str,
+    source: _SettingsSource,
     settings: NodeSettings,
     writer: LineWriter,
     signals: ProcessSignals,
@@ -67,7 +77,7 @@
         lambda: writer.dropped,
     )
     dispatcher = SignalDispatcher(
-        signals, partial(_reload, node, path, 'SIGHUP')
+        signals, partial(_reload, node, source.path, 'SIGHUP')
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(keep_running, 'write log lines', writer.run)
@@ -76,7 +86,7 @@
             _log.info('stopped before the listeners were opened')
         else:
             nursery.start_soon(
-                keep_running, 'settings', partial(_watch_settings, node, path)
+                keep_running, 'settings', partial(_watch_settings, node, source)
             )
             await node.start(nursery)
             await _run_until_stopped(node, dispatcher)
@@ -96,22 +106,25 @@
     await node.close()
 
 
-async def _watch_settings(node: GatewayNode, path: str) -> None:
-    last_modified_at = _modified_at(path)
+async def _watch_settings(node: GatewayNode, source: _SettingsSource) -> None:
+    # The version is older than the content that was read, so that a file that
+    # was being written is read again.
+    last_version = source.version
     while True:
+        version = _file_version(source.path)
+        if version != last_version:
+            last_version = version
+            _reload(node, source.path, 'settings file changed')
         await trio.sleep(_SETTINGS_POLL_INTERVAL_S)
-        modified_at = _modified_at(path)
-        if modified_at != last_modified_at:
-            last_modified_at = modified_at
-            _reload(node, path, 'settings file changed')
 
 
-def _modified_at(path: str) -> float:
+def _file_version(path: str) -> _FileVersion:
     try:
-        return Path(path).stat().st_mtime
-    except OSError as error:
-        _log.warning('settings file is unreadable', extra={'why': str(error)})
-        return 0
+        status = Path(path).stat()
+    except OSError:
+        # The reload that follows logs why the file can't be read.
+        return None
+    return status.st_mtime_ns, status.st_size, status.st_ino
 
 
 def _reload(node: GatewayNode, path: str, reason: str) -> None:
--- a/tests/test_platform_boot_file.py
+++ b/tests/test_platform_boot_file.py
@@ -6,6 +6,8 @@
 don't name the invalid field.
 """
 
+import tempfile
+
 import testtools
 
 from eelgrassfork.platform.boot_file import (
@@ -69,3 +71,13 @@
     def test_error_for_missing_file_names_its_path(self):
         error = self.assertRaises(BootFileError, read_settings, '/no/such')
         self.assertIn('/no/such', error.message)
+
+    def test_error_for_bytes_that_are_no_text(self):
+        """A file cut within a character ended the process at its reload."""
+        with tempfile.NamedTemporaryFile() as settings:
+            settings.write(TEXT.encode() + b'name=\xd0')
+            settings.flush()
+            error = self.assertRaises(
+                BootFileError, read_settings, settings.name
+            )
+        self.assertIn(settings.name, error.message)
