tests: seeded series of signals over the whole life of a router

Each play starts a router process, sends signals from its first import until it is gone, changes its settings file to contents that are valid, half written, missing or unreadable, and reads streams through it.

--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -25,19 +25,14 @@
     Streams,
     run_processes,
 )
+from .signal_series import OTHER_SIGNALS, STOP_SIGNALS, play_seeds
 from .test_settings import VALID as VALID_SETTINGS
 
 STREAMS = 10
 # All streams have begun, and the load balancer still sends requests.
 SIGNAL_AFTER_S = 0.5
 SERIES_INTERVAL_S = 0.05
-
-STOP_SIGNALS = [
-    number for number, action in ACTIONS_BY_SIGNAL.items() if action == 'stop'
-]
-OTHER_SIGNALS = [
-    number for number, action in ACTIONS_BY_SIGNAL.items() if action != 'stop'
-]
+SEEDS = 24
 
 
 async def send_series(program, numbers):
@@ -202,6 +197,13 @@
             )
 
 
+class SignalSeriesTests(testtools.TestCase):
+    def test_series_of_signals_over_the_whole_life(self):
+        """Signals that come in series and overlap with changes of settings."""
+        for outcome in play_seeds(range(SEEDS)):
+            self.assertEqual((outcome.seed, []), outcome[:2])
+
+
 class ProductRouterLifeTests(testtools.TestCase):
     """The daemon of the product's own interface."""
 
