gateway: the drain ends within the grace time, counted from the signal

What callers saw: a router that took up its drain late (a stop signal during the start, a busy event loop) was killed with requests in progress instead of ending them by its deadline; with a grace time below 3.6 s the wait for the load balancer alone took until SIGKILL.

Cause: the deadline was counted from the start of the drain, and the wait for the load balancer did not know it.

--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -191,22 +191,37 @@
             },
         )
 
-    async def drain(self) -> None:
-        """Stop accepting requests, finish those in progress, return credit."""
-        started_at = trio.current_time()
+    async def drain(self, elapsed_s: float = 0) -> None:
+        """
+        Stop accepting requests, finish those in progress, return credit.
+
+        :param elapsed_s: time since the platform asked for the stop, which
+            counts towards the grace time, in seconds.
+        """
+        started_at = trio.current_time() - elapsed_s
         deadline = (
             started_at + self._settings.bounds.grace_s - _SIGKILL_MARGIN_S
         )
+        requests_deadline = deadline - _CREDIT_RETURN_TIMEOUT_S
         self._draining = True
         self._roster.draining = True
         self._member.gossip.send_now()
-        _log.info('drains', extra={'in_progress': self._forwarder.in_progress})
-        await trio.sleep(_BALANCER_REMOVAL_S)
+        _log.info(
+            'drains',
+            extra={
+                'in_progress': self._forwarder.in_progress,
+                'elapsed_s': round(elapsed_s, 2),
+            },
+        )
+        await trio.sleep_until(
+            min(trio.current_time() + _BALANCER_REMOVAL_S, requests_deadline)
+        )
         self._forwarder.draining = True
         self._caller_listener.stop_accepting()
-        while self._forwarder.in_progress:
-            if trio.current_time() > deadline - _CREDIT_RETURN_TIMEOUT_S:
-                break
+        while (
+            self._forwarder.in_progress
+            and trio.current_time() <= requests_deadline
+        ):
             await trio.sleep(_DRAIN_POLL_INTERVAL_S)
         await self._credit.close(
             max(
--- a/eelgrassfork/platform/daemon.py
+++ b/eelgrassfork/platform/daemon.py
@@ -99,9 +99,9 @@
     node: GatewayNode, dispatcher: SignalDispatcher
 ) -> None:
     dispatcher.phase = 'serving'
-    await dispatcher.wait_stop()
+    elapsed_s = await dispatcher.wait_stop()
     dispatcher.phase = 'draining'
-    await node.drain()
+    await node.drain(elapsed_s)
     dispatcher.phase = 'exiting'
     await node.close()
 
--- /dev/null
+++ b/tests/test_gateway_drain.py
@@ -0,0 +1,55 @@
+"""
+tests.test_gateway_drain
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against a drain that outlasts the grace time, and against a stop that is
+not complete.
+"""
+
+import logbook
+import testtools
+import trio
+
+from eelgrassfork.http_client import HttpClientError
+
+from .gateway_world import run_world
+
+# The settings of the world; SIGKILL follows.
+GRACE_S = 3
+
+
+class DrainTests(testtools.TestCase):
+    def play(self, grace_s=GRACE_S, elapsed_s=0, path='/order/x', script='ok'):
+        """Drain with one request in progress; returns time and log records."""
+
+        async def scenario(world, nursery):
+            bounds = world.settings.bounds._replace(grace_s=grace_s)
+            world.node.reload(world.settings._replace(bounds=bounds), 'test')
+            with logbook.TestHandler() as handler:
+                nursery.start_soon(call, world)
+                await trio.sleep(0.2)
+                started_at = trio.current_time()
+                await world.node.drain(elapsed_s)
+                took_s = trio.current_time() - started_at
+                await world.node.close()
+                await trio.sleep(0.2)
+                return took_s, handler.records
+
+        async def call(world):
+            try:
+                await world.call(path)
+            except HttpClientError:
+                return
+
+        return run_world(scenario, plain=[[script]], model=[[script]])
+
+    def test_time_since_the_stop_signal_counts(self):
+        """A drain that began late was still running when SIGKILL came."""
+        took_s, _ = self.play(elapsed_s=1, script='hang')
+        self.assertLess(took_s, GRACE_S - 1)
+
+    def test_grace_time_shorter_than_the_removal_bounds_the_drain(self):
+        """The wait for the load balancer was longer than the grace time."""
+        took_s, records = self.play(grace_s=1.5)
+        self.assertLess(took_s, 1.5)
+        self.assertIn('stopped', [record.message for record in records])
