gateway: the log names requests that are cut at a stop

Before, requests that were still in progress when the grace time ended were logged with the outcome caller_gone, though their callers were there.

Measured: the test failed before (caller_gone) and passes.

--- a/eelgrassfork/gateway/forwarder.py
+++ b/eelgrassfork/gateway/forwarder.py
@@ -125,7 +125,12 @@
             pending.caller_gone = True
             self._record_end(pending, 'caller_gone')
         except trio.Cancelled:
-            self._record_end(pending, 'caller_gone')
+            if pending.call.disconnected.is_set():
+                self._record_end(pending, 'caller_gone')
+            else:
+                self._record_end(
+                    pending, 'cut_at_stop', 'the grace time of the stop ended'
+                )
             raise
 
     async def _serve(self, pending: PendingRequest) -> None:
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -25,7 +25,7 @@
         async def scenario(world, nursery):
             bounds = world.settings.bounds._replace(grace_s=grace_s)
             world.node.reload(world.settings._replace(bounds=bounds), 'test')
-            with logbook.TestHandler() as handler:
+            with logbook.TestHandler().applicationbound() as handler:
                 nursery.start_soon(call, world)
                 await trio.sleep(0.2)
                 started_at = trio.current_time()
@@ -53,3 +53,12 @@
         took_s, records = self.play(grace_s=1.5)
         self.assertLess(took_s, 1.5)
         self.assertIn('stopped', [record.message for record in records])
+
+    def test_log_names_the_requests_that_were_cut(self):
+        """Requests cut at a stop were logged as if their callers had gone."""
+        _, records = self.play(grace_s=1.5, script='hang')
+        by_message = {record.message: record.extra for record in records}
+        self.assertEqual(1, by_message['stopped']['cut_off'])
+        ended = by_message['request ended']
+        self.assertEqual('cut_at_stop', ended['outcome'])
+        self.assertTrue(ended['why'])
