gateway: errors at the start and in the steps of a stop are answered

What operators saw: an unexpected error in one step of a stop, or a port in use at the start, ended the process with a bare traceback; the steps after it did not run, and the log had no line of it. The last lines were lost if the reader of the log was slow.

Change: each step of the stop logs its error and lets the next ones run. A listener that can't be opened and any other error that ends the process are logged with exit code 1. The last lines wait for their reader for up to 0.2 s, which is a part of the margin before SIGKILL.

Measured: the new tests failed before (the port in use: no line with a cause; the failing return of credit: no line "stopped"; LineWriter and supervision had no such functions) and pass.

--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -15,7 +15,7 @@
 from ..http_client import HttpClient
 from ..http_server import HttpServer, ServerLimits
 from ..loop_watch import LoopDelayMonitor
-from ..supervision import keep_running
+from ..supervision import keep_running, run_step
 from .credit_exchange import CreditExchange
 from .credit_keeper import CreditKeeper, CreditKeeperParts
 from .exchange import Exchange, ExchangeParts, ForwardMetadata
@@ -223,12 +223,11 @@
             and trio.current_time() <= requests_deadline
         ):
             await trio.sleep(_DRAIN_POLL_INTERVAL_S)
-        await self._credit.close(
-            max(
-                _MIN_CREDIT_RETURN_TIMEOUT_S,
-                min(_CREDIT_RETURN_TIMEOUT_S, deadline - trio.current_time()),
-            )
+        timeout_s = max(
+            _MIN_CREDIT_RETURN_TIMEOUT_S,
+            min(_CREDIT_RETURN_TIMEOUT_S, deadline - trio.current_time()),
         )
+        await run_step('return credit', partial(self._credit.close, timeout_s))
         _log.info(
             'stopped',
             extra={
--- a/eelgrassfork/line_writer.py
+++ b/eelgrassfork/line_writer.py
@@ -21,6 +21,9 @@
 _LINES_PER_S: Final = 300
 _BURST_LINES: Final = 600
 _FLUSH_S: Final = 0.2
+# The last lines wait for their reader as long as SIGKILL leaves time.
+_CLOSE_TIMEOUT_S: Final = 0.2
+_CLOSE_POLL_INTERVAL_S: Final = 0.01
 
 
 class LineWriter:
@@ -86,6 +89,14 @@
                 )
                 reported = self.dropped
 
+    async def close(self) -> None:
+        """Write the buffered lines, as far as the reader takes them in time."""
+        with trio.move_on_after(_CLOSE_TIMEOUT_S):
+            self.flush()
+            while self._pending:
+                await trio.sleep(_CLOSE_POLL_INTERVAL_S)
+                self.flush()
+
     def _try_write(self, line: bytes) -> int:
         try:
             return os.write(self._descriptor, line)
--- a/eelgrassfork/platform/daemon.py
+++ b/eelgrassfork/platform/daemon.py
@@ -19,7 +19,7 @@
 from ..logs import LogOptions, configure_logging
 from ..process_signals import ProcessSignals
 from ..signal_dispatcher import SignalDispatcher
-from ..supervision import keep_running
+from ..supervision import keep_running, run_step
 from . import boot_file
 from .adapter import make_adapter
 
@@ -28,6 +28,7 @@
 _log = logbook.Logger('daemon')
 
 _EXIT_OK: Final = 0
+_EXIT_FAILURE: Final = 1
 _EXIT_USAGE: Final = 2
 _STDOUT: Final = 1
 _SETTINGS_POLL_INTERVAL_S: Final = 1.0
@@ -47,7 +48,8 @@
     Run a router with the settings file that the platform provides.
 
     :param signals: signals received by this process.
-    :returns: exit code: 0 after a drain, 2 for invalid settings.
+    :returns: exit code: 0 after a stop signal, 1 after an error that the log
+        names, 2 for invalid settings.
     """
     path = boot_file.settings_path()
     version = _file_version(path)
@@ -60,8 +62,12 @@
     options = LogOptions('json', 'info', settings.node)
     configure_logging(options, writer)  # type: ignore[arg-type]
     source = _SettingsSource(path, version)
-    trio.run(_serve, source, settings, writer, signals)
-    return _EXIT_OK
+    try:
+        return trio.run(_serve, source, settings, writer, signals)
+    except Exception:
+        _log.exception('the router ended by an unexpected error')
+        writer.flush()
+        return _EXIT_FAILURE
 
 
 async def _serve(
@@ -69,7 +75,7 @@
     settings: NodeSettings,
     writer: LineWriter,
     signals: ProcessSignals,
-) -> None:
+) -> int:
     node = GatewayNode(settings, make_adapter(settings))
     node.telemetry.add_gauge(
         'log_lines_dropped',
@@ -79,20 +85,32 @@
     dispatcher = SignalDispatcher(
         signals, partial(_reload, node, source.path, 'SIGHUP')
     )
+    exit_code = _EXIT_OK
     async with trio.open_nursery() as nursery:
         nursery.start_soon(keep_running, 'write log lines', writer.run)
         await dispatcher.start(nursery)
         if dispatcher.is_stopping:
             _log.info('stopped before the listeners were opened')
-        else:
+        elif await _start(node, nursery):
             nursery.start_soon(
                 keep_running, 'settings', partial(_watch_settings, node, source)
             )
-            await node.start(nursery)
             await _run_until_stopped(node, dispatcher)
+        else:
+            exit_code = _EXIT_FAILURE
         dispatcher.close()
-        writer.flush()
+        await writer.close()
         nursery.cancel_scope.cancel()
+    return exit_code
+
+
+async def _start(node: GatewayNode, nursery: trio.Nursery) -> bool:
+    try:
+        await node.start(nursery)
+    except OSError as error:
+        _log.error('a listener could not be opened', extra={'why': str(error)})
+        return False
+    return True
 
 
 async def _run_until_stopped(
@@ -101,9 +119,9 @@
     dispatcher.phase = 'serving'
     elapsed_s = await dispatcher.wait_stop()
     dispatcher.phase = 'draining'
-    await node.drain(elapsed_s)
+    await run_step('drain', partial(node.drain, elapsed_s))
     dispatcher.phase = 'exiting'
-    await node.close()
+    await run_step('close', node.close)
 
 
 async def _watch_settings(node: GatewayNode, source: _SettingsSource) -> None:
--- a/eelgrassfork/supervision.py
+++ b/eelgrassfork/supervision.py
@@ -11,7 +11,7 @@
 import logbook
 import trio
 
-__all__ = ('keep_running',)
+__all__ = ('keep_running', 'run_step')
 
 _log = logbook.Logger('tasks')
 
@@ -35,3 +35,16 @@
             await trio.sleep(_RESTART_DELAY_S)
         else:
             return
+
+
+async def run_step(name: str, step: Callable[[], Awaitable[None]]) -> None:
+    """
+    Run a step of a stop; log its error, so that the next steps still run.
+
+    :param name: name of the step, for the log.
+    :param step: function that runs the step.
+    """
+    try:
+        await step()
+    except Exception:
+        _log.exception('step {} of the stop failed', name)
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -19,10 +19,12 @@
 
 
 class DrainTests(testtools.TestCase):
-    def play(self, grace_s=GRACE_S, elapsed_s=0, path='/order/x', script='ok'):
+    def play(self, grace_s=GRACE_S, elapsed_s=0, script='ok', prepare=None):
         """Drain with one request in progress; returns time and log records."""
 
         async def scenario(world, nursery):
+            if prepare is not None:
+                prepare(world)
             bounds = world.settings.bounds._replace(grace_s=grace_s)
             world.node.reload(world.settings._replace(bounds=bounds), 'test')
             with logbook.TestHandler().applicationbound() as handler:
@@ -37,7 +39,7 @@
 
         async def call(world):
             try:
-                await world.call(path)
+                await world.call('/order/x')
             except HttpClientError:
                 return
 
@@ -62,3 +64,17 @@
         ended = by_message['request ended']
         self.assertEqual('cut_at_stop', ended['outcome'])
         self.assertTrue(ended['why'])
+
+    def test_error_in_the_return_of_credit_skips_no_other_step(self):
+        """An unexpected error left the drain, and the process ended with it."""
+
+        async def fail(timeout_s):
+            raise ValueError('unexpected')
+
+        def prepare(world):
+            world.node._credit.close = fail
+
+        _, records = self.play(grace_s=1.5, prepare=prepare)
+        messages = [record.message for record in records]
+        self.assertIn('step return credit of the stop failed', messages)
+        self.assertIn('stopped', messages)
--- a/tests/test_line_writer.py
+++ b/tests/test_line_writer.py
@@ -77,3 +77,38 @@
     def test_works_outside_the_event_loop(self):
         LineWriter(self.descriptor).write('start\n')
         self.assertEqual(b'start\n', os.read(self.reader, 100))
+
+    def fill_pipe(self):
+        try:
+            while True:
+                os.write(self.descriptor, b'x' * 4096)
+        except BlockingIOError:
+            return
+
+    def test_close_waits_for_a_slow_reader(self):
+        """The last lines before an exit were lost if the pipe was full."""
+
+        async def main():
+            writer = LineWriter(self.descriptor)
+            self.fill_pipe()
+            writer.write('last\n')
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(writer.close)
+                await trio.sleep(0.05)
+                os.read(self.reader, 2**20)
+            return os.read(self.reader, 100)
+
+        self.assertEqual(b'last\n', self.run_in_trio(main))
+
+    def test_close_gives_up_on_a_reader_that_has_stopped(self):
+        """A reader that has stopped must not delay the exit."""
+
+        async def main():
+            writer = LineWriter(self.descriptor)
+            self.fill_pipe()
+            writer.write('last\n')
+            started_at = trio.current_time()
+            await writer.close()
+            return trio.current_time() - started_at
+
+        self.assertLess(self.run_in_trio(main), 0.4)
--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -8,6 +8,7 @@
 
 import json
 import signal
+import socket
 import tempfile
 
 import testtools
@@ -148,6 +149,23 @@
 
         self.assert_drained(run_processes(scenario))
 
+    def test_start_on_a_used_port_is_logged_with_its_cause(self):
+        """A listener that failed ended the process with a bare traceback."""
+
+        async def scenario(world):
+            router = RouterProcess(world.store.address)
+            host, _, port = router.caller_address.rpartition(':')
+            try:
+                with socket.create_server((host, int(port))):
+                    code = await router.program.wait_exit()
+                return code, router.program.log_lines()
+            finally:
+                router.close()
+
+        code, lines = run_processes(scenario)
+        self.assertEqual(1, code)
+        self.assertIn('in use', lines[-1]['why'])
+
     def test_signals_during_the_imports_are_kept(self):
         """Handlers were installed after the imports, 0.3 s after the start."""
 
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -5,10 +5,11 @@
 Guards against one unexpected error in a task that terminates the process.
 """
 
+import logbook
 import testtools
 import trio
 
-from eelgrassfork.supervision import keep_running
+from eelgrassfork.supervision import keep_running, run_step
 
 from .mock_clock import run
 
@@ -37,3 +38,15 @@
             return scope.cancelled_caught
 
         self.assertTrue(run(main))
+
+    def test_failed_step_of_a_stop_is_logged(self):
+        """An error in one step of a stop skipped the steps after it."""
+
+        async def step():
+            raise ValueError('unexpected')
+
+        with logbook.TestHandler() as handler:
+            run(lambda: run_step('close', step))
+        (record,) = handler.records
+        self.assertIn('close', record.message)
+        self.assertIn('unexpected', record.formatted_exception)
