http_server: a failed listener ends no request in progress

What callers saw: an error of accept(2) that is not about one connection left the nursery of the process and cut all requests in progress.

Other unexpected errors of eelgrassfork-router are logged with exit code 1 as well.

Measured: the test failed before (OSError left the nursery) and passes.

--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -81,6 +81,8 @@
 
     :param settings: listen addresses, peers, store and limits.
     :param adapter: platform-specific parts.
+    :ivar failed: set when a listener has failed, so that the router has to
+        stop.
     """
 
     def __init__(self, settings: NodeSettings, adapter: NodeAdapter) -> None:
@@ -157,6 +159,9 @@
         pages.lift = self._member.quarantine.lift
         self._readiness_listener = HttpServer(pages.serve_readiness)
         self._metrics_listener = HttpServer(pages.serve_metrics)
+        self.failed = trio.Event()
+        for server in self._servers():
+            server.on_failure = self.failed.set
         self._draining = False
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -250,12 +255,7 @@
 
     async def close(self) -> None:
         """Close listeners and connections."""
-        for server in (
-            self._caller_listener,
-            self._peer_listener,
-            self._readiness_listener,
-            self._metrics_listener,
-        ):
+        for server in self._servers():
             await server.close()
         self._member.close()
         await self._http_client.close()
@@ -287,6 +287,14 @@
             'credit': self._credit.dump(),
         }
 
+    def _servers(self) -> tuple[HttpServer, ...]:
+        return (
+            self._caller_listener,
+            self._peer_listener,
+            self._readiness_listener,
+            self._metrics_listener,
+        )
+
     def _make_credit_keeper(self) -> CreditKeeper:
         parts = CreditKeeperParts(
             lambda: self._store_view.configuration.prepaid_by_organisation,
--- a/eelgrassfork/http_server.py
+++ b/eelgrassfork/http_server.py
@@ -427,6 +427,8 @@
         :class:`~eelgrassfork.errors.RequestError`.
     :param limits: limits on requests.
     :param transport: accepts the connections.
+    :ivar on_failure: called when the listening socket has failed; the
+        connections that it had accepted are still served.
     """
 
     def __init__(
@@ -442,6 +444,7 @@
         self._connections_scope = trio.CancelScope()
         self._accept_scope = trio.CancelScope()
         self.address = ''
+        self.on_failure: Callable[[], None] = _do_nothing
 
     async def start(self, nursery: trio.Nursery, host: str, port: int) -> None:
         """
@@ -490,14 +493,25 @@
         self, listener: trio.abc.Listener[Any], nursery: trio.Nursery
     ) -> None:
         async with listener:
-            with self._accept_scope:
-                while True:
-                    stream = await listener.accept()
-                    nursery.start_soon(self._serve, stream)
-            # Connections in the kernel's accept queue are still served.
-            if isinstance(listener, TcpListener):
-                for stream in listener.drain():
-                    nursery.start_soon(self._serve, stream)
+            try:
+                await self._accept_until_stopped(listener, nursery)
+            except OSError as error:
+                _log.error(
+                    'http: listener {} failed: {}', self.address, str(error)
+                )
+                self.on_failure()
+
+    async def _accept_until_stopped(
+        self, listener: trio.abc.Listener[Any], nursery: trio.Nursery
+    ) -> None:
+        with self._accept_scope:
+            while True:
+                stream = await listener.accept()
+                nursery.start_soon(self._serve, stream)
+        # Connections in the kernel's accept queue are still served.
+        if isinstance(listener, TcpListener):
+            for stream in listener.drain():
+                nursery.start_soon(self._serve, stream)
 
     async def _serve(self, stream: trio.abc.Stream) -> None:
         connection = _Connection(stream, self._limits)
@@ -507,3 +521,7 @@
             await connection.serve(self._handler)
         finally:
             self._connections.discard(connection)
+
+
+def _do_nothing() -> None:
+    """Do nothing."""
--- a/eelgrassfork/peering.py
+++ b/eelgrassfork/peering.py
@@ -153,6 +153,14 @@
         """
         self._handlers_by_kind[kind] = handler
 
+    def on_failure(self, callback: Callable[[], None]) -> None:
+        """
+        Register a callback for a failed listening socket.
+
+        :param callback: called when the socket has failed.
+        """
+        self._server.on_failure = callback
+
     async def start(self, nursery: trio.Nursery, host: str, port: int) -> None:
         """
         Accept exchanges from peers in the background.
--- a/eelgrassfork/platform/daemon.py
+++ b/eelgrassfork/platform/daemon.py
@@ -95,7 +95,9 @@
             nursery.start_soon(
                 keep_running, 'settings', partial(_watch_settings, node, source)
             )
+            nursery.start_soon(_stop_on_failure, node, dispatcher)
             await _run_until_stopped(node, dispatcher)
+            exit_code = _EXIT_FAILURE if node.failed.is_set() else _EXIT_OK
         else:
             exit_code = _EXIT_FAILURE
         dispatcher.close()
@@ -113,6 +115,13 @@
     return True
 
 
+async def _stop_on_failure(
+    node: GatewayNode, dispatcher: SignalDispatcher
+) -> None:
+    await node.failed.wait()
+    dispatcher.request_stop()
+
+
 async def _run_until_stopped(
     node: GatewayNode, dispatcher: SignalDispatcher
 ) -> None:
--- a/eelgrassfork/router.py
+++ b/eelgrassfork/router.py
@@ -7,6 +7,7 @@
 
 import random
 from collections.abc import Mapping
+from functools import partial
 from typing import Final, NamedTuple
 
 import logbook
@@ -149,6 +150,10 @@
             operator_handler(self._operator_parts()),
             transport=environment.transport,
         )
+        stop = partial(self.drain.begin, 'a listener failed')
+        self.callers.on_failure = stop
+        self.operators.on_failure = stop
+        self.peering.on_failure(stop)
         self._aliases: Mapping[str, str] = {}
         self.membership.vm_lists.subscribe(self._apply_vm_list)
         self.rollout.on_bundle_in_force(self._apply_aliases)
--- a/eelgrassfork/router_daemon.py
+++ b/eelgrassfork/router_daemon.py
@@ -24,6 +24,7 @@
 _log = logbook.Logger('router')
 
 _EXIT_OK: Final = 0
+_EXIT_FAILURE: Final = 1
 _EXIT_USAGE: Final = 2
 # The drain reached its time limit with work still open.
 _EXIT_OPEN_WORK: Final = 6
@@ -35,8 +36,9 @@
     Run a router with the settings file given on the command line.
 
     :param signals: signals received by this process.
-    :returns: exit code: 0 after a complete drain, 2 for a usage or settings
-        error, 6 if work was still open at the time limit of the drain.
+    :returns: exit code: 0 after a complete drain, 1 after an error that the
+        log names, 2 for a usage or settings error, 6 if work was still open
+        at the time limit of the drain.
     """
     if len(sys.argv) != 2 or sys.argv[1].startswith('-'):
         sys.stderr.write(_USAGE)
@@ -46,7 +48,11 @@
     except EelgrassError as error:
         sys.stderr.write(f'{error.message}\n')
         return _EXIT_USAGE
-    remaining = trio.run(_serve, settings, signals)
+    try:
+        remaining = trio.run(_serve, settings, signals)
+    except Exception:
+        _log.exception('router: ended by an unexpected error')
+        return _EXIT_FAILURE
     return _EXIT_OPEN_WORK if remaining else _EXIT_OK
 
 
--- a/eelgrassfork/signal_dispatcher.py
+++ b/eelgrassfork/signal_dispatcher.py
@@ -60,12 +60,12 @@
         self._reload = reload
         self._arrived = trio.Event()
         self._stop = trio.Event()
-        self._stop_arrived_at: float = 0
+        self._stop_requested_at: float = 0
         self.phase: Phase = 'starting'
 
     @property
     def is_stopping(self) -> bool:
-        """Whether a stop signal was received."""
+        """Whether a stop was requested."""
         return self._stop.is_set()
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -89,12 +89,16 @@
 
     async def wait_stop(self) -> float:
         """
-        Wait for the first stop signal.
+        Wait for the first request to stop.
 
-        :returns: time since it was received, in seconds.
+        :returns: time since then, in seconds.
         """
         await self._stop.wait()
-        return time.monotonic() - self._stop_arrived_at
+        return time.monotonic() - self._stop_requested_at
+
+    def request_stop(self) -> None:
+        """Stop the process without a signal."""
+        self._request_stop(time.monotonic())
 
     def close(self) -> None:
         """Log the signals that came after the end of the event loop."""
@@ -138,6 +142,10 @@
         )
         if answer == 'reload':
             self._reload()
-        elif answer == 'stop' and not self._stop.is_set():
-            self._stop_arrived_at = arrival.arrived_at
+        elif answer == 'stop':
+            self._request_stop(arrival.arrived_at)
+
+    def _request_stop(self, requested_at: float) -> None:
+        if not self._stop.is_set():
+            self._stop_requested_at = requested_at
             self._stop.set()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -30,6 +30,7 @@
     HttpServer,
     ServerLimits,
 )
+from eelgrassfork.transport import TCP, BoundListeners, Transport
 
 LIMITS = ServerLimits(
     max_header_bytes=2048,
@@ -243,3 +244,50 @@
         server.receive_data(b'GET / HTTP/1.1\r\n' + b'a: b\r\n' * 64)
         error = self.assertRaises(h11.RemoteProtocolError, server.next_event)
         self.assertEqual(431, error.error_status_hint)
+
+
+class FailingListener(trio.abc.Listener):
+    """Accepts one connection, then fails."""
+
+    def __init__(self, stream):
+        self.streams = [stream]
+
+    async def accept(self):
+        await trio.lowlevel.checkpoint()
+        if self.streams:
+            return self.streams.pop()
+        raise OSError('the socket has failed')
+
+    async def aclose(self):
+        await trio.lowlevel.checkpoint()
+
+
+class FailedListenerTests(testtools.TestCase):
+    def test_requests_in_progress_are_answered(self):
+        """The error left the nursery and cut all requests of the process."""
+        near, far = trio.testing.memory_stream_pair()
+
+        async def listen(host, port):
+            await trio.lowlevel.checkpoint()
+            return BoundListeners('listener', (FailingListener(far),))
+
+        async def respond_late(call):
+            await trio.sleep(0.1)
+            await call.respond(200)
+
+        async def main():
+            failures = []
+            server = HttpServer(
+                respond_late, transport=Transport(TCP.connect, listen)
+            )
+            server.on_failure = lambda: failures.append(True)
+            await near.send_all(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+            async with trio.open_nursery() as nursery:
+                await server.start(nursery, 'host', 0)
+                received = await near.receive_some(100)
+                nursery.cancel_scope.cancel()
+            return received, failures
+
+        received, failures = trio.run(main)
+        self.assertTrue(received.startswith(b'HTTP/1.1 200'))
+        self.assertEqual([True], failures)
