--- a/eelgrassfork/platform/adapter.py
+++ b/eelgrassfork/platform/adapter.py
@@ -56,7 +56,7 @@
     """
     Encode the headers that are added to a request to a backend server.
 
-    :param metadata: what the server is told about the request.
+    :param metadata: properties of the request.
     :returns: header names and values.
     """
     return heads.encode_added_headers(heads.AddedHeaders(*metadata))
