gateway: a reload beside a stop does not shorten the stop

What callers saw: a settings file with a shorter grace time that was written just before a stop signal, with SIGHUP beside it, cut all requests at once: the reload was answered first, and the drain took its deadline from it.

Cause: signals that arrive together are delivered in numeric order, SIGHUP first; a poll of the file could come between the signal and its answer as well.

Change: stop signals are answered first, also before a poll applies a changed file, and fix the grace time of the stop.

The series also uses a connection for as long as the router leaves it open: no request that ran, or that was sent 0.2 s before, may stay without an answer. The plays leave the grace time alone until the stop: a shorter one that was in force before it is an order.

--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -163,6 +163,7 @@
         for server in self._servers():
             server.on_failure = self.failed.set
         self._draining = False
+        self._fixed_grace_s: float | None = None
 
     async def start(self, nursery: trio.Nursery) -> None:
         """
@@ -196,6 +197,10 @@
             },
         )
 
+    def fix_grace_time(self) -> None:
+        """Let later reloads not change the grace time of the stop."""
+        self._fixed_grace_s = self._settings.bounds.grace_s
+
     async def drain(self, elapsed_s: float = 0) -> None:
         """
         Stop accepting requests, finish those in progress, return credit.
@@ -203,10 +208,9 @@
         :param elapsed_s: time since the platform asked for the stop, which
             counts towards the grace time, in seconds.
         """
+        grace_s = self._fixed_grace_s or self._settings.bounds.grace_s
         started_at = trio.current_time() - elapsed_s
-        deadline = (
-            started_at + self._settings.bounds.grace_s - _SIGKILL_MARGIN_S
-        )
+        deadline = started_at + grace_s - _SIGKILL_MARGIN_S
         requests_deadline = deadline - _CREDIT_RETURN_TIMEOUT_S
         self._draining = True
         self._roster.draining = True
--- a/eelgrassfork/platform/daemon.py
+++ b/eelgrassfork/platform/daemon.py
@@ -85,6 +85,7 @@
     dispatcher = SignalDispatcher(
         signals, partial(_reload, node, source.path, 'SIGHUP')
     )
+    dispatcher.on_stop = node.fix_grace_time
     exit_code = _EXIT_OK
     async with trio.open_nursery() as nursery:
         nursery.start_soon(keep_running, 'write log lines', writer.run)
@@ -93,7 +94,9 @@
             _log.info('stopped before the listeners were opened')
         elif await _start(node, nursery):
             nursery.start_soon(
-                keep_running, 'settings', partial(_watch_settings, node, source)
+                keep_running,
+                'settings',
+                partial(_watch_settings, node, source, dispatcher),
             )
             nursery.start_soon(_stop_on_failure, node, dispatcher)
             await _run_until_stopped(node, dispatcher)
@@ -133,7 +136,9 @@
     await run_step('close', node.close)
 
 
-async def _watch_settings(node: GatewayNode, source: _SettingsSource) -> None:
+async def _watch_settings(
+    node: GatewayNode, source: _SettingsSource, dispatcher: SignalDispatcher
+) -> None:
     # The version is older than the content that was read, so that a file that
     # was being written is read again.
     last_version = source.version
@@ -141,6 +146,8 @@
         version = _file_version(source.path)
         if version != last_version:
             last_version = version
+            # A stop that was requested before must not see the new settings.
+            dispatcher.answer_all()
             _reload(node, source.path, 'settings file changed')
         await trio.sleep(_SETTINGS_POLL_INTERVAL_S)
 
--- a/eelgrassfork/signal_dispatcher.py
+++ b/eelgrassfork/signal_dispatcher.py
@@ -62,6 +62,7 @@
         self._stop = trio.Event()
         self._stop_requested_at: float = 0
         self.phase: Phase = 'starting'
+        self.on_stop: Callable[[], None] = _do_nothing
 
     @property
     def is_stopping(self) -> bool:
@@ -84,9 +85,19 @@
                 return
 
         self._signals.on_arrival = wake
-        self._answer_all()
+        self.answer_all()
         nursery.start_soon(keep_running, 'answer signals', self._run)
 
+    def answer_all(self) -> None:
+        """Answer the signals received so far, stop signals first."""
+        # The order of signals that arrive together is unknown.
+        for arrival in sorted(self._signals.take(), key=_is_no_stop):
+            try:
+                self._answer(arrival)
+            except Exception:
+                # The other signals still have to be answered.
+                _log.exception('answer to signal {} failed', arrival.number)
+
     async def wait_stop(self) -> float:
         """
         Wait for the first request to stop.
@@ -103,7 +114,7 @@
     def close(self) -> None:
         """Log the signals that came after the end of the event loop."""
         self.phase = 'exiting'
-        self._answer_all()
+        self.answer_all()
 
     def _wake(self) -> None:
         self._arrived.set()
@@ -112,17 +123,9 @@
         while True:
             await self._arrived.wait()
             self._arrived = trio.Event()
-            self._answer_all()
+            self.answer_all()
             await trio.sleep(_ANSWER_INTERVAL_S)
 
-    def _answer_all(self) -> None:
-        for arrival in self._signals.take():
-            try:
-                self._answer(arrival)
-            except Exception:
-                # The other signals still have to be answered.
-                _log.exception('answer to signal {} failed', arrival.number)
-
     def _answer(self, arrival: SignalArrival) -> None:
         number = signal.Signals(arrival.number)
         answer = ANSWERS_BY_PHASE[self.phase][ACTIONS_BY_SIGNAL[number]]
@@ -149,3 +152,12 @@
         if not self._stop.is_set():
             self._stop_requested_at = requested_at
             self._stop.set()
+            self.on_stop()
+
+
+def _is_no_stop(arrival: SignalArrival) -> bool:
+    return ACTIONS_BY_SIGNAL[signal.Signals(arrival.number)] != 'stop'
+
+
+def _do_nothing() -> None:
+    """Do nothing."""
--- a/tests/router_process.py
+++ b/tests/router_process.py
@@ -5,6 +5,7 @@
 Routers as real processes, with stand-ins for the store and a backend server.
 """
 
+import itertools
 import json
 import os
 import signal
@@ -19,6 +20,7 @@
 from eelgrassfork.http_client import (
     ClientRequest,
     ClientTimeouts,
+    ConnectFailed,
     HttpClient,
     HttpClientError,
 )
@@ -26,16 +28,26 @@
 from standins.metadata_store import MetadataStore
 from standins.replica import Replica
 
-from .gateway_world import SETTINGS, World, configuration, free_ports
+from .gateway_world import SETTINGS, World, configuration
 
 GRACE_S = 6
 READY_TIMEOUT_S = 15
 EXIT_TIMEOUT_S = 12
 POLL_S = 0.01
+# Metrics are on the second internal port.
+PORTS = (8740, 8749, 8748, 7200, 7201)
 # The stand-in's slow streams have a pause of 0.3 s before each event.
 STREAM_EVENTS = 10
+USE_INTERVAL_S = 0.01
 STREAM_TIMEOUTS = ClientTimeouts(first_byte_s=5, silence_s=5)
 
+# Each router has an address of its own, as the platform's VMs do, so that two
+# routers never bind the same port.
+own_ips = (
+    f'127.{os.getpid() % 200 + 20}.{number // 250}.{number % 250 + 1}'
+    for number in itertools.count()
+)
+
 
 def handled_signals(pid):
     """Read the signals that a process handles or ignores."""
@@ -158,6 +170,50 @@
         ]
 
 
+class OpenConnection:
+    """
+    Caller that uses one connection for as long as the router leaves it open.
+
+    :ivar answered: number of complete answers.
+    :ivar lost: IDs of requests that were sent and not answered, by the time
+        after which the connection ended.
+    """
+
+    def __init__(self, address, prefix):
+        self._address = address
+        self._prefix = prefix
+        self._client = HttpClient(max_idle_s=60)
+        self.answered = 0
+        self.lost = {}
+
+    async def use(self):
+        for number in itertools.count():
+            request_id = f'{self._prefix}{number:08x}'
+            request = ClientRequest(
+                self._address,
+                'POST',
+                '/order/x',
+                (
+                    ('x-request-id', request_id),
+                    ('x-request-deadline', '1500'),
+                    ('api-key', 'bigkey'),
+                ),
+                b'{}',
+                host='shop.example',
+                no_resend=True,
+            )
+            started_at = trio.current_time()
+            try:
+                await self._client.fetch(request)
+            except ConnectFailed:
+                return
+            except HttpClientError:
+                self.lost[request_id] = trio.current_time() - started_at
+                return
+            self.answered += 1
+            await trio.sleep(USE_INTERVAL_S)
+
+
 class RouterProcess:
     """
     A router process with its settings file.
@@ -168,14 +224,14 @@
     def __init__(self, store):
         self._folder = tempfile.TemporaryDirectory()
         self.path = Path(self._folder.name, 'settings.conf')
-        ports = free_ports(3)
-        base = free_ports(1)
-        self.caller_address = f'127.0.0.1:{ports[0]}'
-        self._ready_address = f'127.0.0.1:{ports[1]}'
-        # Metrics are on the second internal port.
-        self.settings = SETTINGS.format(
-            ports=(*ports, base[0], base[0] + 1), store=store
-        ).replace('graceS=3', f'graceS={GRACE_S}')
+        ip = next(own_ips)
+        self.caller_address = f'{ip}:{PORTS[0]}'
+        self._ready_address = f'{ip}:{PORTS[1]}'
+        self.settings = (
+            SETTINGS.replace('127.0.0.1', ip)
+            .replace('graceS=3', f'graceS={GRACE_S}')
+            .format(ports=PORTS, store=store)
+        )
         self.path.write_text(self.settings)
         self.program = Program(
             ('eelgrassfork.platform',), {'EELGRASSFORK_BOOT': str(self.path)}
@@ -192,6 +248,8 @@
                     answer = None
                 if answer is not None and answer.status == 200:
                     return
+                if self.program.popen.poll() is not None:
+                    raise AssertionError(self.program.log_text())
                 await trio.sleep(POLL_S)
 
     def close(self):
@@ -205,6 +263,7 @@
     def __init__(self):
         self.store = MetadataStore()
         self._replica = Replica('i-0', [f'slow:{STREAM_EVENTS}'])
+        self.plain = Replica('i-1', ['ok'])
 
     async def start(self, nursery):
         await self.store.start(nursery, '127.0.0.1', 0)
@@ -214,6 +273,8 @@
         self.store.put('config', 'main', wire)
         await self._replica.start(nursery, '127.0.0.1', 0)
         World.register(self, self._replica, 'model')
+        await self.plain.start(nursery, '127.0.0.1', 0)
+        World.register(self, self.plain, 'plain')
 
 
 def run_processes(scenario):
--- a/tests/signal_series.py
+++ b/tests/signal_series.py
@@ -3,7 +3,7 @@
 ~~~~~~~~~~~~~~~~~~~
 
 Plays seeded series of signals over the whole life of router processes; run as
-``python -m tests.signal_series FIRST_SEED COUNT``.
+``python -m tests.signal_series FIRST_SEED COUNT [JOBS]``.
 """
 
 import random
@@ -14,13 +14,21 @@
 
 from eelgrassfork.process_signals import ACTIONS_BY_SIGNAL
 
-from .router_process import GRACE_S, RouterProcess, Streams, run_processes
+from .router_process import (
+    GRACE_S,
+    OpenConnection,
+    RouterProcess,
+    Streams,
+    run_processes,
+)
 
 JOBS = 6
 # The load balancer still sends requests for this time after a stop signal.
 REMOVAL_S = 2.6
 MAX_STREAMS = 8
 MAX_SERIES = 12
+# A request that was just sent may reach a process that has gone.
+LOSS_SLACK_S = 0.2
 # Signals that arrive later may find the process gone.
 LAST_LOGGED_S = 0.5
 
@@ -39,17 +47,24 @@
     :param seed: seed of the play.
     :param problems: broken promises, with the last lines of the log.
     :param streams: streams that were started.
+    :param answers: answers on the connection that was kept open.
     :param signals: signals that were sent.
     """
 
     seed: int
     problems: list[str]
     streams: int
+    answers: int
     signals: int
 
 
-def change(router, source):
-    """Leave the settings file changed, half written, missing or unreadable."""
+def change(router, source, is_stopping):
+    """
+    Leave the settings file changed, half written, missing or unreadable.
+
+    :param is_stopping: whether the router has begun to stop; a shorter grace
+        time must have no effect then.
+    """
     path = router.path
     text = router.settings.encode()
     contents = {
@@ -60,6 +75,8 @@
         'half a character': text + b'name=\xd0',
         'empty': b'',
     }
+    if not is_stopping:
+        del contents['shorter grace']
     kind = source.choice((*contents, 'missing', 'folder'))
     if path.is_dir():
         path.rmdir()
@@ -94,29 +111,38 @@
                 await self._send_series(OTHER_SIGNALS, 0.05)
             await router.wait_ready()
             streams = Streams(router.caller_address)
+            connection = OpenConnection(
+                router.caller_address, f'{self._seed:07x}f'
+            )
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._call, streams, nursery)
+                nursery.start_soon(connection.use)
                 if source.random() < 0.7:
                     await self._send_series(OTHER_SIGNALS, 0.2)
                 await trio.sleep(source.uniform(0, 1))
-                change(router, source)
+                change(router, source, is_stopping=False)
                 stopped_at = trio.current_time()
                 self._send(source.choice(STOP_SIGNALS))
                 while router.program.popen.poll() is None:
                     await self._disturb()
                 exited_after_s = trio.current_time() - stopped_at
                 nursery.cancel_scope.deadline = trio.current_time() + 1
-            return self._judge(streams, exited_after_s)
+            return self._judge(streams, connection, exited_after_s)
         finally:
             router.close()
 
-    def _judge(self, streams, exited_after_s):
+    def _judge(self, streams, connection, exited_after_s):
         program = self._router.program
         messages = program.messages()
         code = program.popen.returncode
         problems = [
             f'stream {name} is incomplete' for name in streams.incomplete()
         ]
+        problems += [
+            f'request {name} was lost after {lost_after_s:.2f} s'
+            for name, lost_after_s in connection.lost.items()
+            if name in self._world.plain.runs or lost_after_s > LOSS_SLACK_S
+        ]
         if code:
             problems.append(f'exit code {code}')
         if 'node: stopped' not in messages:
@@ -136,7 +162,13 @@
         problems += [f'{name} is not in the log' for name in unlogged]
         if problems:
             problems += messages[-10:]
-        return Outcome(self._seed, problems, streams.started, len(self._sent))
+        return Outcome(
+            self._seed,
+            problems,
+            streams.started,
+            connection.answered,
+            len(self._sent),
+        )
 
     async def _call(self, streams, nursery):
         # Streams begin until the load balancer has removed the router.
@@ -147,7 +179,7 @@
     async def _disturb(self):
         source = self._random
         if source.random() < 0.3:
-            change(self._router, source)
+            change(self._router, source, is_stopping=True)
         await self._send_series(list(ACTIONS_BY_SIGNAL), 0.1)
         await trio.sleep(source.uniform(0, 0.5))
 
@@ -166,17 +198,18 @@
             self._sent.append((number, trio.current_time()))
 
 
-def play_seeds(seeds):
+def play_seeds(seeds, jobs=JOBS):
     """
     Play seeds, several at a time.
 
     :param seeds: the seeds.
+    :param jobs: number of router processes at a time.
     :returns: an :class:`Outcome` for each seed.
     """
     outcomes = []
 
     async def scenario(world):
-        limiter = trio.CapacityLimiter(JOBS)
+        limiter = trio.CapacityLimiter(jobs)
 
         async def play(seed):
             async with limiter:
@@ -196,14 +229,15 @@
 
     :returns: 1 if a promise was broken, else 0.
     """
-    first, count = (int(text) for text in sys.argv[1:3])
-    outcomes = play_seeds(range(first, first + count))
+    first, count, *jobs = (int(text) for text in sys.argv[1:4])
+    outcomes = play_seeds(range(first, first + count), *jobs)
     broken = [outcome for outcome in outcomes if outcome.problems]
     for outcome in broken:
         print(outcome.seed, *outcome.problems, sep='\n  ')
     print(
         f'signal series: seeds={len(outcomes)} broken={len(broken)} '
         f'streams={sum(each.streams for each in outcomes)} '
+        f'answers={sum(each.answers for each in outcomes)} '
         f'signals={sum(each.signals for each in outcomes)}'
     )
     return 1 if broken else 0
--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -20,6 +20,7 @@
 
 from .process_faults import run_cases, signalled_while_draining
 from .router_process import (
+    GRACE_S,
     STREAM_TIMEOUTS,
     Program,
     RouterProcess,
@@ -137,6 +138,23 @@
 
         self.assert_drained(run_processes(scenario))
 
+    def test_shorter_grace_time_after_the_stop_has_no_effect(self):
+        """A reload beside the stop signal cut the streams at once."""
+
+        async def disturb(router):
+            text = router.settings.replace(f'graceS={GRACE_S}', 'graceS=1')
+            router.program.signal(signal.SIGSTOP)
+            router.path.write_text(text)
+            router.program.signal(signal.SIGTERM)
+            router.program.signal(signal.SIGHUP)
+            router.program.signal(signal.SIGCONT)
+            await trio.sleep(0)
+
+        async def scenario(world):
+            return await play_with_streams(world, disturb)
+
+        self.assert_drained(run_processes(scenario))
+
     def test_stop_while_the_store_is_away_is_complete(self):
         """A failed return of credit ended the process with a traceback."""
 
--- a/tests/test_signal_dispatcher.py
+++ b/tests/test_signal_dispatcher.py
@@ -110,3 +110,16 @@
 
         self.play(scenario)
         self.assertTrue(2 <= self.reloads <= 11, self.reloads)
+
+    def test_stop_is_answered_before_a_reload_that_arrived_with_it(self):
+        """A reload beside the stop changed the grace time of the stop."""
+        answers = []
+
+        async def scenario(dispatcher):
+            dispatcher.on_stop = lambda: answers.append('stop')
+            self.signals._record(signal.SIGHUP, None)
+            self.signals._record(signal.SIGTERM, None)
+            dispatcher.answer_all()
+
+        self.play(scenario, lambda: answers.append('reload'))
+        self.assertEqual(['stop', 'reload'], answers)
