--- a/tests/router_process.py
+++ b/tests/router_process.py
@@ -67,15 +67,16 @@
 
     :param command: module and arguments for the interpreter.
     :param variables: additional environment variables.
+    :param stdout: file descriptor of its standard output; by default a file.
     """
 
-    def __init__(self, command, variables=()):
+    def __init__(self, command, variables=(), stdout=None):
         self._log = tempfile.TemporaryFile()
         self.popen = subprocess.Popen(
             [sys.executable, '-m', *command],
             stdin=subprocess.DEVNULL,
-            stdout=self._log,
-            stderr=subprocess.STDOUT,
+            stdout=self._log if stdout is None else stdout,
+            stderr=self._log,
             env={**os.environ, **dict(variables)},
         )
 
@@ -219,9 +220,10 @@
     A router process with its settings file.
 
     :param store: address of the store.
+    :param stdout: file descriptor of its standard output; by default a file.
     """
 
-    def __init__(self, store):
+    def __init__(self, store, stdout=None):
         self._folder = tempfile.TemporaryDirectory()
         self.path = Path(self._folder.name, 'settings.conf')
         ip = next(own_ips)
@@ -234,7 +236,9 @@
         )
         self.path.write_text(self.settings)
         self.program = Program(
-            ('eelgrassfork.platform',), {'EELGRASSFORK_BOOT': str(self.path)}
+            ('eelgrassfork.platform',),
+            {'EELGRASSFORK_BOOT': str(self.path)},
+            stdout,
         )
 
     async def wait_ready(self):
--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -6,7 +6,9 @@
 first import and their exit.
 """
 
+import fcntl
 import json
+import os
 import signal
 import socket
 import tempfile
@@ -17,11 +19,13 @@
 from demo.processes import free_ports
 from eelgrassfork.http_client import ClientRequest, HttpClient
 from eelgrassfork.process_signals import ACTIONS_BY_SIGNAL
+from standins.metadata_store import StoreFaults
 
 from .process_faults import run_cases, signalled_while_draining
 from .router_process import (
     GRACE_S,
     STREAM_TIMEOUTS,
+    ProcessWorld,
     Program,
     RouterProcess,
     Streams,
@@ -35,6 +39,14 @@
 SIGNAL_AFTER_S = 0.5
 SERIES_INTERVAL_S = 0.05
 SEEDS = 24
+# None: nothing listens at the address of the store.
+STORE_FAULTS = (
+    None,
+    StoreFaults(refuse=503),
+    StoreFaults(silent=True),
+    StoreFaults(lose=100),
+    StoreFaults(torn=True),
+)
 
 
 async def send_series(program, numbers):
@@ -51,15 +63,16 @@
         await trio.sleep(0.001)
 
 
-async def play_with_streams(world, disturb):
+async def play_with_streams(world, disturb, stdout=None):
     """
     Start a router, read streams through it and disturb it meanwhile.
 
     :param disturb: called with the router once the streams have begun; has to
         make it stop.
+    :param stdout: file descriptor of its log; by default a file.
     :returns: exit code, IDs of incomplete streams and log messages.
     """
-    router = RouterProcess(world.store.address)
+    router = RouterProcess(world.store.address, stdout)
     try:
         await router.wait_ready()
         streams = Streams(router.caller_address)
@@ -157,15 +170,53 @@
 
     def test_stop_while_the_store_is_away_is_complete(self):
         """A failed return of credit ended the process with a traceback."""
+        outcomes = []
 
-        async def scenario(world):
+        async def play(faults):
             async def disturb(router):
-                await world.store.close()
+                if faults is None:
+                    await world.store.close()
+                else:
+                    world.store.faults = faults
                 router.program.signal(signal.SIGTERM)
+                await send_series(router.program, ACTIONS_BY_SIGNAL)
 
-            return await play_with_streams(world, disturb)
+            world = ProcessWorld()
+            async with trio.open_nursery() as nursery:
+                await world.start(nursery)
+                outcomes.append(await play_with_streams(world, disturb))
+                nursery.cancel_scope.cancel()
 
-        self.assert_drained(run_processes(scenario))
+        async def scenario(_):
+            async with trio.open_nursery() as nursery:
+                for faults in STORE_FAULTS:
+                    nursery.start_soon(play, faults)
+
+        run_processes(scenario)
+        self.assertEqual(len(STORE_FAULTS), len(outcomes))
+        for outcome in outcomes:
+            self.assert_drained(outcome)
+
+    def test_stop_without_a_reader_of_the_log_is_complete(self):
+        """A pipe that is full, or has no reader, must not end or delay it."""
+        for has_reader in (True, False):
+            reader, writer = os.pipe()
+            fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
+            if not has_reader:
+                os.close(reader)
+
+            async def disturb(router):
+                router.program.signal(signal.SIGTERM)
+                await send_series(router.program, ACTIONS_BY_SIGNAL)
+
+            async def scenario(world):
+                return await play_with_streams(world, disturb, writer)
+
+            code, incomplete, _ = run_processes(scenario)
+            os.close(writer)
+            if has_reader:
+                os.close(reader)
+            self.assertEqual((0, []), (code, incomplete))
 
     def test_start_on_a_used_port_is_logged_with_its_cause(self):
         """A listener that failed ended the process with a bare traceback."""
