gateway: waiting requests share the calls for credit under contention

Cause: under contention each request that lacked credit opened connections of its own to the keepers. Behind a full link all of them timed out, the router drew by itself and lost each conditional write; half of an exhausted budget was held free by keepers or on standby. Once all was lent, keepers without a recent heartbeat were asked for nothing (6,477 of 7,809 loans).

Change: where the settings name the part pressure, one round of calls at a time serves all waiting requests in order of urgency; time-outs follow the delay of recent calls; standby credit is used once the ledger has none left; grants go to waiting requests as soon as running ones return credit. The log of a refusal says where the credit is. In all deployments keepers are not asked once all has been lent.

--- a/eelgrassfork/gateway/credit.py
+++ b/eelgrassfork/gateway/credit.py
@@ -5,7 +5,7 @@
 Credit held by one router, and the computation of its targets; performs no I/O.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from heapq import nlargest
 from typing import Final, NamedTuple
 
@@ -16,6 +16,7 @@
     'CreditContext',
     'HeldCredit',
     'CreditInputs',
+    'add_credit',
     'plan_transfer',
     'standby_missing',
     'standby_tokens',
@@ -124,11 +125,13 @@
 
     :param half_life_s: half-life of past use in the estimated rate, in
         seconds.
+    :ivar on_free: called with an organisation after credit became free.
     """
 
     def __init__(self, half_life_s: float) -> None:
         self._half_life_s = half_life_s
         self._accounts_by_organisation: dict[str, _Account] = {}
+        self.on_free: Callable[[str], None] = _do_nothing
 
     def free(self, organisation: str) -> int:
         """
@@ -139,6 +142,15 @@
         """
         return self._account(organisation).free
 
+    def reserved(self, organisation: str) -> int:
+        """
+        Return the credit that is reserved for requests in progress.
+
+        :param organisation: name of the organisation.
+        :returns: tokens.
+        """
+        return self._account(organisation).reserved
+
     def free_by_organisation(self) -> dict[str, int]:
         """
         Return the free credit of all organisations.
@@ -243,6 +255,8 @@
         account.reserved -= reserved
         account.free += reserved - spent
         account.unflushed += spent
+        if reserved > spent:
+            self.on_free(organisation)
 
     def add(self, organisation: str, amount: int) -> None:
         """
@@ -252,6 +266,8 @@
         :param amount: tokens.
         """
         self._account(organisation).free += amount
+        if amount > 0:
+            self.on_free(organisation)
 
     def remove(self, organisation: str, amount: int) -> int:
         """
@@ -308,6 +324,19 @@
         return float(0.5 ** (elapsed_s / self._half_life_s))
 
 
+def add_credit(
+    held: HeldCredit, tokens_by_organisation: Mapping[str, int]
+) -> None:
+    """
+    Add credit of several organisations.
+
+    :param held: credit of a router.
+    :param tokens_by_organisation: tokens that were drawn or borrowed.
+    """
+    for organisation, tokens in tokens_by_organisation.items():
+        held.add(organisation, tokens)
+
+
 class CreditContext(NamedTuple):
     """
     State that credit planning is based on.
@@ -467,3 +496,7 @@
     shortfall = standby_tokens(context, organisation)
     on_standby = context.inputs.standby_by_organisation.get(organisation, 0)
     return max(0, shortfall - on_standby)
+
+
+def _do_nothing(organisation: str) -> None:
+    """Do nothing."""
--- a/eelgrassfork/gateway/credit_exchange.py
+++ b/eelgrassfork/gateway/credit_exchange.py
@@ -43,6 +43,12 @@
 # A peer is skipped for this time after a failed call; within it, heartbeats
 # show whether the peer is still alive.
 _SKIP_S: Final = 2.0
+# Time-outs that adapt to a busy link allow for this multiple of the delay of
+# recent calls, as the delay varies.
+_DELAYS_PER_TIMEOUT: Final = 3
+_DELAY_WEIGHT: Final = 0.5
+# With a longer delay, callers are better served by another router.
+_MAX_CALL_DELAY_S: Final = 0.3
 _HEADERS: Final = (('content-type', 'application/msgpack'),)
 
 
@@ -55,6 +61,7 @@
     :param settings: settings of this router; all routers use the same port
         for peers.
     :ivar lend: handles credit requests; lends nothing until it is set.
+    :ivar adapts_timeouts: whether time-outs follow the delay of recent calls.
     """
 
     def __init__(
@@ -64,10 +71,17 @@
         self._roster = roster
         self._port = settings.peer_address.rpartition(':')[2]
         self._skipped_until_by_node: dict[str, float] = {}
+        self._call_delay_s: float = 0
+        self.adapts_timeouts = False
         self.lend: Callable[[CreditRequest], Awaitable[CreditAnswer]] = (
             _lend_nothing
         )
 
+    @property
+    def call_delay_s(self) -> float:
+        """Duration of recent calls to peers, in seconds."""
+        return self._call_delay_s
+
     async def borrow(self, request: CreditRequest) -> Loan:
         """
         Borrow credit from peers.
@@ -81,10 +95,11 @@
         lent: dict[str, int] = {}
         ledger: LedgerView | None = None
         next_request = request
-        deadline = trio.current_time() + _BORROW_LIMIT_S
+        deadline = trio.current_time() + self._borrow_limit_s()
         for peer in self._lenders(request.urgent_by_organisation):
             urgent = _missing(request.urgent_by_organisation, lent)
-            if trio.current_time() >= deadline:
+            is_met = ledger is not None and not urgent
+            if is_met or trio.current_time() >= deadline:
                 break
             if ledger is not None and not _may_have_credit(peer, urgent):
                 continue
@@ -126,11 +141,19 @@
         """
         if not all(peer.has_recent_heartbeat for peer in self._keepers()):
             return True
-        advertised = sum(
+        return self.advertised(organisation) >= tokens
+
+    def advertised(self, organisation: str) -> int:
+        """
+        Sum the credit that peers advertise.
+
+        :param organisation: name of the organisation.
+        :returns: tokens, by the heartbeats that are still valid.
+        """
+        return sum(
             _advertised_free(peer, (organisation,))
             for peer in self._roster.peers.with_recent_heartbeat()
         )
-        return advertised >= tokens
 
     async def serve(self, call: Call) -> bytes:
         """
@@ -156,9 +179,38 @@
             body,
             no_resend=True,
         )
-        _, answer = await self._client.fetch(call, _CREDIT_TIMEOUTS)
+        started_at = trio.current_time()
+        try:
+            _, answer = await self._client.fetch(call, self._timeouts())
+        except HttpClientError:
+            # If the link of this router delays all calls, the next one needs
+            # more time; a call to another peer soon shows otherwise.
+            self._record_delay(
+                2 * self._call_delay_s + _CREDIT_TIMEOUTS.connect_s
+            )
+            raise
+        self._record_delay(trio.current_time() - started_at)
         return answer
 
+    def _borrow_limit_s(self) -> float:
+        if not self.adapts_timeouts:
+            return _BORROW_LIMIT_S
+        return _BORROW_LIMIT_S + _DELAYS_PER_TIMEOUT * self._call_delay_s
+
+    def _timeouts(self) -> ClientTimeouts:
+        if not self.adapts_timeouts:
+            return _CREDIT_TIMEOUTS
+        extra_s = _DELAYS_PER_TIMEOUT * self._call_delay_s
+        return _CREDIT_TIMEOUTS._replace(
+            connect_s=_CREDIT_TIMEOUTS.connect_s + extra_s,
+            first_byte_s=_CREDIT_TIMEOUTS.first_byte_s + extra_s,
+            silence_s=_CREDIT_TIMEOUTS.silence_s + extra_s,
+        )
+
+    def _record_delay(self, delay_s: float) -> None:
+        change_s = min(delay_s, _MAX_CALL_DELAY_S) - self._call_delay_s
+        self._call_delay_s += change_s * _DELAY_WEIGHT
+
     async def _borrow_from(
         self, peer: Peer, request: CreditRequest
     ) -> CreditAnswer:
--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -21,10 +21,18 @@
     CreditInputs,
     CreditPolicy,
     HeldCredit,
+    add_credit,
     plan_transfer,
     surplus_by_organisation,
     target_tokens,
 )
+from .credit_sources import (
+    CreditSources,
+    draw_or_release,
+    make_supply,
+    reserve_alone,
+)
+from .credit_supply import SupplyRequest
 from .ledger import Transfer
 from .ledger_history import LedgerHistory
 from .ledger_writer import LedgerWriter
@@ -54,6 +62,10 @@
 _RETRY_AFTER_S: Final = 0.3
 
 
+def _no_tokens(organisation: str) -> int:
+    return 0
+
+
 class CreditKeeperParts(NamedTuple):
     """
     Dependencies of a credit keeper.
@@ -72,6 +84,11 @@
     :param is_first_start: whether no earlier process ran on this VM.
     :param ledger_history: recent writes of all routers to the ledger.
     :param announce_writes: reports the writes of this router to others.
+    :param advertised: returns the tokens of an organisation that peers
+        advertise.
+    :param call_delay_s: returns the duration of recent calls for credit.
+    :param shares_calls: whether waiting requests share the calls for credit,
+        and standby credit is used once no other is left.
     """
 
     prepaid: Callable[[], Tokens]
@@ -86,6 +103,9 @@
     is_first_start: bool = False
     ledger_history: LedgerHistory | None = None
     announce_writes: Callable[[], None] | None = None
+    advertised: Callable[[str], int] = _no_tokens
+    call_delay_s: Callable[[], float] = float
+    shares_calls: bool = False
 
 
 class CreditKeeper:
@@ -99,6 +119,8 @@
     :param policy: limits and targets; defaults to ``CreditPolicy()``.
     :ivar held: credit held by this router.
     :ivar lender: lends credit to peers.
+    :ivar supply: requests that wait for credit together; ``None`` if each
+        asks for its own.
     """
 
     def __init__(
@@ -124,13 +146,22 @@
         )
         if parts.announce_writes is not None:
             self._ledger.on_write = parts.announce_writes
-        store.era.subscribe(self._check_ledger)
+        # A restore may have undone writes, which have to be repeated soon.
+        store.era.subscribe(lambda: self._wake.set())
         self._standby = StandbyKeeper(
-            Standby(store, node, incarnation, parts.fleet_time, self._add),
+            Standby(
+                store,
+                node,
+                incarnation,
+                parts.fleet_time,
+                partial(add_credit, self.held),
+            ),
             self._ledger,
             self._context,
             parts.is_first_start,
         )
+        sources = self._sources()
+        self.supply = make_supply(sources) if parts.shares_calls else None
         self.lender = Lender(
             LenderParts(
                 self.held,
@@ -138,7 +169,7 @@
                 parts.prepaid,
                 parts.failure_domain,
                 parts.is_keeper,
-                self._draw,
+                draw_or_release(sources) if parts.shares_calls else self._draw,
                 self._policy.low_balance_fraction,
             ),
         )
@@ -158,32 +189,54 @@
         """
         nursery.start_soon(self._run_tasks)
 
-    async def reserve(self, organisation: str, amount: int) -> None:
+    async def reserve(
+        self,
+        organisation: str,
+        amount: int,
+        priority: int = 0,
+        wait_s: float = _DRAW_WAIT_S,
+    ) -> None:
         """
         Reserve credit for a request.
 
         :param organisation: name of the organisation.
         :param amount: largest number of tokens that the request may use.
+        :param priority: 0 is the most urgent.
+        :param wait_s: longest time for which the request waits, in seconds,
+            if waiting requests share the calls for credit.
         :raises RequestError: ``budget_exhausted`` if the budget is used up;
             ``credit_unreachable`` if the ledger can't be reached;
             ``credit_held_elsewhere`` if other routers hold the rest.
         """
         self.held.record_demand(organisation, amount, trio.current_time())
-        if self.held.reserve(organisation, amount):
-            return
-        if self._parts.is_keeper():
-            await self._draw({organisation: amount})
-            missing = amount - self.held.free(organisation)
-            if missing > 0 and self._parts.may_lend(organisation, missing):
-                await self._borrow({organisation: missing}, {})
+        if self.supply is None:
+            is_reserved = await reserve_alone(
+                self._sources(), organisation, amount
+            )
         else:
-            missing = amount - self.held.free(organisation)
-            extra = {organisation: target_tokens(self._context(), organisation)}
-            if not await self._borrow({organisation: missing}, extra):
-                self._isolated_until = trio.current_time() + _ISOLATED_S
-                await self._draw({organisation: amount})
-        if not self.held.reserve(organisation, amount):
-            raise self._refusal(organisation, amount)
+            request = SupplyRequest(organisation, amount, priority, wait_s)
+            is_reserved = await self.supply.reserve(request)
+        if not is_reserved:
+            raise _make_refusal(self._ledger, organisation, amount)
+
+    def describe(self, organisation: str) -> dict[str, object]:
+        """
+        Describe where an organisation's credit is, for the log.
+
+        :param organisation: name of the organisation.
+        :returns: tokens that this router knows of, and the age of its ledger.
+        """
+        standby = self._standby.tokens_by_organisation
+        return {
+            'free': self.held.free(organisation),
+            'reserved': self.held.reserved(organisation),
+            'standby': standby.get(organisation, 0),
+            'drawable': self._ledger.drawable(organisation),
+            'ledger_age_s': round(self._ledger.age_of_s(organisation), 2),
+            'at_peers': self._parts.advertised(organisation),
+            'is_keeper': self._parts.is_keeper(),
+            'ledger_unavailable': self._ledger.is_unavailable,
+        }
 
     async def close(self, timeout_s: float) -> None:
         """
@@ -223,10 +276,6 @@
             'ledger': self._ledger.dump(),
         }
 
-    def _add(self, tokens_by_organisation: Tokens) -> None:
-        for name, tokens in tokens_by_organisation.items():
-            self.held.add(name, tokens)
-
     async def _borrow(
         self, urgent: dict[str, int], extra: dict[str, int]
     ) -> bool:
@@ -241,11 +290,28 @@
         # cancelled; it has its own time-out.
         with trio.CancelScope(shield=True):
             loan = await self._parts.borrow(request)
-        self._add(loan.lent_by_organisation)
+        add_credit(self.held, loan.lent_by_organisation)
         if loan.ledger is not None:
             self._ledger.observe(loan.ledger)
         return loan.ledger is not None
 
+    def _sources(self) -> CreditSources:
+        return CreditSources(
+            self.held,
+            self._parts.is_keeper,
+            self._draw,
+            self._draw_alone,
+            self._borrow,
+            self._parts.may_lend,
+            self._standby.release_short,
+            lambda name: target_tokens(self._context(), name),
+            self._parts.call_delay_s,
+        )
+
+    async def _draw_alone(self, needs: Tokens) -> None:
+        self._isolated_until = trio.current_time() + _ISOLATED_S
+        await self._draw(needs)
+
     async def _draw(self, needs: Tokens) -> None:
         needs = _drawable_needs(needs, self.held, self._ledger)
         if not needs or self._ledger.is_unavailable:
@@ -264,20 +330,6 @@
             if not _drawable_needs(needs, self.held, self._ledger):
                 return
 
-    def _refusal(self, organisation: str, amount: int) -> RequestError:
-        if self._ledger.is_exhausted(organisation, amount):
-            return RequestError(
-                'budget_exhausted',
-                'remaining budget is too small for this request',
-            )
-        is_unavailable = self._ledger.is_unavailable
-        code = (
-            'credit_unreachable' if is_unavailable else 'credit_held_elsewhere'
-        )
-        return RequestError(
-            code, 'not enough credit available', retry_after_s=_RETRY_AFTER_S
-        )
-
     async def _run_tasks(self) -> None:
         with self._tasks_scope:
             async with trio.open_nursery() as nursery:
@@ -287,6 +339,10 @@
                     ('release standby credit', self._standby.watch),
                 ):
                     nursery.start_soon(keep_running, name, work)
+                if self.supply is not None:
+                    nursery.start_soon(
+                        keep_running, 'supply credit', self.supply.run
+                    )
 
     async def _run_rounds(self) -> None:
         while True:
@@ -352,11 +408,7 @@
         )
         with trio.CancelScope(shield=True):
             if removed and not await self._parts.deposit(request):
-                self._add(removed)
-
-    def _check_ledger(self) -> None:
-        # The restore may have undone writes, which have to be repeated soon.
-        self._wake.set()
+                add_credit(self.held, removed)
 
     def _plan(self) -> Transfer:
         return plan_transfer(self._context(), self._ledger.ledger)
@@ -427,3 +479,21 @@
         if held.free(name) < amount
         and not ledger.is_known_insufficient(name, amount - held.free(name))
     }
+
+
+def _make_refusal(
+    ledger: LedgerWriter, organisation: str, amount: int
+) -> RequestError:
+    if ledger.is_exhausted(organisation, amount):
+        return RequestError(
+            'budget_exhausted',
+            'remaining budget is too small for this request',
+        )
+    code = (
+        'credit_unreachable'
+        if ledger.is_unavailable
+        else 'credit_held_elsewhere'
+    )
+    return RequestError(
+        code, 'not enough credit available', retry_after_s=_RETRY_AFTER_S
+    )
--- a/eelgrassfork/gateway/forwarder.py
+++ b/eelgrassfork/gateway/forwarder.py
@@ -21,6 +21,7 @@
 from .sender import Sender
 from .sending import PendingRequest
 from .telemetry import Telemetry
+from .timeouts import credit_wait_s
 
 __all__ = ('Forwarder', 'ForwarderParts', 'WireCodec')
 
@@ -34,6 +35,11 @@
     ('not_ready', 'draining', 'router_busy', 'credit_unreachable')
 )
 
+# Refusals for which the log says where the credit is.
+_CREDIT_CODES: Final = frozenset(
+    ('budget_exhausted', 'credit_held_elsewhere', 'credit_unreachable')
+)
+
 
 class WireCodec(NamedTuple):
     """
@@ -140,7 +146,13 @@
         limited = pending.permission.organisation.prepaid_tokens is not None
         reserved = head.max_total_tokens if limited else 0
         if reserved:
-            await self._parts.credit.reserve(name, reserved)
+            permission = pending.permission
+            await self._parts.credit.reserve(
+                name,
+                reserved,
+                permission.priority,
+                credit_wait_s(permission.route),
+            )
         try:
             await self._parts.sender.send(pending, self._refresh_permission)
         finally:
@@ -223,6 +235,11 @@
             self._parts.telemetry.first_byte_s.labels(route.kind).observe(
                 first_byte_s
             )
+        credit = (
+            self._parts.credit.describe(pending.permission.organisation.name)
+            if outcome in _CREDIT_CODES
+            else None
+        )
         _log.info(
             'request ended',
             extra={
@@ -235,6 +252,7 @@
                 'version_age_s': self._parts.store_view.configuration.age_s,
                 'tokens': pending.head.max_total_tokens,
                 'parts': [part.id for part in pending.head.parts],
+                'credit': credit,
                 'digest': pending.digest,
                 'events': pending.relay.events,
                 'held_back': pending.held_back,
--- a/eelgrassfork/gateway/ledger_writer.py
+++ b/eelgrassfork/gateway/ledger_writer.py
@@ -13,7 +13,7 @@
 import logbook
 import trio
 
-from .credit import HeldCredit
+from .credit import HeldCredit, add_credit
 from .ledger import (
     EMPTY,
     Ledger,
@@ -116,6 +116,19 @@
             self._copy.must_read or self._copy.is_incomplete
         )
 
+    def age_of_s(self, organisation: str) -> float:
+        """
+        Compute the age of what is known of an organisation's credit.
+
+        :param organisation: name of the organisation.
+        :returns: seconds since it was read from the store, by this router or
+            by a keeper.
+        """
+        read_at, _ = self._observed_by_organisation.get(
+            organisation, _NEVER_OBSERVED
+        )
+        return trio.current_time() - max(read_at, self._copy.read_at)
+
     def is_known_insufficient(self, organisation: str, missing: int) -> bool:
         """
         Check whether a recent ledger shows too little drawable credit.
@@ -124,12 +137,8 @@
         :param missing: tokens needed.
         :returns: whether an attempt to draw them would fail.
         """
-        read_at, _ = self._observed_by_organisation.get(
-            organisation, _NEVER_OBSERVED
-        )
-        age_s = trio.current_time() - max(read_at, self._copy.read_at)
         return (
-            age_s < _MAX_RELIABLE_AGE_S
+            self.age_of_s(organisation) < _MAX_RELIABLE_AGE_S
             and self.drawable(organisation) < missing
         )
 
@@ -274,7 +283,7 @@
         try:
             applied = await self._stored.replace(planned, operation)
         except StoreUnavailable:
-            self._add(returned)
+            add_credit(self._held, returned)
             raise
         except StoreRestored:
             # Others may have drawn what was returned.
@@ -289,7 +298,7 @@
             raise
         if applied:
             self._record(before, planned, transfer)
-            self._add(drawn)
+            add_credit(self._held, drawn)
             self._held.mark_flushed(transfer.spent_by_organisation)
             _log.info(
                 'credit transferred',
@@ -302,7 +311,7 @@
                 },
             )
         else:
-            self._add(returned)
+            add_credit(self._held, returned)
         return applied
 
     def _record(
@@ -325,10 +334,6 @@
         )
         self.on_write()
 
-    def _add(self, tokens_by_organisation: Mapping[str, int]) -> None:
-        for name, tokens in tokens_by_organisation.items():
-            self._held.add(name, tokens)
-
 
 def _do_nothing() -> None:
     """Do nothing."""
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -138,6 +138,7 @@
         self._credit_exchange = CreditExchange(
             self._http_client, self._roster, settings
         )
+        self._credit_exchange.adapts_timeouts = settings.is_credit_contended
         self._member.exchange.on_credit = self._credit_exchange.serve
         self._member.exchange.loop_delay_s = lambda: (
             self._loop_delay.mean_delay_s
@@ -151,6 +152,11 @@
         )
         self._credit = self._make_credit_keeper()
         self._credit_exchange.lend = self._credit.lender.lend
+        self.telemetry.add_gauge(
+            'credit_waiting_tokens',
+            'Tokens that waiting requests need.',
+            lambda: self._credit.supply.waiting if self._credit.supply else 0,
+        )
         self._sender = self._make_sender()
         self._forwarder = self._make_forwarder()
         self._caller_listener = HttpServer(self._forwarder.forward)
@@ -313,6 +319,9 @@
             self._settings.first_start,
             self._member.ledger_history,
             self._member.ledger_announcer.announce,
+            self._credit_exchange.advertised,
+            lambda: self._credit_exchange.call_delay_s,
+            self._settings.is_credit_contended,
         )
         return CreditKeeper(
             self._store, self._settings.node, self._incarnation, parts
--- a/eelgrassfork/gateway/standby_keeper.py
+++ b/eelgrassfork/gateway/standby_keeper.py
@@ -5,7 +5,7 @@
 Decides how much credit is on standby, and renews its record.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import logbook
@@ -29,6 +29,11 @@
 # Routers that start together discover each other within two heartbeats.
 _FLEET_TIME_WAIT_S: Final = 1.2
 _RETRY_S: Final = 0.3
+# Time for which no credit of an organisation is put on standby after it was
+# needed at once.
+_SHORTAGE_HOLD_S: Final = 5.0
+# A few round trips to the store, as the requests of callers wait.
+_RELEASE_WAIT_S: Final = 0.1
 # Standby credit above this multiple of its target is released.
 _MAX_STANDBY_FACTOR: Final = 2
 
@@ -55,6 +60,9 @@
         self._standby = standby
         self._ledger = ledger
         self._context = context
+        self._released_until_by_organisation: dict[str, float] = {}
+        self._wake = trio.Event()
+        self._renewed = trio.Event()
 
     @property
     def tokens_by_organisation(self) -> dict[str, int]:
@@ -74,14 +82,13 @@
         if not self._is_first_start:
             await self._recover()
         while True:
-            await trio.sleep(RENEWAL_S)
-            context = self._context()
-            is_keeper = context.inputs.is_keeper
-            if is_keeper and await self._fill(context):
-                continue
-            await self._standby.renew(
-                self._targets(self._context()), not is_keeper
-            )
+            with trio.move_on_after(RENEWAL_S):
+                await self._wake.wait()
+            self._wake = trio.Event()
+            await self._renew()
+            renewed = self._renewed
+            self._renewed = trio.Event()
+            renewed.set()
 
     async def watch(self) -> None:
         """Release standby credit whenever it is due, until cancelled."""
@@ -93,6 +100,50 @@
         """Release all credit on standby."""
         await self._standby.renew({}, free=True)
 
+    async def release_short(self, organisations: Iterable[str]) -> None:
+        """
+        Use the standby credit of organisations that have no other credit left.
+
+        Credit that callers need now is not kept for an outage that may come.
+
+        :param organisations: names of the organisations.
+        """
+        on_standby = self.tokens_by_organisation
+        short = {
+            name: on_standby[name]
+            for name in organisations
+            if on_standby.get(name, 0)
+        }
+        if not short:
+            return
+        until = trio.current_time() + _SHORTAGE_HOLD_S
+        self._released_until_by_organisation.update(dict.fromkeys(short, until))
+        _log.info(
+            'releasing standby credit, as no other is left',
+            extra={'tokens': short},
+        )
+        self._wake.set()
+        with trio.move_on_after(_RELEASE_WAIT_S):
+            await self._renewed.wait()
+
+    async def _renew(self) -> None:
+        context = self._context()
+        is_keeper = context.inputs.is_keeper
+        if is_keeper and not self._has_short():
+            if await self._fill(context):
+                return
+        await self._standby.renew(self._targets(self._context()), not is_keeper)
+
+    def _has_short(self) -> bool:
+        return any(
+            self._is_short(name)
+            for name in self._standby.tokens_by_organisation
+        )
+
+    def _is_short(self, organisation: str) -> bool:
+        until = self._released_until_by_organisation.get(organisation, 0)
+        return trio.current_time() < until
+
     async def _recover(self) -> None:
         while True:
             try:
@@ -117,13 +168,15 @@
                 # The ledger can't replace used credit, so the shortfall is
                 # taken from standby.
                 max_standby = min(max_standby, tokens - missing)
-            targets[name] = max(0, max_standby)
+            targets[name] = 0 if self._is_short(name) else max(0, max_standby)
         return targets
 
     async def _fill(self, context: CreditContext) -> bool:
         held = context.held
         added = {}
         for name in context.inputs.prepaid_by_organisation:
+            if self._is_short(name):
+                continue
             target = target_tokens(context, name)
             surplus = min(
                 standby_missing(context, name), held.free(name) - target
--- a/eelgrassfork/gateway/timeouts.py
+++ b/eelgrassfork/gateway/timeouts.py
@@ -13,6 +13,7 @@
 __all__ = (
     'MAX_PERMIT_WAIT_S',
     'WaitContext',
+    'credit_wait_s',
     'event_gap_timeout_s',
     'first_byte_timeout_s',
     'permit_wait_s',
@@ -40,6 +41,11 @@
 _PRIORITIES: Final = 10
 
 
+# A few round trips to the store and to a keeper.
+_MIN_CREDIT_WAIT_S: Final = 0.15
+_CREDIT_WAIT_FRACTION: Final = 0.3
+
+
 class WaitContext(NamedTuple):
     """
     Request and server state that determines a time-out.
@@ -111,6 +117,17 @@
     return MAX_PERMIT_WAIT_S * (1 - rank / _PRIORITIES)
 
 
+def credit_wait_s(route: Route) -> float:
+    """
+    Compute how long a request waits for credit.
+
+    :param route: route of the request.
+    :returns: seconds; a part of the latency objective that leaves time for
+        the answer.
+    """
+    return max(_MIN_CREDIT_WAIT_S, route.objective_s * _CREDIT_WAIT_FRACTION)
+
+
 def retry_delay_s(route: Route, fraction: float) -> float:
     """
     Compute when a refused caller may retry.
--- a/eelgrassfork/platform/boot_file.py
+++ b/eelgrassfork/platform/boot_file.py
@@ -25,6 +25,8 @@
 _DEFAULT_PATH: Final = '/etc/eelgrassfork/settings.conf'
 
 _MS_PER_S: Final = 1000
+# Part of the users' rules under which callers compete for too little room.
+_PRESSURE_CONTRACT: Final = 'pressure'
 
 _Option = TypeVar('_Option')
 
@@ -99,6 +101,8 @@
             texts_by_field, 'bootstrap', _parse_flag, False
         ),
         link_mbps=_number_field(texts_by_field, 'limits.linkMbps', 1),
+        is_credit_contended=_PRESSURE_CONTRACT
+        in texts_by_field.get('contracts', '').split(','),
     )
 
 
--- a/tests/test_gateway_credit_exchange.py
+++ b/tests/test_gateway_credit_exchange.py
@@ -106,6 +106,29 @@
             ['10.0.0.0:8748', '10.0.0.2:8748'], client.called_addresses
         )
 
+    def test_keepers_without_a_heartbeat_are_not_asked_for_nothing(self):
+        client = self.client(25, VIEW)
+        gossip = FakeGossip([0] * 3, free=(0, 0, 0))
+        gossip.keepers = lambda: gossip.known
+        gossip.known[2].heartbeat = None
+        gossip.with_recent_heartbeat = lambda: gossip.known[:2]
+        exchange = make(client, gossip)
+        self.borrow(exchange, credit_request(25))
+        self.assertEqual(['10.0.0.0:8748'], client.called_addresses)
+
+    def test_timeouts_follow_the_delay_of_a_busy_link(self):
+        client = FakeClient({})
+        client.error = ConnectFailed('connect_failed', 'late', sent=False)
+        exchange = make(client, FakeGossip([0], free=(50,)))
+        exchange.adapts_timeouts = True
+        before = exchange._timeouts()
+        for _ in range(5):
+            exchange._skipped_until_by_node.clear()
+            self.borrow(exchange, credit_request(25))
+        after = exchange._timeouts()
+        self.assertGreater(after.connect_s, before.connect_s * 3)
+        self.assertLess(after.first_byte_s, 1.2)
+
     def test_deposit_reports_whether_it_may_have_arrived(self):
         async def main():
             client = FakeClient({})
--- a/tests/test_gateway_credit_keeper.py
+++ b/tests/test_gateway_credit_keeper.py
@@ -24,8 +24,9 @@
 class Fleet:
     """Routers that share one store and lend credit to each other."""
 
-    def __init__(self, prepaid=100_000):
+    def __init__(self, prepaid=100_000, shares_calls=False):
         self.store = MemoryStore()
+        self.shares_calls = shares_calls
         self.prepaid = prepaid
         self.keepers_by_node = {}
         self.cut = False
@@ -83,6 +84,7 @@
             deposit,
             may_lend,
             self.fleet_time,
+            shares_calls=self.shares_calls,
         )
         keeper = CreditKeeper(self.store, node, 1, parts)
         self.keepers_by_node[node] = keeper
@@ -456,3 +458,82 @@
             return during, await reserve(router, 4000)
 
         self.assertEqual(('credit_unreachable', 'reserved'), run(scenario))
+
+
+class ContendedCreditTests(testtools.TestCase):
+    """
+    Organisations that use up their budget while callers compete for it.
+
+    The load is a burst in one failure domain, whose keeper has put credit on
+    standby by the time at which the ledger has none left.
+    """
+
+    def use_up(self, **options):
+        async def scenario(fleet, nursery):
+            keeper = await fleet.add(nursery, 'n1')
+            outcomes = []
+
+            async def request():
+                outcomes.append(await reserve(keeper, 2000))
+                await trio.sleep(1)
+                if outcomes[-1] == 'reserved':
+                    keeper.held.settle('a', 2000, 2000)
+
+            while set(outcomes) <= {'reserved'}:
+                for _ in range(20):
+                    nursery.start_soon(request)
+                await trio.sleep(0.2)
+            return outcomes.count('reserved') * 2000
+
+        return run(scenario, prepaid=1_000_000, **options)
+
+    def test_standby_credit_is_used_before_a_request_is_refused(self):
+
+        self.assertGreaterEqual(self.use_up(shares_calls=True), 990_000)
+
+    def test_standby_of_another_keeper_is_lent_before_a_refusal(self):
+        async def scenario(fleet, nursery):
+            first = await fleet.add(nursery, 'n1')
+            second = await fleet.add(nursery, 'n2', is_keeper=False)
+            for _ in range(60):
+                await reserve(first, 1000)
+                first.held.settle('a', 1000, 1000)
+                await trio.sleep(0.1)
+            standby = first.dump()['standby_by_organisation']['a']
+            outcome = ''
+            used = 0
+            while outcome in {'', 'reserved'}:
+                outcome = await reserve(second, 3000)
+                used += 3000 * (outcome == 'reserved')
+            return standby, used
+
+        standby, used = run(scenario, prepaid=200_000, shares_calls=True)
+        self.assertGreater(standby, 20_000)
+        self.assertGreaterEqual(used, 200_000 - 60_000 - 3000)
+
+    def test_competing_routers_never_exceed_the_limit(self):
+        async def scenario(fleet, nursery):
+            keepers = [
+                await fleet.add(nursery, f'n{number}', number < 2)
+                for number in range(4)
+            ]
+            outcomes = []
+
+            async def request(keeper):
+                outcomes.append(await reserve(keeper, 3000))
+
+            for round_number in range(40):
+                if round_number == 20:
+                    fleet.prepaid *= 2
+                if round_number % 10 == 5:
+                    fleet.store.lose = 2
+                async with trio.open_nursery() as requests:
+                    for keeper in keepers:
+                        requests.start_soon(request, keeper)
+                        requests.start_soon(request, keeper)
+                await trio.sleep(0.2)
+            return outcomes.count('reserved') * 3000, fleet.prepaid
+
+        reserved, prepaid = run(scenario, prepaid=200_000, shares_calls=True)
+        self.assertLessEqual(reserved, prepaid)
+        self.assertGreater(reserved, prepaid * 0.9)
