gateway: busy routers send requests to others under contention

The existing check asks for a delay of half of the time-out of 5 to 15 s.

Change: where the settings name the part pressure, requests are refused as router_busy (not run, retry at once at another router) with a probability that rises with the delay as a fraction of the latency objective, unless most routers are busy too. Targets of credit are computed at most every 0.1 s.

--- a/eelgrassfork/gateway/credit_supply.py
+++ b/eelgrassfork/gateway/credit_supply.py
@@ -28,6 +28,8 @@
 # target covers this number of requests.
 _LOW_FRACTION: Final = 0.5
 _MIN_TARGET_REQUESTS: Final = 3
+# Targets change slowly, and computing one costs as much as a small request.
+_CHECK_S: Final = 0.1
 
 
 class SupplyRequest(NamedTuple):
@@ -89,6 +91,7 @@
         self._low: set[str] = set()
         self._may_grant = True
         self._short_until_by_organisation: dict[str, float] = {}
+        self._next_check_by_organisation: dict[str, float] = {}
         self._wake = trio.Event()
 
     @property
@@ -200,6 +203,10 @@
         return trio.current_time() < until
 
     def _refill_if_low(self, organisation: str, tokens: int) -> None:
+        now_s = trio.current_time()
+        if now_s < self._next_check_by_organisation.get(organisation, 0):
+            return
+        self._next_check_by_organisation[organisation] = now_s + _CHECK_S
         target = self._parts.target(organisation)
         if target < tokens * _MIN_TARGET_REQUESTS:
             return
--- a/eelgrassfork/gateway/forwarder.py
+++ b/eelgrassfork/gateway/forwarder.py
@@ -5,6 +5,7 @@
 Handles callers' requests: permission, credit, forwarding and refusal.
 """
 
+import random
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
@@ -13,6 +14,7 @@
 
 from ..errors import RequestError, error_body
 from ..http_server import Call, CallerDisconnected, cancel_on_disconnect
+from .admission.router_delay import RouterDelays, redirect_probability
 from .configuration import Permission, permit
 from .credit_keeper import CreditKeeper
 from .follower import StoreView
@@ -61,6 +63,8 @@
     :param is_isolated: returns whether callers should use another router.
     :param loop_delay_s: returns the event loop delay of this router.
     :param peer_delays_s: returns the event loop delays of other routers.
+    :param is_contended: whether callers compete for more capacity than there
+        is, so that a busy router sends requests to others.
     """
 
     store_view: StoreView
@@ -71,6 +75,7 @@
     is_isolated: Callable[[], bool]
     loop_delay_s: Callable[[], float]
     peer_delays_s: Callable[[], list[float]]
+    is_contended: bool = False
 
 
 class Forwarder:
@@ -84,6 +89,7 @@
 
     def __init__(self, parts: ForwarderParts) -> None:
         self._parts = parts
+        self._random = random.Random()
         self.draining = False
         self.in_progress = 0
 
@@ -109,7 +115,7 @@
             self._check_not_draining()
             permission = permit(self._configuration, head)
             timeout_s = _timeout_s(permission, head)
-            self._check_backlog(timeout_s)
+            self._check_backlog(timeout_s, permission.route.objective_s)
         except RequestError as error:
             await self._refuse(call, error, None)
             return
@@ -170,15 +176,23 @@
         if self.draining:
             raise RequestError('draining', 'this router is shutting down')
 
-    def _check_backlog(self, timeout_s: float) -> None:
+    def _check_backlog(self, timeout_s: float, objective_s: float) -> None:
         parts = self._parts
         backlog = Backlog(parts.loop_delay_s(), parts.peer_delays_s)
-        if should_refuse(timeout_s, backlog):
+        if should_refuse(timeout_s, backlog) or self._redirects(objective_s):
             raise RequestError(
                 'router_busy',
                 'this router is overloaded; other routers have less delay',
             )
 
+    def _redirects(self, objective_s: float) -> bool:
+        parts = self._parts
+        if not parts.is_contended:
+            return False
+        delays = RouterDelays(parts.loop_delay_s(), parts.peer_delays_s)
+        probability = redirect_probability(objective_s, delays)
+        return bool(probability) and self._random.random() < probability
+
     @property
     def _configuration(self) -> Configuration | None:
         return self._parts.store_view.configuration.current
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -138,7 +138,7 @@
         self._credit_exchange = CreditExchange(
             self._http_client, self._roster, settings
         )
-        self._credit_exchange.adapts_timeouts = settings.is_credit_contended
+        self._credit_exchange.adapts_timeouts = settings.is_contended
         self._member.exchange.on_credit = self._credit_exchange.serve
         self._member.exchange.loop_delay_s = lambda: (
             self._loop_delay.mean_delay_s
@@ -321,7 +321,7 @@
             self._member.ledger_announcer.announce,
             self._credit_exchange.advertised,
             lambda: self._credit_exchange.call_delay_s,
-            self._settings.is_credit_contended,
+            self._settings.is_contended,
         )
         return CreditKeeper(
             self._store, self._settings.node, self._incarnation, parts
@@ -372,6 +372,7 @@
                 self._is_isolated,
                 lambda: self._loop_delay.mean_delay_s,
                 self._roster.peers.delays_s,
+                self._settings.is_contended,
             ),
         )
 
--- a/eelgrassfork/gateway/node_settings.py
+++ b/eelgrassfork/gateway/node_settings.py
@@ -45,8 +45,9 @@
     :param seeds: peer addresses of some VMs, which may be down.
     :param first_start: whether the whole fleet starts for the first time.
     :param link_mbps: bandwidth of the VM's network link, in Mbit/s.
-    :param is_credit_contended: whether callers compete for more capacity than
-        there is, so that requests wait for credit together.
+    :param is_contended: whether callers compete for more capacity than
+        there is, so that requests wait for credit together and busy routers
+        send some of theirs to others.
     """
 
     node: str
@@ -62,7 +63,7 @@
     bounds: Bounds
     first_start: bool = False
     link_mbps: float = 1
-    is_credit_contended: bool = False
+    is_contended: bool = False
 
     @property
     def is_seed(self) -> bool:
--- a/eelgrassfork/platform/boot_file.py
+++ b/eelgrassfork/platform/boot_file.py
@@ -101,7 +101,7 @@
             texts_by_field, 'bootstrap', _parse_flag, False
         ),
         link_mbps=_number_field(texts_by_field, 'limits.linkMbps', 1),
-        is_credit_contended=_PRESSURE_CONTRACT
+        is_contended=_PRESSURE_CONTRACT
         in texts_by_field.get('contracts', '').split(','),
     )
 
