gateway: evacuated failure domains get no new requests

Change: with the setting bounds.evacuationMs, the routers that watch the store list and watch this kind as well; without it no call is made. Evacuations are records beside those of servers, under ids that no server can have, so that heartbeats and pulls need no new field. Pulls contain all of them, and the newest revision counts servers only, as the two kinds are read separately. A router that has just started uses no server until it knows the evacuations, for the bound at most. ServerSet.usable, through which all servers are chosen, leaves the servers of evacuated domains out.

--- a/eelgrassfork/gateway/fleet_member.py
+++ b/eelgrassfork/gateway/fleet_member.py
@@ -18,7 +18,7 @@
 from .ledger_announcer import LedgerAnnouncer
 from .ledger_history import LedgerHistory
 from .limit_table import LimitTable
-from .node_settings import Bounds, NodeSettings
+from .node_settings import NodeSettings
 from .part_quarantine import PartQuarantine
 from .peer_exchange import PeerExchange, should_pull
 from .quarantine_record import QuarantineRecord
@@ -83,7 +83,10 @@
         self._era = parts.store.era
         self.get_status: Callable[[], RouterStatus] = RouterStatus
         self.on_change: Callable[[], None] = _do_nothing
-        self.store_view = StoreView(decoders, self._on_store_view_change)
+        bounds = settings.bounds
+        self.store_view = StoreView(
+            decoders, self._on_store_view_change, bounds.evacuation_s
+        )
         self._era.subscribe(self.store_view.servers.record_restore)
         self.gossip = Gossip(
             NodeIdentity(
@@ -98,12 +101,24 @@
             parts.open_socket,
         )
         self.roster = self.gossip.roster
-        self.roles = WatchRoles(self._make_role(), self._make_role())
+        self.roles = WatchRoles(
+            self._make_role(bounds.config_s),
+            self._make_role(bounds.config_s),
+        )
+        self._evacuations_role = (
+            None
+            if bounds.evacuation_s is None
+            else self._make_role(bounds.evacuation_s)
+        )
         self.exchange = PeerExchange(
             parts.http, self.roster.peers, self.store_view, settings
         )
         self.follower = StoreFollower(
-            parts.store, self.store_view, decoders, self.roles
+            parts.store,
+            self.store_view,
+            decoders,
+            self.roles,
+            self._evacuations_role,
         )
         self.exchange.on_failure = self._on_exchange_failure
         self.limits = LimitTable(
@@ -171,19 +186,20 @@
         """Stop exchanging heartbeats."""
         self.gossip.close()
 
-    def _make_role(self) -> WatchRole:
+    def _make_role(self, propagation_s: float) -> WatchRole:
         settings = self._settings
         return WatchRole(
             settings.node,
             self.roster.fleet_view,
             StoreContact(settings.node, self._incarnation),
-            _watch_policy(settings.bounds),
+            _watch_policy(propagation_s),
             settings.is_seed,
         )
 
     def _on_exchange_failure(self) -> None:
-        for role in self.roles:
-            role.watch_temporarily()
+        for role in (*self.roles, self._evacuations_role):
+            if role is not None:
+                role.watch_temporarily()
 
     def _make_heartbeat(self) -> Heartbeat:
         status = self.get_status()
@@ -217,6 +233,9 @@
             records.digest,
         ):
             self.roles.servers.contact.merge(heartbeat.servers_read)
+            # The digest includes the evacuations.
+            if self._evacuations_role is not None:
+                self._evacuations_role.contact.merge(heartbeat.servers_read)
         if should_pull(heartbeat, self.store_view):
             self.exchange.schedule_pull()
 
@@ -233,10 +252,10 @@
     """Do nothing."""
 
 
-def _watch_policy(bounds: Bounds) -> WatchPolicy:
+def _watch_policy(propagation_s: float) -> WatchPolicy:
     # A change is noticed within one renewal, and an unresponsive store while
     # half of the bound is left.
     return WatchPolicy(
-        max_silence_s=bounds.config_s / 2,
-        renewal_interval_s=bounds.config_s / 4,
+        max_silence_s=propagation_s / 2,
+        renewal_interval_s=propagation_s / 4,
     )
--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -2,7 +2,7 @@
 eelgrassfork.gateway.follower
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Keeps the configuration and the backend servers in sync with the store.
+Keeps configuration, backend servers and evacuations in sync with the store.
 """
 
 import random
@@ -16,6 +16,7 @@
 from ..errors import EelgrassError
 from ..supervision import keep_running
 from .configuration import ConfigurationHolder
+from .evacuations import Evacuations, is_evacuation_id
 from .packing import BadPacking, pack, unpack
 from .records import Configuration, ServerEntry
 from .server_records import ServerRecord, ServerRecords
@@ -29,6 +30,7 @@
     StoreError,
     StoreRestored,
 )
+from .stored_records import EVACUATIONS, SERVERS, RecordFactory, RecordKind
 from .watch_role import WatchRole
 
 __all__ = ('Decoders', 'StoreFollower', 'StoreView', 'WatchRoles')
@@ -50,6 +52,9 @@
 # ones are randomised over nearly the whole range.
 _MIN_WATCH_FRACTION: Final = 0.05
 
+_OnListing = Callable[[Listing], None]
+_OnChanges = Callable[[list[Change]], None]
+
 
 class Decoders(NamedTuple):
     """
@@ -61,6 +66,8 @@
     :param configuration: decodes a configuration.
     :param server: decodes the entry of a server, given its id; ``None`` if the
         entry names no usable server.
+    :param evacuations_kind: kind of evacuations, which are named by their
+        failure domains.
     """
 
     configuration_kind: str
@@ -68,6 +75,7 @@
     servers_kind: str
     configuration: Callable[[bytes], Configuration]
     server: Callable[[str, bytes], ServerEntry | None]
+    evacuations_kind: str = ''
 
 
 class WatchRoles(NamedTuple):
@@ -83,13 +91,19 @@
 
     :param decoders: decoders of the stored objects.
     :param on_change: called after a newer object was applied.
+    :param evacuation_s: maximum time until evacuations are known, see
+        ``Bounds``.
     """
 
     def __init__(
-        self, decoders: Decoders, on_change: Callable[[], None]
+        self,
+        decoders: Decoders,
+        on_change: Callable[[], None],
+        evacuation_s: float | None = None,
     ) -> None:
         self.configuration = ConfigurationHolder()
-        self.servers = ServerSet()
+        self.evacuations = Evacuations(evacuation_s)
+        self.servers = ServerSet(may_send=self.evacuations.may_send)
         self.records = ServerRecords()
         self._decoders = decoders
         self._on_change = on_change
@@ -152,19 +166,37 @@
         self, records: Iterable[ServerRecord], source: str
     ) -> None:
         """
-        Apply the records of backend servers that are newer than known ones.
+        Apply records of servers and evacuations that are newer than known ones.
 
         :param records: records from the store or from a peer.
         :param source: ``store`` or the name of the peer, for the log.
         """
         changed = False
         for record in records:
-            if self.records.put(record):
-                changed = True
+            if not self.records.put(record):
+                continue
+            changed = True
+            if is_evacuation_id(record.id):
+                self.evacuations.apply(record.id, record.removed, source)
+            else:
+                self.evacuations.begin_wait()
                 self._apply_server_record(record, source)
         if changed:
             self._on_change()
 
+    def awaits(self, kind: str) -> bool:
+        """
+        Check whether objects of a kind are needed before any server is used.
+
+        The peers that this router has its servers from may not follow
+        evacuations yet, as they run with former settings.
+
+        :param kind: kind of the objects.
+        :returns: whether they should be listed now.
+        """
+        is_evacuations = kind == self._decoders.evacuations_kind
+        return is_evacuations and self.evacuations.is_awaited
+
     def _apply_server_record(self, record: ServerRecord, source: str) -> None:
         if record.removed:
             changed = self.servers.mark_removed(record.id)
@@ -194,6 +226,8 @@
     :param store_view: the view to update.
     :param decoders: kinds and names of the stored objects.
     :param roles: whether this router watches each kind.
+    :param evacuations_role: the same for evacuations; ``None`` if the
+        deployment has none, so that they are not read.
     """
 
     def __init__(
@@ -202,6 +236,7 @@
         store_view: StoreView,
         decoders: Decoders,
         roles: WatchRoles,
+        evacuations_role: WatchRole | None = None,
     ) -> None:
         self._store = store
         self._store_view = store_view
@@ -210,6 +245,13 @@
             decoders.configuration_kind: roles.configuration,
             decoders.servers_kind: roles.servers,
         }
+        if evacuations_role is not None:
+            self._roles_by_kind[decoders.evacuations_kind] = evacuations_role
+        self._evacuations_role = evacuations_role
+        self._record_factory = RecordFactory()
+        self._apply_server_listing = partial(
+            self._apply_record_listing, SERVERS
+        )
         self._primary_role = roles.configuration
         self._random = random.Random()
         self._reachable: bool | None = None
@@ -221,20 +263,23 @@
 
         :param nursery: runs the tasks.
         """
-        for follow in (
-            partial(
-                self._follow,
-                self._decoders.configuration_kind,
+        decoders = self._decoders
+        handlers_by_kind: dict[str, tuple[_OnListing, _OnChanges]] = {
+            decoders.configuration_kind: (
                 self._apply_configuration_listing,
                 self._apply_configuration_changes,
             ),
-            partial(
-                self._follow,
-                self._decoders.servers_kind,
+            decoders.servers_kind: (
                 self._apply_server_listing,
-                self._apply_server_changes,
+                partial(self._apply_record_changes, SERVERS),
             ),
-        ):
+            decoders.evacuations_kind: (
+                partial(self._apply_record_listing, EVACUATIONS),
+                partial(self._apply_record_changes, EVACUATIONS),
+            ),
+        }
+        for kind in self._roles_by_kind:
+            follow = partial(self._follow, kind, *handlers_by_kind[kind])
             nursery.start_soon(keep_running, 'follow the store', follow)
 
     @property
@@ -263,8 +308,8 @@
     async def _follow(
         self,
         kind: str,
-        on_listing: Callable[[Listing], None],
-        on_changes: Callable[[list[Change]], None],
+        on_listing: _OnListing,
+        on_changes: _OnChanges,
     ) -> None:
         role = self._roles_by_kind[kind]
         revision: int | None = None
@@ -307,8 +352,8 @@
         self,
         kind: str,
         revision: int | None,
-        on_listing: Callable[[Listing], None],
-        on_changes: Callable[[list[Change]], None],
+        on_listing: _OnListing,
+        on_changes: _OnChanges,
     ) -> int | None:
         # An answer may be delayed in transit, so the view is only known to be
         # current as of the time of the call, or of the scheduled end of a watch
@@ -319,7 +364,9 @@
             on_listing(listing)
             revision = listing.revision
         else:
-            wait_s = self._pick_watch_s() if self._reachable else _PROBE_WATCH_S
+            wait_s = _PROBE_WATCH_S
+            if self._reachable:
+                wait_s = self._pick_watch_s(kind)
             try:
                 changes, revision = await cancel_if_outdated(
                     self._roles_by_kind[kind],
@@ -347,7 +394,7 @@
                 self._refresh_reachable()
             # While the store is unreachable, probing for one kind suffices.
             may_probe = self._is_primary(kind) or self.reachable
-            if may_probe and role.must_probe:
+            if may_probe and (role.must_probe or self._store_view.awaits(kind)):
                 self._log_role_change('probing the store', kind)
                 return
             await trio.sleep(_ROLE_POLL_S)
@@ -371,8 +418,11 @@
             },
         )
 
-    def _pick_watch_s(self) -> float:
-        max_s = min(_MAX_WATCH_S, self._primary_role.max_watch_s)
+    def _pick_watch_s(self, kind: str = '') -> float:
+        role = self._primary_role
+        if kind == self._decoders.evacuations_kind:
+            role = self._evacuations_role or role
+        max_s = min(_MAX_WATCH_S, role.max_watch_s)
         fraction = self._random.uniform(_MIN_WATCH_FRACTION, 1)
         return max(_MIN_WATCH_S, max_s) * fraction
 
@@ -410,28 +460,14 @@
                     change.stored.content, 'store'
                 )
 
-    def _apply_server_listing(self, listing: Listing) -> None:
-        records = [
-            ServerRecord(stored.name, stored.revision, False, stored.content)
-            for stored in listing.objects
-        ]
-        names = [record.id for record in records]
-        missing = self._store_view.records.removals_for_listing(
-            names, listing.revision
+    def _apply_record_listing(self, kind: RecordKind, listing: Listing) -> None:
+        records = self._record_factory.from_listing(
+            kind, listing, self._store_view.records
         )
-        records.extend(missing)
         self._store_view.apply_server_records(records, 'store')
 
-    def _apply_server_changes(self, changes: list[Change]) -> None:
-        self._store_view.apply_server_records(
-            [
-                ServerRecord(
-                    change.stored.name,
-                    change.stored.revision,
-                    change.deleted,
-                    b'' if change.deleted else change.stored.content,
-                )
-                for change in changes
-            ],
-            'store',
-        )
+    def _apply_record_changes(
+        self, kind: RecordKind, changes: list[Change]
+    ) -> None:
+        records = self._record_factory.from_changes(kind, changes)
+        self._store_view.apply_server_records(records, 'store')
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -133,6 +133,11 @@
             'Prompt parts that are likely to end servers.',
             lambda: self._member.quarantine.count,
         )
+        self.telemetry.add_gauge(
+            'evacuated_domains',
+            'Failure domains that get no new requests.',
+            lambda: self._store_view.evacuations.count,
+        )
         self._member.permits.count_outcome = self.telemetry.count_permit
         self._roster = self._member.roster
         self._credit_exchange = CreditExchange(
@@ -284,6 +289,7 @@
                 'servers': self._member.roles.servers.dump(),
             },
             'servers': self._store_view.servers.dump(),
+            'evacuations': self._store_view.evacuations.dump(),
             'limits': self._member.limits.dump(),
             'quarantine': self._member.quarantine.dump(),
             'permits': self._member.permits.dump(),
@@ -398,7 +404,9 @@
         has_configuration = (
             self._store_view.configuration.version and not self._draining
         )
-        return bool(has_configuration) and not self._is_isolated()
+        if not has_configuration or self._store_view.evacuations.is_awaited:
+            return False
+        return not self._is_isolated()
 
     def _is_isolated(self) -> bool:
         # While this router reaches neither routers of other failure domains nor
--- a/eelgrassfork/gateway/node_settings.py
+++ b/eelgrassfork/gateway/node_settings.py
@@ -21,6 +21,9 @@
         requests.
     :param retry_window_s: length of the window in which retries are counted.
     :param retry_slack: retries allowed per window in addition to the ratio.
+    :param evacuation_s: maximum time from the store's acknowledgement of an
+        evacuation until no router sends new requests to the failure domain;
+        ``None`` if the deployment has no evacuations.
     """
 
     grace_s: float = 8
@@ -28,6 +31,7 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10
     retry_slack: float = 20
+    evacuation_s: float | None = None
 
 
 class NodeSettings(NamedTuple):
--- a/eelgrassfork/gateway/server_records.py
+++ b/eelgrassfork/gateway/server_records.py
@@ -2,13 +2,15 @@
 eelgrassfork.gateway.server_records
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Records of backend servers by revision; merging them is commutative.
+Records of servers and evacuations by revision; merging them is commutative.
 """
 
 import hashlib
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
+from .evacuations import is_evacuation_id
+
 __all__ = ('ServerRecord', 'ServerRecords')
 
 _DIGEST_BYTES: Final = 7
@@ -18,6 +20,8 @@
     """
     Last known entry of one server in the store, or its removal.
 
+    The record of an evacuation has a reserved id and no content.
+
     :param revision: revision of the entry; for a removal, revision of the
         last entry.
     :param content: stored JSON of the entry; empty for a removal.
@@ -48,7 +52,12 @@
 
     @property
     def newest(self) -> int:
-        """Highest revision of all records; 0 if there are none."""
+        """
+        Highest revision of the records of servers; 0 if there are none.
+
+        Evacuations don't count: each kind is read by a watch of its own, so
+        that a record of one kind may arrive before older ones of the other.
+        """
         return self._newest
 
     def put(self, record: ServerRecord) -> bool:
@@ -65,19 +74,21 @@
             self._digest ^= _hash(known)
         self._by_id[record.id] = record
         self._digest ^= _hash(record)
-        self._newest = max(self._newest, record.revision)
+        if not is_evacuation_id(record.id):
+            self._newest = max(self._newest, record.revision)
         return True
 
     def removals_for_listing(
         self, listed_ids: Iterable[str], revision: int
     ) -> list[ServerRecord]:
         """
-        Create removals for known servers that a listing does not contain.
+        Create removals for known records that a listing does not contain.
 
-        :param listed_ids: ids of the servers in the listing.
-        :param revision: revision of the listing; servers with a newer record
-            are skipped, as the listing predates it.
-        :returns: removal records, which are not stored yet.
+        :param listed_ids: ids of the records in the listing.
+        :param revision: revision of the listing; newer records are skipped, as
+            the listing predates them.
+        :returns: removal records, which are not stored yet; those of the kinds
+            that the listing is not about have to be left out.
         """
         present = set(listed_ids)
         return [
@@ -93,10 +104,13 @@
         Return the records that a peer lacks.
 
         :param after: newest revision known to the peer.
-        :returns: records with a higher revision, including removals.
+        :returns: records of servers with a higher revision, including
+            removals, and all records of evacuations, which are few.
         """
         return [
-            record for record in self._by_id.values() if record.revision > after
+            record
+            for record in self._by_id.values()
+            if record.revision > after or is_evacuation_id(record.id)
         ]
 
 
--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 import trio
@@ -202,10 +203,17 @@
     Known servers, from their entries in the store and at peers.
 
     :param retention: how long servers with removed entries are still used.
+    :param may_send: returns whether the servers of a failure domain may get
+        new requests.
     """
 
-    def __init__(self, retention: RetentionPolicy | None = None) -> None:
+    def __init__(
+        self,
+        retention: RetentionPolicy | None = None,
+        may_send: Callable[[str], bool] | None = None,
+    ) -> None:
         self._retention = retention or RetentionPolicy()
+        self._may_send = may_send or _always
         self._by_id: dict[str, Server] = {}
         self._departed = DepartedServers()
         self._store_recovered_at: float | None = None
@@ -243,14 +251,16 @@
         List the servers that may receive requests now.
 
         :param service: name of the service.
-        :returns: servers that are neither leaving, paused nor expired; this
-            includes ejected ones.
+        :returns: servers that are neither leaving, paused, expired nor in an
+            evacuated failure domain; this includes ejected ones.
         """
         now_s = trio.current_time()
         return [
             server
             for server in self._by_id.values()
-            if server.entry.service == service and _is_usable(server, now_s)
+            if server.entry.service == service
+            and _is_usable(server, now_s)
+            and self._may_send(server.entry.failure_domain)
         ]
 
     def pause_left_s(self, service: str) -> float:
@@ -269,6 +279,7 @@
             if server.entry.service == service
             and _is_active(server, now_s)
             and server.paused_until > now_s
+            and self._may_send(server.entry.failure_domain)
         ]
         return min(pauses, default=0)
 
@@ -416,6 +427,10 @@
         ]
 
 
+def _always(failure_domain: str) -> bool:
+    return True
+
+
 def _is_usable(server: Server, now_s: float) -> bool:
     return _is_active(server, now_s) and now_s >= server.paused_until
 
--- a/eelgrassfork/platform/adapter.py
+++ b/eelgrassfork/platform/adapter.py
@@ -44,6 +44,7 @@
             server_entries.KIND,
             decode_configuration,
             server_entries.decode_entry,
+            'evacuations',
         ),
         codec=WireCodec(heads.decode_request, heads.encode_retry_after),
         encode_metadata=encode_metadata,
--- a/eelgrassfork/platform/boot_file.py
+++ b/eelgrassfork/platform/boot_file.py
@@ -120,9 +120,18 @@
         retry_slack=_number_field(
             texts_by_field, 'bounds.budgetSlack', defaults.retry_slack
         ),
+        evacuation_s=_parse_evacuation_s(texts_by_field),
     )
 
 
+def _parse_evacuation_s(texts_by_field: dict[str, str]) -> float | None:
+    # Absence turns evacuations off, so that there is no default.
+    name = 'bounds.evacuationMs'
+    if not texts_by_field.get(name):
+        return None
+    return _parse_field(texts_by_field, name, _parse_positive) / _MS_PER_S
+
+
 def _number_field(
     texts_by_field: dict[str, str], name: str, default: float
 ) -> float:
@@ -183,6 +192,13 @@
     return int(first), int(last)
 
 
+def _parse_positive(text: str) -> float:
+    number = _parse_non_negative(text)
+    if not number:
+        raise ValueError('expected a number above 0')
+    return number
+
+
 def _parse_non_negative(text: str) -> float:
     number = float(text)
     if not 0 <= number < float('inf'):
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -57,6 +57,7 @@
         a fault.
     :param refusal_extra_s: added to the propagation bound while the store
         refuses the calls of some routers.
+    :param evacuation_s: bound for evacuations; ``None`` turns them off.
     """
 
     domains: int = 3
@@ -64,6 +65,7 @@
     config_s: float = 3
     contact_s: float = 4
     refusal_extra_s: float = 6
+    evacuation_s: float | None = None
 
 
 class Link:
@@ -143,7 +145,10 @@
             HEARTBEAT_PORT + 1,
             fleet.seeds,
             'store',
-            Bounds(config_s=fleet.shape.config_s),
+            Bounds(
+                config_s=fleet.shape.config_s,
+                evacuation_s=fleet.shape.evacuation_s,
+            ),
             link_mbps=self.link_mbps,
         )
         incarnation = int(trio.current_time() * 1000)
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -32,7 +32,12 @@
 CONFIG_BOUND_S = 2
 
 DECODERS = Decoders(
-    'config', 'main', 'servers', decode_configuration, decode_entry
+    'config',
+    'main',
+    'servers',
+    decode_configuration,
+    decode_entry,
+    'evacuations',
 )
 ENTRY = {
     'service': 'svc',
--- a/tests/test_platform_boot_file.py
+++ b/tests/test_platform_boot_file.py
@@ -51,6 +51,12 @@
         self.assertEqual((7200, 7215), settings[6:8])
         self.assertEqual(('10.1.0.19:8748', '10.2.0.13:8748'), settings.seeds)
 
+    def test_evacuations_are_off_unless_their_bound_is_set(self):
+        settings = parse_settings(TEXT)
+        self.assertIsNone(settings.bounds.evacuation_s)
+        settings = parse_settings(f'{TEXT}bounds.evacuationMs=5000\n')
+        self.assertEqual(5, settings.bounds.evacuation_s)
+
     def test_error_names_missing_field(self):
         text = TEXT.replace('listen.ready', 'listen.other')
         self.assertIn('listen.ready', self.error_message(text))
@@ -62,6 +68,7 @@
             'bounds.graceS=soon',
             'bounds.graceS=-1',
             'bounds.budgetSlack=inf',
+            'bounds.evacuationMs=0',
         ):
             name, _, text = invalid.partition('=')
             message = self.error_message(f'{TEXT}\n{invalid}\n')
