platform: accept load reports of three or more figures

The parser of X-Replica-Load accepted exactly three figures.

The first three figures are the counts as before, the fourth becomes ServerLoad.slowdown as a factor, bounded to 0.1 to 100, and later ones are ignored. An invalid slowdown counts as 1.0 while the counts still hold; zero is invalid, as a server that looks free would attract all requests. Nothing uses the slowdown yet.

--- a/eelgrassfork/gateway/records.py
+++ b/eelgrassfork/gateway/records.py
@@ -171,11 +171,20 @@
 
 
 class ServerLoad(NamedTuple):
-    """Requests at one server, as reported by the server."""
+    """
+    Load of one server, as reported by the server.
+
+    :param running: requests that occupy a slot.
+    :param waiting: requests that wait for a slot.
+    :param slots: requests that the server runs concurrently.
+    :param slowdown: factor by which work on its machine takes longer at the
+        moment; 1.0 as usual, and where the report has no valid figure.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 class PromptPart(NamedTuple):
--- a/eelgrassfork/platform/heads.py
+++ b/eelgrassfork/platform/heads.py
@@ -46,6 +46,13 @@
 # Larger counts than any prompt or queue has, so that sums of them stay exact.
 _MAX_COUNT: Final = 1_000_000_000
 _MAX_LOGGED_CHARS: Final = 40
+# Running and waiting requests and slots; a slowdown in percent may follow.
+_LOAD_COUNTS: Final = 3
+_PERCENT: Final = 100
+# Bounds of the slowdown as a factor.  A false report neither makes a server
+# look free nor excludes it for good.
+_MIN_SLOWDOWN: Final = 0.1
+_MAX_SLOWDOWN: Final = 100.0
 _MAX_TARGET_LENGTH: Final = 65536
 _REQUEST_ID: Final = 'x-request-id'
 _DEADLINE: Final = 'x-request-deadline'
@@ -310,9 +317,20 @@
 
 
 def _parse_load(text: str) -> ServerLoad | None:
-    counts = [count.strip() for count in text.split(',')]
-    if len(counts) != len(ServerLoad._fields):
+    figures = [figure.strip() for figure in text.split(',')]
+    counts = figures[:_LOAD_COUNTS]
+    if len(counts) < _LOAD_COUNTS:
         return None
     if not all(count.isdecimal() for count in counts):
         return None
-    return ServerLoad(*map(_parse_count, counts))
+    running, waiting, slots = map(_parse_count, counts)
+    slowdown = _parse_slowdown(*figures[_LOAD_COUNTS : _LOAD_COUNTS + 1])
+    return ServerLoad(running, waiting, slots, slowdown)
+
+
+def _parse_slowdown(text: str = '') -> float:
+    # Zero is invalid: taken for a fast server, it would attract all requests.
+    percent = float(text) if _DECIMAL.fullmatch(text) else 0
+    if not percent:
+        return 1.0
+    return min(max(percent / _PERCENT, _MIN_SLOWDOWN), _MAX_SLOWDOWN)
