gateway: fix the price of an event when its request is sent

A stream that was resumed at a service with smaller events cost the lower price for the events before the interruption as well.

Cause: Exchange._tokens_per_event looked the service up in the current configuration when the answer began, and counted one token for each event if it was not there. The request had one price for the events of all servers.

Change: the permission carries the services of the configuration that permitted the send; the attempt has the price of its events from there, and the relay adds the price of each event. The price can't change any more, as nothing looks it up after the send.

Ruled out: the settlement itself, which uses names and amounts from before the send.

--- a/eelgrassfork/gateway/configuration.py
+++ b/eelgrassfork/gateway/configuration.py
@@ -5,24 +5,39 @@
 Holds the active configuration of this router, and authorises requests by it.
 """
 
-from typing import NamedTuple
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Final, NamedTuple
 
 import trio
 
 from ..errors import RequestError
-from .records import Configuration, ForwardHead, Organisation, Route
+from .records import (
+    Configuration,
+    ForwardHead,
+    Organisation,
+    Route,
+    Service,
+)
 
 __all__ = ('ConfigurationHolder', 'Permission', 'find_route', 'permit')
 
 _ANONYMOUS = Organisation('')
+_NO_SERVICES: Final[Mapping[str, Service]] = MappingProxyType({})
 
 
 class Permission(NamedTuple):
-    """Route, organisation and priority of an authorised request."""
+    """
+    Route, organisation and priority of an authorised request.
+
+    :param services_by_name: services of the configuration that authorised
+        the request.
+    """
 
     route: Route
     organisation: Organisation
     priority: int
+    services_by_name: Mapping[str, Service] = _NO_SERVICES
 
 
 class ConfigurationHolder:
@@ -119,9 +134,13 @@
     if name is None:
         if configuration.keys_needed and not route.anonymous:
             raise RequestError('unknown_key', 'the API key is unknown')
-        return Permission(route, _ANONYMOUS, route.priority)
+        return Permission(
+            route, _ANONYMOUS, route.priority, configuration.services_by_name
+        )
     organisation = configuration.organisations_by_name[name]
     priority = organisation.priority
     if priority is None:
         priority = route.priority
-    return Permission(route, organisation, priority)
+    return Permission(
+        route, organisation, priority, configuration.services_by_name
+    )
--- a/eelgrassfork/gateway/event_relay.py
+++ b/eelgrassfork/gateway/event_relay.py
@@ -10,6 +10,7 @@
 
 from ..errors import EelgrassError
 from ..sse import EventSplitter
+from .prices import UNKNOWN_TOKENS_PER_EVENT
 
 __all__ = ('EventsMissing', 'EventRelay')
 
@@ -27,11 +28,14 @@
     :param last_event_id: id of the last event that the caller received, empty
         for a new stream.
     :ivar events: number of numbered events relayed.
+    :ivar output_tokens: price of these events, each by its own server.
     """
 
     def __init__(self, last_event_id: str) -> None:
         self.last_event_id = last_event_id
         self.events = 0
+        self.output_tokens = 0
+        self._tokens_per_event = UNKNOWN_TOKENS_PER_EVENT
         self._splitter = EventSplitter()
 
     @property
@@ -39,9 +43,16 @@
         """Whether no partial event is buffered."""
         return not self._splitter.pending
 
-    def switch_server(self) -> None:
-        """Discard any partial event and expect the stream of another server."""
+    def switch_server(
+        self, tokens_per_event: int = UNKNOWN_TOKENS_PER_EVENT
+    ) -> None:
+        """
+        Discard any partial event and expect the stream of another server.
+
+        :param tokens_per_event: price of each event of that server.
+        """
         self._splitter = EventSplitter()
+        self._tokens_per_event = tokens_per_event
 
     def feed(self, chunk: bytes) -> bytes:
         """
@@ -72,4 +83,5 @@
                 )
         self.last_event_id = str(number)
         self.events += 1
+        self.output_tokens += self._tokens_per_event
         return True
--- a/eelgrassfork/gateway/exchange.py
+++ b/eelgrassfork/gateway/exchange.py
@@ -297,8 +297,7 @@
         claim_failover: ClaimFailover,
     ) -> None:
         relay = pending.relay
-        relay.switch_server()
-        pending.tokens_per_event = self._tokens_per_event(attempt)
+        relay.switch_server(attempt.tokens_per_event)
         while chunk := await self._next_chunk(
             pending, attempt, incoming, claim_failover
         ):
@@ -347,17 +346,6 @@
                 )
             incoming.progress_at = trio.current_time()
 
-    def _tokens_per_event(self, attempt: Attempt) -> int:
-        configuration = self._parts.store_view.configuration.current
-        if configuration is None:
-            return 1
-        service = configuration.services_by_name.get(
-            attempt.server.entry.service
-        )
-        if service is None or service.engine is None:
-            return 1
-        return service.engine.tokens_per_event
-
     async def _connection_failure(
         self, pending: PendingRequest, attempt: Attempt, error: HttpClientError
     ) -> AttemptFailed:
--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -16,6 +16,7 @@
 from .configuration import Permission
 from .exchange import ClaimFailover, Exchange
 from .part_quarantine import PartQuarantine
+from .prices import tokens_per_event
 from .records import WeightedService
 from .retry_budget import FleetRetryBudget, FleetRetryPolicy
 from .selection import Selector
@@ -153,7 +154,12 @@
         )
         load = server.load(trio.current_time())
         attempt = Attempt(
-            server, selection.reason, load, pending.head.prompt_tokens
+            server,
+            selection.reason,
+            load,
+            pending.head.prompt_tokens,
+            # The configuration may have changed during the selection.
+            tokens_per_event(pending.permission.services_by_name.get(service)),
         )
         pending.attempts.append(attempt)
         if selection.limit_per_s is not None:
--- a/eelgrassfork/gateway/sending.py
+++ b/eelgrassfork/gateway/sending.py
@@ -13,6 +13,7 @@
 from ..http_server import Call, CallerDisconnected
 from .configuration import Permission
 from .event_relay import EventRelay
+from .prices import UNKNOWN_TOKENS_PER_EVENT
 from .records import AnswerHead, ForwardHead
 from .request_digest import digest_request
 from .servers import Server
@@ -54,6 +55,8 @@
     :param reason: why that server was selected.
     :param load: estimated requests at the server before this one.
     :param prompt_tokens: prompt tokens that the server has to prefill.
+    :param tokens_per_event: price of each event of the answer, by the
+        configuration under which the request is sent.
     :ivar limit_per_s: limit that the server had named, ``None`` without one.
     :ivar outcome: how the attempt ended, for logs and metrics.
     :ivar maybe_sent: whether any byte may have been sent.
@@ -63,9 +66,15 @@
     """
 
     def __init__(
-        self, server: Server, reason: str, load: float, prompt_tokens: int
+        self,
+        server: Server,
+        reason: str,
+        load: float,
+        prompt_tokens: int,
+        tokens_per_event: int = UNKNOWN_TOKENS_PER_EVENT,
     ) -> None:
         self.server = server
+        self.tokens_per_event = tokens_per_event
         self.limit_per_s: float | None = None
         self.reason = reason
         self.load = load
@@ -157,7 +166,6 @@
         self.caller_gone = False
         self.outcome = 'answered'
         self.first_byte_at: float = -1
-        self.tokens_per_event = 0
         self._digest = ''
 
     @property
@@ -213,9 +221,8 @@
         """
         if not self.may_have_run:
             return 0
-        output = self.relay.events * self.tokens_per_event
         return self.head.prompt_tokens + min(
-            output, self.head.max_output_tokens
+            self.relay.output_tokens, self.head.max_output_tokens
         )
 
     async def respond(self, answer: AnswerHead, body: bytes) -> None:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -29,7 +29,7 @@
     (bytes that never complete an event), ``pause:S`` (503 with a
     ``Retry-After`` of S seconds).  The prefix ``leave+`` adds a
     ``Server-Leaving`` header, ``limit=N+`` a ``Server-Limit`` of N requests a
-    second.
+    second, ``late+`` a pause before the answer.
 
     :param server_id: identity of the server.
     :param script: the behaviours.
@@ -61,6 +61,7 @@
         await self._perform(call, behaviour or self.script[0])
 
     async def _perform(self, call: Call, behaviour: str) -> None:
+        is_late = behaviour.startswith('late+')
         behaviour, extra_headers = _split_prefix(behaviour)
         seal_headers = (
             ('x-response-seal', self.server_id),
@@ -74,6 +75,8 @@
             await call.respond(503, b'', head)
             return
         self.runs.append(call.request_id)
+        if is_late:
+            await trio.sleep(_SLOW_PAUSE_S)
         if name in {'stream', 'torn', 'slow'}:
             await self._stream(call, seal_headers, int(count), name)
         elif name == 'drip':
