gateway: look the permission up before a slow stream is given up

Cause: Sender._claim_failover checked servers and budget only; the permission was looked up when the former server had been given up already.

Change: the claim looks the permission up and refuses unless it still holds, the route still allows another attempt, and each service that may be selected has a server for it.

--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -17,7 +17,7 @@
 from .exchange import ClaimFailover, Exchange
 from .part_quarantine import PartQuarantine
 from .prices import tokens_per_event
-from .records import WeightedService
+from .records import Route, WeightedService
 from .retry_budget import FleetRetryBudget, FleetRetryPolicy
 from .selection import Selector
 from .sending import Attempt, AttemptFailed, ErrorAnswer, PendingRequest
@@ -103,9 +103,10 @@
         :raises RequestError: ``part_quarantined`` or ``request_quarantined``;
             ``server_failed`` if the request may have run.
         """
-        if self._admissible_services(pending):
+        route = pending.permission.route
+        if self._admissible_services(pending, route):
             return
-        service = _weighted_services(pending)[0].service
+        service = _weighted_services(route)[0].service
         error = self._parts.quarantine.refuse(service, pending.suspect_ids)
         if pending.may_have_run:
             raise RequestError('server_failed', error.message, 'unknown')
@@ -124,7 +125,7 @@
                 budget.record_request(trio.current_time())
             try:
                 error_answer = await self._send_once(
-                    pending, service, error_answer
+                    pending, service, error_answer, refresh
                 )
             except AttemptFailed as failure:
                 _check_repeatable(pending, failure)
@@ -142,6 +143,7 @@
         pending: PendingRequest,
         service: str,
         error_answer: ErrorAnswer | None,
+        refresh: RefreshPermission,
     ) -> ErrorAnswer | None:
         selection = await self._parts.selector.select(pending, service)
         server = selection.server
@@ -150,7 +152,7 @@
                 return error_answer._replace(final=True)
             raise self._no_server_error(pending, selection.reason)
         claim_failover = partial(
-            self._claim_failover, pending, server.entry.service
+            self._claim_failover, pending, server.entry.service, refresh
         )
         load = server.load(trio.current_time())
         attempt = Attempt(
@@ -178,10 +180,25 @@
             attempt.close()
             self._parts.telemetry.sends.labels(service, attempt.outcome).inc()
 
-    def _claim_failover(self, pending: PendingRequest, service: str) -> bool:
+    def _claim_failover(
+        self, pending: PendingRequest, service: str, refresh: RefreshPermission
+    ) -> bool:
+        # The permission is looked up again before the request is sent to
+        # another server, so that one that was withdrawn would cut a stream
+        # that is only slow.
+        try:
+            route = refresh(pending).route
+        except RequestError:
+            return False
+        if not route.repeatable or pending.sent_count >= route.max_attempts:
+            return False
+        services = self._admissible_services(pending, route)
         # A permit for a limited server may be refused after this attempt has
-        # ended.
-        if not self._parts.selector.has_unlimited_server(pending, service):
+        # ended.  Any of the services may be selected then.
+        if not services or not all(
+            self._parts.selector.has_unlimited_server(pending, entry.service)
+            for entry in services
+        ):
             return False
         if not _may_retry(pending, self._budget(service)):
             return False
@@ -204,19 +221,19 @@
 
     def _service(self, pending: PendingRequest) -> str:
         self.check_quarantine(pending)
-        services = self._admissible_services(pending)
+        services = self._admissible_services(pending, pending.permission.route)
         weights = [entry.weight for entry in services]
         if len(services) == 1 or not any(weights):
             return services[0].service
         return self._random.choices(services, weights)[0].service
 
     def _admissible_services(
-        self, pending: PendingRequest
+        self, pending: PendingRequest, route: Route
     ) -> list[WeightedService]:
         cause = self._parts.quarantine.cause
         return [
             entry
-            for entry in _weighted_services(pending)
+            for entry in _weighted_services(route)
             if cause(entry.service, pending.suspect_ids) is None
         ]
 
@@ -276,10 +293,9 @@
         raise RequestError('server_failed', error.message, 'unknown') from None
 
 
-def _weighted_services(pending: PendingRequest) -> list[WeightedService]:
-    services = pending.permission.route.services
-    weighted = [entry for entry in services if entry.weight > 0]
-    return weighted or list(services[:1])
+def _weighted_services(route: Route) -> list[WeightedService]:
+    weighted = [entry for entry in route.services if entry.weight > 0]
+    return weighted or list(route.services[:1])
 
 
 def _may_retry(pending: PendingRequest, budget: FleetRetryBudget) -> bool:
