gateway: cold servers have the limit coldPerS

Cause: a server that has just started, or became cold again, ends if it gets requests well above the rate that it stands. Routers only added a cost to it.

Change: services may have coldPerS and coldStartS. While a server is cold by its entry, or as implied by the end of the evacuation of its domain or by a restart, it has the limit coldPerS, and requests to it need permits of the keeper like those to servers that name a limit; the lower limit counts. The request for a permit carries the limit as a notice with version 0, so that no message has a new field and a keeper that does not know yet grants at this rate. An invalid cold time no longer hides the server's entry.

--- a/eelgrassfork/gateway/evacuations.py
+++ b/eelgrassfork/gateway/evacuations.py
@@ -110,17 +110,18 @@
             not self.is_awaited
         )
 
-    def apply(self, record_id: str, revoked: bool, source: str) -> None:
+    def apply(self, record_id: str, revoked: bool, source: str) -> str | None:
         """
         Apply a record that supersedes the known one.
 
         :param record_id: id of the record.
         :param revoked: whether the operator has deleted the object.
         :param source: ``store`` or the name of the peer, for the log.
+        :returns: the failure domain whose evacuation has ended, if any.
         """
         if record_id == LISTED_ID:
             self._is_listed = True
-            return
+            return None
         failure_domain = record_id.removeprefix(_PREFIX)
         fields = {'failure_domain': failure_domain, 'source': source}
         now_s = trio.current_time()
@@ -128,13 +129,16 @@
             if failure_domain not in self._since_by_domain:
                 self._since_by_domain[failure_domain] = now_s
                 _log.warning('failure domain evacuated', extra=fields)
-            return
+            return None
         since = self._since_by_domain.pop(failure_domain, None)
-        if since is not None:
-            _log.warning(
-                'evacuation revoked',
-                extra={**fields, 'lasted_s': round(now_s - since, 1)},
-            )
+        if since is None:
+            # Unless this router has just started, it was cut off meanwhile.
+            return failure_domain if self._is_listed else None
+        _log.warning(
+            'evacuation revoked',
+            extra={**fields, 'lasted_s': round(now_s - since, 1)},
+        )
+        return failure_domain
 
     def dump(self) -> dict[str, object]:
         """
--- a/eelgrassfork/gateway/fleet_member.py
+++ b/eelgrassfork/gateway/fleet_member.py
@@ -124,6 +124,9 @@
         self.limits = LimitTable(
             self.gossip.send_now, self.store_view.servers.is_known
         )
+        self.limits.cold_rate_of = self.store_view.cold_rate_of
+        self.limits.limits_cold = self.store_view.limits_cold_servers
+        self.limits.server_ids = self.store_view.ids_of_cold_services
         self.quarantine = PartQuarantine(
             self.store_view.servers.count, self.gossip.report_now
         )
--- a/eelgrassfork/gateway/follower.py
+++ b/eelgrassfork/gateway/follower.py
@@ -15,10 +15,11 @@
 
 from ..errors import EelgrassError
 from ..supervision import keep_running
+from .cold_servers import cold_rate
 from .configuration import ConfigurationHolder
 from .evacuations import Evacuations, is_evacuation_id
 from .packing import BadPacking, pack, unpack
-from .records import Configuration, ServerEntry
+from .records import Configuration, ServerEntry, Service
 from .server_records import ServerRecord, ServerRecords
 from .servers import ServerSet
 from .silent_watch import cancel_if_outdated
@@ -105,6 +106,7 @@
         self.evacuations = Evacuations(evacuation_s)
         self.servers = ServerSet(may_send=self.evacuations.may_send)
         self.records = ServerRecords()
+        self._cold_services_by_name: dict[str, Service] = {}
         self._decoders = decoders
         self._on_change = on_change
 
@@ -151,6 +153,11 @@
             return
         packed = packed or pack(content)
         self.configuration.apply_if_newer(configuration, packed)
+        self._cold_services_by_name = {
+            service.name: service
+            for service in configuration.services_by_name.values()
+            if service.cold_per_s > 0
+        }
         _log.info(
             'applied a configuration',
             extra={
@@ -177,7 +184,7 @@
                 continue
             changed = True
             if is_evacuation_id(record.id):
-                self.evacuations.apply(record.id, record.removed, source)
+                self._apply_evacuation(record, source)
             else:
                 self.evacuations.begin_wait()
                 self._apply_server_record(record, source)
@@ -197,6 +204,52 @@
         is_evacuations = kind == self._decoders.evacuations_kind
         return is_evacuations and self.evacuations.is_awaited
 
+    def _apply_evacuation(self, record: ServerRecord, source: str) -> None:
+        ended = self.evacuations.apply(record.id, record.removed, source)
+        if ended is not None:
+            # Servers without requests may have become cold meanwhile.
+            self.servers.imply_cold(ended)
+
+    def cold_rate_of(self, server_id: str) -> float | None:
+        """
+        Look up the limit of a server that may be cold.
+
+        :param server_id: id of the server.
+        :returns: requests a second from all routers together; ``None`` if the
+            server is not known to be cold.
+        """
+        # Called for each server at each request.
+        if not self._cold_services_by_name:
+            return None
+        server = self.servers.find(server_id)
+        if server is None:
+            return None
+        service = self._cold_services_by_name.get(server.entry.service)
+        return cold_rate(server.cold, service, trio.current_time())
+
+    def limits_cold_servers(self, service: str) -> bool:
+        """
+        Check whether the configuration limits cold servers of a service.
+
+        :param service: name of the service.
+        :returns: whether it does.
+        """
+        return service in self._cold_services_by_name
+
+    def ids_of_cold_services(self) -> list[str]:
+        """
+        List the servers that have a limit whenever they are cold.
+
+        :returns: ids of the servers.
+        """
+        if not self._cold_services_by_name:
+            return []
+        return [
+            entry.id
+            for entry in self.servers.entries
+            if entry.service in self._cold_services_by_name
+        ]
+
     def _apply_server_record(self, record: ServerRecord, source: str) -> None:
         if record.removed:
             changed = self.servers.mark_removed(record.id)
--- a/eelgrassfork/gateway/limit_table.py
+++ b/eelgrassfork/gateway/limit_table.py
@@ -2,7 +2,7 @@
 eelgrassfork.gateway.limit_table
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Limits that backend servers name, from their answers and from other routers.
+Limits of backend servers, from their answers, entries and other routers.
 """
 
 import math
@@ -13,6 +13,7 @@
 import logbook
 import trio
 
+from .cold_servers import lowest_rate
 from .heartbeats import LimitNotice
 from .records import NamedLimit, ServerEntry
 
@@ -33,6 +34,9 @@
 # Longer than routers are usually cut off from each other, so that an older
 # report does not bring back a limit that was withdrawn.
 _RETENTION_S: Final = 60.0
+# Each router knows from the server's entry that it is cold, so that notices of
+# this limit have no version and are not merged.
+_COLD_VERSION: Final = 0
 
 
 class KnownLimit(NamedTuple):
@@ -56,10 +60,15 @@
 
 class LimitTable:
     """
-    Limits of the servers that named one, by the id of the server.
+    Limits of the servers that named one or are cold.
 
     :param on_first: called when a server has begun to name a limit.
     :param is_server: returns whether this router knows a server.
+    :ivar cold_rate_of: returns the limit of a server, given its id, as long as
+        it is cold; ``None`` otherwise.
+    :ivar limits_cold: returns whether cold servers of a service have a limit.
+    :ivar server_ids: returns the ids of the servers that have a limit whenever
+        they are cold.
     """
 
     def __init__(
@@ -69,19 +78,31 @@
         self._is_server = is_server
         self._random = random.Random()
         self._by_id: dict[str, KnownLimit] = {}
+        self.cold_rate_of: Callable[[str], float | None] = _no_rate
+        self.limits_cold: Callable[[str], bool] = _never
+        self.server_ids: Callable[[], Iterable[str]] = tuple
 
     def limit_of(self, entry: ServerEntry) -> KnownLimit | None:
         """
         Look up the limit of a server.
 
         :param entry: entry of the server.
-        :returns: the limit that the server names at present, ``None`` without
-            one.
+        :returns: the lower one of the limits that the server names at present
+            and that it has as it is cold; ``None`` without either.
         """
-        known = self._by_id.get(entry.id)
-        if known is None or known.per_s is None:
-            return None
-        return known if known.incarnation >= entry.incarnation else None
+        named = self._named_limit(entry)
+        cold_per_s = self.cold_rate_of(entry.id)
+        if cold_per_s is None:
+            return named
+        if named is None:
+            now_s = trio.current_time()
+            return KnownLimit(
+                entry.incarnation, cold_per_s, _COLD_VERSION, now_s, now_s
+            )
+        # The version makes a refusal end together with the cold time.
+        return named._replace(
+            per_s=lowest_rate((named.per_s, cold_per_s)), version=_COLD_VERSION
+        )
 
     def rate_of(self, notice: LimitNotice) -> float | None:
         """
@@ -89,10 +110,52 @@
 
         :param notice: limit that the other router knows.
         :returns: requests a second of the newest known incarnation, ``None``
-            once the limit was withdrawn.
+            once the limit was withdrawn and the server is not cold.
         """
         known = self._by_id.get(notice.server_id)
-        return notice.per_s if known is None else known.per_s
+        rates = [self.cold_rate_of(notice.server_id)]
+        if known is not None:
+            rates.append(known.per_s)
+        if notice.version == _COLD_VERSION:
+            is_rate = 0 <= _as_rate(notice.per_s) < _UNLIMITED
+            rates.append(notice.per_s if is_rate else None)
+        elif known is None:
+            rates.append(notice.per_s)
+        return lowest_rate(rates)
+
+    def may_limit(self, service: str) -> bool:
+        """
+        Check whether servers of a service may have limits now.
+
+        :param service: name of the service.
+        :returns: ``False`` if it is certain that none has one.
+        """
+        return bool(self.count) or self.limits_cold(service)
+
+    def limited_ids(self) -> set[str]:
+        """
+        List the servers that have a limit now.
+
+        :returns: ids of the servers that name one or are cold.
+        """
+        named = {
+            server_id
+            for server_id, known in self._by_id.items()
+            if known.per_s is not None
+        }
+        return named | self.cold_ids()
+
+    def cold_ids(self) -> set[str]:
+        """
+        List the servers that have a limit as they are cold.
+
+        :returns: ids of the servers.
+        """
+        return {
+            server_id
+            for server_id in self.server_ids()
+            if self.cold_rate_of(server_id) is not None
+        }
 
     @property
     def count(self) -> int:
@@ -140,6 +203,8 @@
         """
         now_s = trio.current_time()
         for notice in notices:
+            if notice.version == _COLD_VERSION:
+                continue
             if not _is_valid(notice):
                 _log.warning(
                     'ignored an invalid limit of a peer',
@@ -218,6 +283,12 @@
             if known.per_s is not None
         ]
 
+    def _named_limit(self, entry: ServerEntry) -> KnownLimit | None:
+        known = self._by_id.get(entry.id)
+        if known is None or known.per_s is None:
+            return None
+        return known if known.incarnation >= entry.incarnation else None
+
     def _sample(self, server_ids: list[str], size: int) -> list[str]:
         return self._random.sample(server_ids, min(size, len(server_ids)))
 
@@ -240,6 +311,14 @@
             self._on_first()
 
 
+def _no_rate(server_id: str) -> float | None:
+    return None
+
+
+def _never(service: str) -> bool:
+    return False
+
+
 def _make_notice(server_id: str, known: KnownLimit) -> LimitNotice:
     age_s = trio.current_time() - known.observed_at
     return LimitNotice(
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -133,6 +133,11 @@
             'Prompt parts that are likely to end servers.',
             lambda: self._member.quarantine.count,
         )
+        self.telemetry.add_gauge(
+            'cold_servers',
+            'Backend servers that have a limit as they are cold.',
+            lambda: len(self._member.limits.cold_ids()),
+        )
         self.telemetry.add_gauge(
             'evacuated_domains',
             'Failure domains that get no new requests.',
--- a/eelgrassfork/gateway/records.py
+++ b/eelgrassfork/gateway/records.py
@@ -100,12 +100,17 @@
     :param max_connections: maximum number of connections to one server, of
         all callers together.
     :param engine: ``None`` for a plain service.
+    :param cold_per_s: requests a second that a cold server stands from all
+        routers together; 0 for no limit.
+    :param cold_start_s: time for which a server is cold after a start.
     """
 
     name: str
     health_path: str
     max_connections: int
     engine: Engine | None = None
+    cold_per_s: float = 0
+    cold_start_s: float = 0
 
 
 class Organisation(NamedTuple):
@@ -156,7 +161,8 @@
     :param sequence: increases with each entry of one incarnation.
     :param leaving: whether the server is shutting down and accepts no more
         requests.
-    :param cold_s: remaining warm-up time, in which the server is slow.
+    :param cold_s: remaining warm-up time, in which the server is slow;
+        ``None`` if the entry has no valid one.
     """
 
     id: str
@@ -167,7 +173,7 @@
     incarnation: int
     sequence: int
     leaving: bool = False
-    cold_s: float = 0
+    cold_s: float | None = 0
 
 
 class ServerLoad(NamedTuple):
--- a/eelgrassfork/gateway/selection.py
+++ b/eelgrassfork/gateway/selection.py
@@ -17,6 +17,7 @@
     choose,
     placement_key,
 )
+from .cold_servers import is_probably_cold
 from .follower import StoreView
 from .limit_table import LimitTable
 from .part_quarantine import PartQuarantine
@@ -92,7 +93,7 @@
         :returns: the server, for one send.
         :raises CallerDisconnected: if the caller is gone after the wait.
         """
-        if self._parts.limits.count and self.has_unlimited_server(
+        if self._parts.limits.may_limit(service) and self.has_unlimited_server(
             pending, service
         ):
             selection = await self._select(pending, service, wait_s=0)
@@ -228,5 +229,5 @@
         server.failures(now_s),
         server.health.ejected,
         server.is_due(now_s),
-        server.entry.cold_s > 0,
+        is_probably_cold(server.cold, now_s),
     )
--- a/eelgrassfork/gateway/send_permits.py
+++ b/eelgrassfork/gateway/send_permits.py
@@ -2,7 +2,7 @@
 eelgrassfork.gateway.send_permits
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Permits to send requests to servers that name a limit.
+Permits to send requests to servers that name a limit or are cold.
 
 One router at a time, the keeper of the server's failure domain, grants the
 permits for a server to all routers, so that they keep its limit together.
@@ -183,9 +183,7 @@
 
     def discard_expired(self) -> None:
         """Drop what is kept of servers without a limit, and of keepers."""
-        limited = {
-            str(record['server']) for record in self._parts.limits.dump()
-        }
+        limited = self._parts.limits.limited_ids()
         for server_id in self._refusals_by_id.keys() - limited:
             self._refusals_by_id.pop(server_id)
         for server_id in self._clocks_by_id.keys() - limited:
--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -9,14 +9,23 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
+import logbook
 import trio
 
 from ..retries import EjectionPolicy, ServerHealth, after_failure, needs_probe
+from .cold_servers import (
+    ColdState,
+    after_implication,
+    after_report,
+    is_probably_cold,
+)
 from .departed_servers import DepartedServers
 from .records import ServerEntry, ServerLoad
 
 __all__ = ('RetentionPolicy', 'Server', 'ServerSet')
 
+_log = logbook.Logger('servers')
+
 # Crashed servers mostly restart under a new id, so an ejected server that does
 # recover under its own id is probed again within a few seconds.
 _EJECTION: Final = EjectionPolicy(failures=3, first_s=0.5, longest_s=4)
@@ -58,6 +67,7 @@
     :ivar paused_until: end of the pause that the server requested.
     :ivar ended_at: when it was found to have ended with requests in progress,
         on trio's clock; ``None`` while it runs.
+    :ivar cold: until when it is cold, as far as this router knows.
     """
 
     def __init__(self, entry: ServerEntry) -> None:
@@ -68,6 +78,7 @@
         self.expires_at: float | None = None
         self.paused_until: float = 0
         self.ended_at: float | None = None
+        self.cold = ColdState()
         self.health = ServerHealth()
         self.latency_s: float | None = None
         self._other_requests: float = 0
@@ -75,6 +86,7 @@
         self._load_reported_at: float = 0
         self._failures: float = 0
         self._failed_at: float = 0
+        self._has_logged_cold = False
 
     def load(self, now_s: float) -> float:
         """
@@ -151,6 +163,28 @@
         self.entry = self.entry._replace(leaving=True)
         return is_new
 
+    def report_cold(self, cold_s: float | None) -> None:
+        """
+        Apply what a new entry of the server says.
+
+        :param cold_s: time that the server stays cold, in seconds; ``None`` if
+            the entry has no valid one.
+        """
+        now_s = trio.current_time()
+        was_cold = is_probably_cold(self.cold, now_s)
+        self.cold = after_report(self.cold, cold_s, now_s)
+        fields = {'server': self.entry.id, 'cold_s': cold_s}
+        if cold_s is None:
+            if not self._has_logged_cold:
+                _log.warning('ignored an invalid cold time', extra=fields)
+            self._has_logged_cold = True
+        elif is_probably_cold(self.cold, now_s) != was_cold:
+            _log.info('server reported its cold time', extra=fields)
+
+    def imply_cold(self) -> None:
+        """Record an event after which the server is cold."""
+        self.cold = after_implication(self.cold, trio.current_time())
+
     def pause(self, pause_s: float, now_s: float) -> None:
         """
         Send no requests for the time that the server requested.
@@ -246,6 +280,25 @@
         """
         return server_id in self._by_id
 
+    def find(self, server_id: str) -> Server | None:
+        """
+        Look up a server.
+
+        :param server_id: id of the server.
+        :returns: the server; ``None`` if it is not known.
+        """
+        return self._by_id.get(server_id)
+
+    def imply_cold(self, failure_domain: str) -> None:
+        """
+        Record an event after which the servers of a domain are cold.
+
+        :param failure_domain: name of the domain.
+        """
+        for server in self._by_id.values():
+            if server.entry.failure_domain == failure_domain:
+                server.imply_cold()
+
     def usable(self, service: str) -> list[Server]:
         """
         List the servers that may receive requests now.
@@ -308,7 +361,7 @@
             return False
         known = self._by_id.get(entry.id)
         if known is None or entry.incarnation > known.entry.incarnation:
-            self._by_id[entry.id] = Server(entry)
+            self._by_id[entry.id] = _make_server(entry, known is not None)
             return True
         if _is_older(entry, known.entry):
             return False
@@ -318,6 +371,8 @@
             sequence=0, cold_s=0
         )
         was_removed = known.expires_at is not None
+        if entry.sequence > known.entry.sequence:
+            known.report_cold(entry.cold_s)
         known.entry = entry
         known.expires_at = None
         return changed or was_removed
@@ -422,11 +477,21 @@
                 'load': round(server.load(now_s), 1),
                 'failures': round(server.failures(now_s), 1),
                 'ejected': server.health.ejected,
+                'cold': is_probably_cold(server.cold, now_s),
             }
             for server in self._by_id.values()
         ]
 
 
+def _make_server(entry: ServerEntry, is_restart: bool) -> Server:
+    server = Server(entry)
+    # The first entry after a start may still contain the former cold time.
+    if is_restart or entry.cold_s is None:
+        server.imply_cold()
+    server.report_cold(entry.cold_s)
+    return server
+
+
 def _always(failure_domain: str) -> bool:
     return True
 
--- a/eelgrassfork/platform/config_decoder.py
+++ b/eelgrassfork/platform/config_decoder.py
@@ -65,6 +65,8 @@
     health_path: str = '/healthz'
     max_connections: int = 0
     engine: _Engine | None = None
+    cold_per_s: float = 0
+    cold_start_s: float = 0
 
 
 class _Limits(msgspec.Struct, rename='camel'):
@@ -162,7 +164,14 @@
         engine = Engine(
             wire.engine.slots, wire.engine.kv_capacity, wire.engine.stride
         )
-    return Service(wire.name, wire.health_path, wire.max_connections, engine)
+    return Service(
+        wire.name,
+        wire.health_path,
+        wire.max_connections,
+        engine,
+        max(0, wire.cold_per_s),
+        max(0, wire.cold_start_s),
+    )
 
 
 def _decode_organisation(wire: _Tenant) -> Organisation:
--- a/eelgrassfork/platform/server_entries.py
+++ b/eelgrassfork/platform/server_entries.py
@@ -19,10 +19,13 @@
 _MAX_NAME_LENGTH: Final = 200
 _MAX_UNIX_MS: Final = 1_000_000_000_000_000
 _MS_PER_S: Final = 1000
+_MAX_COLD_MS: Final = 3_600_000
 _ADDRESS: Final = re.compile(r'\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}')
 
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=_MAX_NAME_LENGTH)]
 _Count = Annotated[int, msgspec.Meta(ge=0)]
+# Servers are cold for less than a minute.
+_ColdMs = Annotated[float, msgspec.Meta(ge=0, le=_MAX_COLD_MS)]
 _Slots = Annotated[int, msgspec.Meta(ge=1)]
 # Larger integers are not valid Unix times in milliseconds.
 _UnixMs = Annotated[int, msgspec.Meta(ge=0, le=_MAX_UNIX_MS)]
@@ -37,7 +40,8 @@
     state: Literal['ready', 'draining']
     sequence: _Count
     # Remaining warm-up time, not the time since the start.
-    cold_remaining_ms: float = 0
+    # Any type, as a wrong time must not hide the server.
+    cold_remaining_ms: msgspec.Raw = msgspec.Raw(b'0')
     # Start time of this incarnation; distinguishes servers that reuse an ID.
     born: _UnixMs = 0
 
@@ -65,5 +69,12 @@
         incarnation=wire.born,
         sequence=wire.sequence,
         leaving=wire.state == 'draining',
-        cold_s=max(0, wire.cold_remaining_ms) / _MS_PER_S,
+        cold_s=_decode_cold_s(wire.cold_remaining_ms),
     )
+
+
+def _decode_cold_s(raw: msgspec.Raw) -> float | None:
+    try:
+        return msgspec.json.decode(raw, type=_ColdMs) / _MS_PER_S
+    except msgspec.DecodeError:
+        return None
--- a/tests/test_gateway_send_permits.py
+++ b/tests/test_gateway_send_permits.py
@@ -137,6 +137,17 @@
 
         self.assertTrue(run(main))
 
+    def test_end_of_the_cold_time_ends_a_pause(self):
+        async def main():
+            setting = Setting(Peer(Decision(False, 20)))
+            setting.limits.cold_rate_of = lambda server_id: 1
+            await setting.permits.take(ENTRY, 0)
+            cold = setting.permits.is_open(ENTRY, 0)
+            setting.limits.cold_rate_of = lambda server_id: None
+            return cold, setting.permits.is_open(ENTRY, 0)
+
+        self.assertEqual((False, True), run(main))
+
     def test_server_without_limit_needs_no_permit(self):
         async def main():
             peer = Peer(None)
