gateway: requests stay in the regions of their route and organisation

Cause: routes and organisations may restrict the regions in which their requests are processed (allowedRegions), which routers ignored.

Change: settings zones.NAME=REGION say in which region a failure domain is. The selector leaves out servers outside of the lists at each attempt; without such a server the request is refused at once (no_server, not run). Without lists the servers are not filtered.

--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -350,6 +350,7 @@
                 self._member.permits,
                 self._member.quarantine,
                 self._settings.failure_domain,
+                self._settings.regions_by_domain,
             ),
         )
         return Sender(
--- a/eelgrassfork/gateway/node_settings.py
+++ b/eelgrassfork/gateway/node_settings.py
@@ -49,6 +49,7 @@
     :param seeds: peer addresses of some VMs, which may be down.
     :param first_start: whether the whole fleet starts for the first time.
     :param link_mbps: bandwidth of the VM's network link, in Mbit/s.
+    :param regions_by_domain: region of each failure domain, as far as known.
     """
 
     node: str
@@ -64,6 +65,7 @@
     bounds: Bounds
     first_start: bool = False
     link_mbps: float = 1
+    regions_by_domain: dict[str, str] = {}
 
     @property
     def is_seed(self) -> bool:
--- a/eelgrassfork/gateway/records.py
+++ b/eelgrassfork/gateway/records.py
@@ -55,6 +55,8 @@
     :param resumable: whether a stream may be resumed on another server.
     :param max_event_gap_s: objective for the time between two events; 0 if
         answers are not streams.
+    :param allowed_regions: regions whose servers may get the requests;
+        ``None`` for all.
     """
 
     name: str
@@ -69,6 +71,7 @@
     anonymous: bool = False
     resumable: bool = False
     max_event_gap_s: float = 0
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -119,11 +122,13 @@
 
     :param priority: overrides the priority of the route unless ``None``.
     :param prepaid_tokens: prepaid token budget; ``None`` if unlimited.
+    :param allowed_regions: as for routes; requests have to meet both lists.
     """
 
     name: str
     priority: int | None = None
     prepaid_tokens: int | None = None
+    allowed_regions: frozenset[str] | None = None
 
 
 class CallerBounds(NamedTuple):
--- a/eelgrassfork/gateway/selection.py
+++ b/eelgrassfork/gateway/selection.py
@@ -19,6 +19,7 @@
 )
 from .cold_servers import is_probably_cold
 from .follower import StoreView
+from .home_regions import home_regions, is_home
 from .limit_table import LimitTable
 from .part_quarantine import PartQuarantine
 from .send_permits import SendPermits
@@ -43,6 +44,7 @@
     :param permits: permits to send requests to those servers.
     :param quarantine: knows the parts of prompts that are suspect.
     :param failure_domain: failure domain of this router.
+    :param regions_by_domain: region of each failure domain.
     """
 
     store_view: StoreView
@@ -50,6 +52,7 @@
     permits: SendPermits
     quarantine: PartQuarantine
     failure_domain: str
+    regions_by_domain: dict[str, str] = {}
 
 
 class Selection(NamedTuple):
@@ -121,7 +124,7 @@
             server.entry.id not in pending.tried
             and not server.health.ejected
             and self._parts.limits.limit_of(server.entry) is None
-            for server in self._usable(service)
+            for server in self._usable_at_home(pending, service)
         )
 
     def pause_left_s(self, service: str) -> float:
@@ -152,13 +155,28 @@
     def _usable(self, service: str) -> list[Server]:
         return self._parts.store_view.servers.usable(service)
 
+    def _usable_at_home(
+        self, pending: PendingRequest, service: str
+    ) -> list[Server]:
+        permission = pending.permission
+        allowed = home_regions(permission.route, permission.organisation)
+        usable = self._usable(service)
+        if allowed is None:
+            return usable
+        regions_by_domain = self._parts.regions_by_domain
+        return [
+            server
+            for server in usable
+            if is_home(server.entry.failure_domain, allowed, regions_by_domain)
+        ]
+
     def _choose(
         self, pending: PendingRequest, service: str, wait_s: float
     ) -> tuple[Server | None, str]:
         now_s = trio.current_time()
         by_id = {
             server.entry.id: server
-            for server in self._usable(service)
+            for server in self._usable_at_home(pending, service)
             if self._may_choose(pending, server, wait_s)
         }
         suspect_key = self._parts.quarantine.placement_key(
@@ -203,13 +221,13 @@
             return False
         pending.check_caller()
         # The server may have begun to leave during the wait.
-        return server in self._usable(server.entry.service)
+        return server in self._usable_at_home(pending, server.entry.service)
 
     def _is_limited(self, pending: PendingRequest, service: str) -> bool:
         return any(
             server.entry.id not in pending.tried
             and self._parts.limits.limit_of(server.entry) is not None
-            for server in self._usable(service)
+            for server in self._usable_at_home(pending, service)
         )
 
 
--- a/eelgrassfork/platform/boot_file.py
+++ b/eelgrassfork/platform/boot_file.py
@@ -25,6 +25,8 @@
 _DEFAULT_PATH: Final = '/etc/eelgrassfork/settings.conf'
 
 _MS_PER_S: Final = 1000
+# The rest of the field is the name of a failure domain, its value the region.
+_ZONE_PREFIX: Final = 'zones.'
 
 _Option = TypeVar('_Option')
 
@@ -99,6 +101,11 @@
             texts_by_field, 'bootstrap', _parse_flag, False
         ),
         link_mbps=_number_field(texts_by_field, 'limits.linkMbps', 1),
+        regions_by_domain={
+            field.removeprefix(_ZONE_PREFIX): region
+            for field, region in texts_by_field.items()
+            if field.startswith(_ZONE_PREFIX) and region
+        },
     )
 
 
--- a/eelgrassfork/platform/config_decoder.py
+++ b/eelgrassfork/platform/config_decoder.py
@@ -26,6 +26,10 @@
 _LOWEST_PRIORITY: Final = 9
 
 
+# An empty list allows no region, unlike a missing one.
+_Regions = list[str] | msgspec.UnsetType
+
+
 class BadConfiguration(EelgrassError):
     """The stored configuration is invalid."""
 
@@ -51,6 +55,7 @@
     allow_anonymous: bool = False
     stream_resume: bool = False
     gap_aim_ms: float = 0
+    allowed_regions: _Regions = msgspec.UNSET
 
 
 class _Engine(msgspec.Struct, rename='camel'):
@@ -81,6 +86,7 @@
     api_keys: list[str] = []
     priority: int | None = None
     prepaid: float | None = None
+    allowed_regions: _Regions = msgspec.UNSET
 
 
 class _Configuration(msgspec.Struct):
@@ -155,9 +161,14 @@
         anonymous=wire.allow_anonymous,
         resumable=wire.stream_resume,
         max_event_gap_s=wire.gap_aim_ms / _MS_PER_S,
+        allowed_regions=_decode_regions(wire.allowed_regions),
     )
 
 
+def _decode_regions(wire: _Regions) -> frozenset[str] | None:
+    return None if wire is msgspec.UNSET else frozenset(wire)
+
+
 def _decode_service(wire: _Service) -> Service:
     engine = None
     if wire.engine is not None:
@@ -179,7 +190,8 @@
     if priority is not None:
         priority = min(max(priority, 0), _LOWEST_PRIORITY)
     prepaid = None if wire.prepaid is None else int(wire.prepaid)
-    return Organisation(wire.name, priority, prepaid)
+    regions = _decode_regions(wire.allowed_regions)
+    return Organisation(wire.name, priority, prepaid, regions)
 
 
 def _decode_limits(wire: _Limits) -> CallerBounds:
--- a/tests/test_platform_boot_file.py
+++ b/tests/test_platform_boot_file.py
@@ -57,6 +57,14 @@
         settings = parse_settings(f'{TEXT}bounds.evacuationMs=5000\n')
         self.assertEqual(5, settings.bounds.evacuation_s)
 
+    def test_regions_of_failure_domains(self):
+        self.assertEqual({}, parse_settings(TEXT).regions_by_domain)
+        text = f'{TEXT}zones.d0=eu-west\nzones.d.1=us\nzones.d2=\n'
+        self.assertEqual(
+            {'d0': 'eu-west', 'd.1': 'us'},
+            parse_settings(text).regions_by_domain,
+        )
+
     def test_error_names_missing_field(self):
         text = TEXT.replace('listen.ready', 'listen.other')
         self.assertIn('listen.ready', self.error_message(text))
