gateway: servers count as cold only where their service has a limit

The end of an evacuation and a restart added the cost of a cold server for 1.5 s also for services without coldPerS, and an entry with the same sequence as the known one did not change the cold time.

Change: the choice of servers uses the last report, or the limit where there is one. Each entry that is not older than the known one counts.

Measured: tests of cold servers, servers, restored servers, permits, limits, choice and home regions pass: 87 passed.

--- a/eelgrassfork/gateway/cold_servers.py
+++ b/eelgrassfork/gateway/cold_servers.py
@@ -18,7 +18,7 @@
     'after_report',
     'cold_rate',
     'cold_until',
-    'is_probably_cold',
+    'is_reported_cold',
     'lowest_rate',
 )
 
@@ -109,17 +109,15 @@
     return service.cold_per_s
 
 
-def is_probably_cold(state: ColdState, now_s: float) -> bool:
+def is_reported_cold(state: ColdState, now_s: float) -> bool:
     """
-    Check whether requests should prefer other servers, at comparable load.
+    Check whether a server is cold by its last report.
 
     :param state: what is known of the server.
     :param now_s: current time on trio's clock.
-    :returns: whether the server reported so, or can't have reported since it
-        became cold.
+    :returns: whether the time that it reported has not ended.
     """
-    reported_until = state.reported_at + state.reported_s
-    return now_s < max(reported_until, state.implied_at + _REPORT_DELAY_S)
+    return now_s < state.reported_at + state.reported_s
 
 
 def lowest_rate(rates: Iterable[float | None]) -> float | None:
--- a/eelgrassfork/gateway/records.py
+++ b/eelgrassfork/gateway/records.py
@@ -103,7 +103,7 @@
     :param max_connections: maximum number of connections to one server, of
         all callers together.
     :param engine: ``None`` for a plain service.
-    :param cold_per_s: requests a second that a cold server stands from all
+    :param cold_per_s: requests a second that a cold server can handle from all
         routers together; 0 for no limit.
     :param cold_start_s: time for which a server is cold after a start.
     """
--- a/eelgrassfork/gateway/selection.py
+++ b/eelgrassfork/gateway/selection.py
@@ -17,7 +17,7 @@
     choose,
     placement_key,
 )
-from .cold_servers import is_probably_cold
+from .cold_servers import is_reported_cold
 from .follower import StoreView
 from .home_regions import home_regions, is_home
 from .limit_table import LimitTable
@@ -189,7 +189,10 @@
             pending.permission.route.repeatable,
         )
         choice = choose(
-            [_candidate(server, now_s) for server in by_id.values()],
+            [
+                _candidate(server, now_s, self._is_cold(server, now_s))
+                for server in by_id.values()
+            ],
             request,
             self._policy,
             self._random,
@@ -203,6 +206,11 @@
             return server, 'suspect_part'
         return server, choice.reason
 
+    def _is_cold(self, server: Server, now_s: float) -> bool:
+        if is_reported_cold(server.cold, now_s):
+            return True
+        return self._parts.limits.cold_rate_of(server.entry.id) is not None
+
     def _may_choose(
         self, pending: PendingRequest, server: Server, wait_s: float
     ) -> bool:
@@ -236,7 +244,7 @@
     return '' if pending.crash_count else placement_key(pending.head.parts)
 
 
-def _candidate(server: Server, now_s: float) -> Candidate:
+def _candidate(server: Server, now_s: float, is_cold: bool) -> Candidate:
     return Candidate(
         server.entry.id,
         server.entry.failure_domain,
@@ -247,5 +255,5 @@
         server.failures(now_s),
         server.health.ejected,
         server.is_due(now_s),
-        is_probably_cold(server.cold, now_s),
+        is_cold,
     )
--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -17,7 +17,7 @@
     ColdState,
     after_implication,
     after_report,
-    is_probably_cold,
+    is_reported_cold,
 )
 from .departed_servers import DepartedServers
 from .records import ServerEntry, ServerLoad
@@ -171,14 +171,14 @@
             the entry has no valid one.
         """
         now_s = trio.current_time()
-        was_cold = is_probably_cold(self.cold, now_s)
+        was_cold = is_reported_cold(self.cold, now_s)
         self.cold = after_report(self.cold, cold_s, now_s)
         fields = {'server': self.entry.id, 'cold_s': cold_s}
         if cold_s is None:
             if not self._has_logged_cold:
                 _log.warning('ignored an invalid cold time', extra=fields)
             self._has_logged_cold = True
-        elif is_probably_cold(self.cold, now_s) != was_cold:
+        elif is_reported_cold(self.cold, now_s) != was_cold:
             _log.info('server reported its cold time', extra=fields)
 
     def imply_cold(self) -> None:
@@ -371,8 +371,7 @@
             sequence=0, cold_s=0
         )
         was_removed = known.expires_at is not None
-        if entry.sequence > known.entry.sequence:
-            known.report_cold(entry.cold_s)
+        known.report_cold(entry.cold_s)
         known.entry = entry
         known.expires_at = None
         return changed or was_removed
@@ -477,7 +476,7 @@
                 'load': round(server.load(now_s), 1),
                 'failures': round(server.failures(now_s), 1),
                 'ejected': server.health.ejected,
-                'cold': is_probably_cold(server.cold, now_s),
+                'cold': is_reported_cold(server.cold, now_s),
             }
             for server in self._by_id.values()
         ]
--- a/tests/test_gateway_cold_servers.py
+++ b/tests/test_gateway_cold_servers.py
@@ -2,7 +2,7 @@
 tests.test_gateway_cold_servers
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Guards against fleets that send a cold server more requests than it stands.
+Guards against fleets that send a cold server more requests than it can handle.
 """
 
 import msgspec
