tests: a router follows evacuations by the platform's protocol

Cause: the tests of evacuations used stores in memory only.

Change: one test puts and removes an object at the stand-in of the platform's store.

--- a/tests/test_gateway_evacuations.py
+++ b/tests/test_gateway_evacuations.py
@@ -13,7 +13,7 @@
 from eelgrassfork.gateway.follower import StoreView
 from eelgrassfork.gateway.server_records import ServerRecord, ServerRecords
 
-from . import mock_clock
+from . import gateway_world, mock_clock
 from .fault_schedule import run_seeded
 from .gateway_world import run_world
 from .simulated_fleet import Shape, simulate
@@ -196,3 +196,22 @@
         self.assertIn(b'no_server', body)
         self.assertIn('retry-after', answer.headers_by_name)
         self.assertEqual(['d0'], list(page['age_s_by_domain']))
+
+    def test_router_follows_the_objects_of_the_platform(self):
+        async def scenario(world, nursery):
+            statuses = []
+            for change in (
+                lambda: None,
+                lambda: world.store.put('evacuations', 'd0', ['any']),
+                lambda: world.store.remove('evacuations', 'd0'),
+            ):
+                change()
+                await trio.sleep(0.3)
+                answer, _ = await world.call('/look/1', f'r{len(statuses)}')
+                statuses.append(answer.status)
+            return statuses
+
+        settings = f'{gateway_world.SETTINGS}bounds.evacuationMs=5000\n'
+        self.patch(gateway_world, 'SETTINGS', settings)
+        found = run_world(scenario, plain=[['ok']])
+        self.assertEqual([200, 503, 200], found)
