--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -133,6 +133,11 @@
             'Prompt parts that are likely to end servers.',
             lambda: self._member.quarantine.count,
         )
+        self.telemetry.add_gauge(
+            'cold_servers',
+            'Backend servers that have a limit as they are cold.',
+            lambda: len(self._member.limits.cold_ids()),
+        )
         self.telemetry.add_gauge(
             'evacuated_domains',
             'Failure domains that get no new requests.',
@@ -354,6 +359,7 @@
                 self._member.permits,
                 self._member.quarantine,
                 self._settings.failure_domain,
+                self._settings.regions_by_domain,
             ),
         )
         return Sender(
--- a/eelgrassfork/gateway/node_settings.py
+++ b/eelgrassfork/gateway/node_settings.py
@@ -52,6 +52,7 @@
     :param is_contended: whether callers compete for more capacity than
         there is, so that requests wait for credit together and busy routers
         send some of theirs to others.
+    :param regions_by_domain: region of each failure domain, as far as known.
     """
 
     node: str
@@ -68,6 +69,7 @@
     first_start: bool = False
     link_mbps: float = 1
     is_contended: bool = False
+    regions_by_domain: dict[str, str] = {}
 
     @property
     def is_seed(self) -> bool:
--- a/eelgrassfork/gateway/records.py
+++ b/eelgrassfork/gateway/records.py
@@ -55,6 +55,8 @@
     :param resumable: whether a stream may be resumed on another server.
     :param max_event_gap_s: objective for the time between two events; 0 if
         answers are not streams.
+    :param allowed_regions: regions whose servers may get the requests;
+        ``None`` for all.
     """
 
     name: str
@@ -69,6 +71,7 @@
     anonymous: bool = False
     resumable: bool = False
     max_event_gap_s: float = 0
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -100,12 +103,17 @@
     :param max_connections: maximum number of connections to one server, of
         all callers together.
     :param engine: ``None`` for a plain service.
+    :param cold_per_s: requests a second that a cold server can handle from all
+        routers together; 0 for no limit.
+    :param cold_start_s: time for which a server is cold after a start.
     """
 
     name: str
     health_path: str
     max_connections: int
     engine: Engine | None = None
+    cold_per_s: float = 0
+    cold_start_s: float = 0
 
 
 class Organisation(NamedTuple):
@@ -114,11 +122,13 @@
 
     :param priority: overrides the priority of the route unless ``None``.
     :param prepaid_tokens: prepaid token budget; ``None`` if unlimited.
+    :param allowed_regions: as for routes; requests have to meet both lists.
     """
 
     name: str
     priority: int | None = None
     prepaid_tokens: int | None = None
+    allowed_regions: frozenset[str] | None = None
 
 
 class CallerBounds(NamedTuple):
@@ -156,7 +166,8 @@
     :param sequence: increases with each entry of one incarnation.
     :param leaving: whether the server is shutting down and accepts no more
         requests.
-    :param cold_s: remaining warm-up time, in which the server is slow.
+    :param cold_s: remaining warm-up time, in which the server is slow;
+        ``None`` if the entry has no valid one.
     """
 
     id: str
@@ -167,7 +178,7 @@
     incarnation: int
     sequence: int
     leaving: bool = False
-    cold_s: float = 0
+    cold_s: float | None = 0
 
 
 class ServerLoad(NamedTuple):
--- a/eelgrassfork/gateway/selection.py
+++ b/eelgrassfork/gateway/selection.py
@@ -17,7 +17,9 @@
     choose,
     placement_key,
 )
+from .cold_servers import is_reported_cold
 from .follower import StoreView
+from .home_regions import home_regions, is_home
 from .limit_table import LimitTable
 from .part_quarantine import PartQuarantine
 from .send_permits import SendPermits
@@ -42,6 +44,7 @@
     :param permits: permits to send requests to those servers.
     :param quarantine: knows the parts of prompts that are suspect.
     :param failure_domain: failure domain of this router.
+    :param regions_by_domain: region of each failure domain.
     """
 
     store_view: StoreView
@@ -49,6 +52,7 @@
     permits: SendPermits
     quarantine: PartQuarantine
     failure_domain: str
+    regions_by_domain: dict[str, str] = {}
 
 
 class Selection(NamedTuple):
@@ -92,7 +96,7 @@
         :returns: the server, for one send.
         :raises CallerDisconnected: if the caller is gone after the wait.
         """
-        if self._parts.limits.count and self.has_unlimited_server(
+        if self._parts.limits.may_limit(service) and self.has_unlimited_server(
             pending, service
         ):
             selection = await self._select(pending, service, wait_s=0)
@@ -120,7 +124,7 @@
             server.entry.id not in pending.tried
             and not server.health.ejected
             and self._parts.limits.limit_of(server.entry) is None
-            for server in self._usable(service)
+            for server in self._usable_at_home(pending, service)
         )
 
     def pause_left_s(self, service: str) -> float:
@@ -151,13 +155,28 @@
     def _usable(self, service: str) -> list[Server]:
         return self._parts.store_view.servers.usable(service)
 
+    def _usable_at_home(
+        self, pending: PendingRequest, service: str
+    ) -> list[Server]:
+        permission = pending.permission
+        allowed = home_regions(permission.route, permission.organisation)
+        usable = self._usable(service)
+        if allowed is None:
+            return usable
+        regions_by_domain = self._parts.regions_by_domain
+        return [
+            server
+            for server in usable
+            if is_home(server.entry.failure_domain, allowed, regions_by_domain)
+        ]
+
     def _choose(
         self, pending: PendingRequest, service: str, wait_s: float
     ) -> tuple[Server | None, str]:
         now_s = trio.current_time()
         by_id = {
             server.entry.id: server
-            for server in self._usable(service)
+            for server in self._usable_at_home(pending, service)
             if self._may_choose(pending, server, wait_s)
         }
         suspect_key = self._parts.quarantine.placement_key(
@@ -170,7 +189,10 @@
             pending.permission.route.repeatable,
         )
         choice = choose(
-            [_candidate(server, now_s) for server in by_id.values()],
+            [
+                _candidate(server, now_s, self._is_cold(server, now_s))
+                for server in by_id.values()
+            ],
             request,
             self._policy,
             self._random,
@@ -184,6 +206,11 @@
             return server, 'suspect_part'
         return server, choice.reason
 
+    def _is_cold(self, server: Server, now_s: float) -> bool:
+        if is_reported_cold(server.cold, now_s):
+            return True
+        return self._parts.limits.cold_rate_of(server.entry.id) is not None
+
     def _may_choose(
         self, pending: PendingRequest, server: Server, wait_s: float
     ) -> bool:
@@ -202,13 +229,13 @@
             return False
         pending.check_caller()
         # The server may have begun to leave during the wait.
-        return server in self._usable(server.entry.service)
+        return server in self._usable_at_home(pending, server.entry.service)
 
     def _is_limited(self, pending: PendingRequest, service: str) -> bool:
         return any(
             server.entry.id not in pending.tried
             and self._parts.limits.limit_of(server.entry) is not None
-            for server in self._usable(service)
+            for server in self._usable_at_home(pending, service)
         )
 
 
@@ -217,7 +244,7 @@
     return '' if pending.crash_count else placement_key(pending.head.parts)
 
 
-def _candidate(server: Server, now_s: float) -> Candidate:
+def _candidate(server: Server, now_s: float, is_cold: bool) -> Candidate:
     return Candidate(
         server.entry.id,
         server.entry.failure_domain,
@@ -228,5 +255,5 @@
         server.failures(now_s),
         server.health.ejected,
         server.is_due(now_s),
-        server.entry.cold_s > 0,
+        is_cold,
     )
--- a/eelgrassfork/platform/boot_file.py
+++ b/eelgrassfork/platform/boot_file.py
@@ -27,6 +27,8 @@
 _MS_PER_S: Final = 1000
 # Part of the users' rules under which callers compete for too little room.
 _PRESSURE_CONTRACT: Final = 'pressure'
+# The rest of the field is the name of a failure domain, its value the region.
+_ZONE_PREFIX: Final = 'zones.'
 
 _Option = TypeVar('_Option')
 
@@ -103,6 +105,11 @@
         link_mbps=_number_field(texts_by_field, 'limits.linkMbps', 1),
         is_contended=_PRESSURE_CONTRACT
         in texts_by_field.get('contracts', '').split(','),
+        regions_by_domain={
+            field.removeprefix(_ZONE_PREFIX): region
+            for field, region in texts_by_field.items()
+            if field.startswith(_ZONE_PREFIX) and region
+        },
     )
 
 
