--- a/eelgrassfork/gateway/expected_time.py
+++ b/eelgrassfork/gateway/expected_time.py
@@ -122,12 +122,14 @@
     :param last_s: seconds to the last event.
     :param fits: whether the memory of the server is enough for the request.
     :param speed: factor for the server that the estimate includes.
+    :param slowdown: present slowdown that it includes.
     """
 
     first_s: float
     last_s: float
     fits: bool
     speed: float
+    slowdown: float
 
 
 def decayed_slowdown(slowdown: float, age_s: float) -> float:
@@ -231,6 +233,7 @@
         speed * (last_s + extra * min(last_s, _SLOWDOWN_TIME_S)),
         excess_tokens <= 0,
         speed,
+        timing.slowdown,
     )
 
 
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -128,6 +128,11 @@
             'Backend servers that name a limit.',
             lambda: self._member.limits.count,
         )
+        self.telemetry.add_gauge(
+            'slowdown_servers',
+            'Backend servers that have reported a slowdown.',
+            lambda: self._store_view.servers.slowdown_count,
+        )
         self.telemetry.add_gauge(
             'quarantined_parts',
             'Prompt parts that are likely to end servers.',
--- a/eelgrassfork/gateway/sending.py
+++ b/eelgrassfork/gateway/sending.py
@@ -5,7 +5,7 @@
 State of a request from its arrival to its final answer.
 """
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 import trio
 
@@ -22,6 +22,9 @@
 __all__ = ('Attempt', 'AttemptFailed', 'ErrorAnswer', 'PendingRequest')
 
 
+_MS_PER_S: Final = 1000
+
+
 class AttemptFailed(EelgrassError):
     """
     An attempt returned no answer that may be relayed.
@@ -137,6 +140,17 @@
             'limit_per_s': self.limit_per_s,
             'outcome': self.outcome,
             'server_ended': self.server_ended,
+            **self._expected_fields(),
+        }
+
+    def _expected_fields(self) -> dict[str, object]:
+        if self._expected is None:
+            return {}
+        return {
+            'slowdown': round(self._expected.slowdown, 2),
+            'speed': round(self._expected.speed, 2),
+            'expected_first_ms': round(self._expected.first_s * _MS_PER_S),
+            'expected_last_ms': round(self._expected.last_s * _MS_PER_S),
         }
 
 
--- a/eelgrassfork/gateway/servers.py
+++ b/eelgrassfork/gateway/servers.py
@@ -286,6 +286,11 @@
             if server.expires_at is None
         )
 
+    @property
+    def slowdown_count(self) -> int:
+        """Number of known servers that have reported a slowdown."""
+        return sum(server.reports_slowdown for server in self._by_id.values())
+
     def count(self, service: str) -> int:
         """
         Count the servers of a service that have an entry.
--- a/tests/test_gateway_expected_time.py
+++ b/tests/test_gateway_expected_time.py
@@ -10,6 +10,7 @@
 import random
 
 import testtools
+import trio
 
 from eelgrassfork.gateway.choice import (
     Candidate,
@@ -27,8 +28,11 @@
     learnt_speed,
 )
 from eelgrassfork.gateway.records import ServerEntry, ServerLoad
+from eelgrassfork.gateway.sending import Attempt
 from eelgrassfork.gateway.servers import Server
 
+from .mock_clock import run
+
 IDLE = ServerTiming(16, 0, 0, 0, 1, 1, 1, 0, 0, 0, 0)
 SIZE = RequestSize(2000, 400)
 MEANS = FleetMeans(0.5, 1, 1)
@@ -125,6 +129,39 @@
         self.assertEqual((1, math.inf), (timing.speed, timing.speed_age_s))
 
 
+class AttemptTests(testtools.TestCase):
+    def test_attempt_logs_its_estimate_and_learns_from_the_first_event(self):
+        # Without it, an operator can't see why a server was chosen.
+        async def main():
+            server = Server(ENTRY)
+            attempt = Attempt(server, 'least_load', 0, 2000)
+            attempt.expect(estimate(slowdown=1.5), 2400)
+            in_flight = server.tokens_in_flight
+            await trio.sleep(3)
+            attempt.mark_begun()
+            attempt.close()
+            return server, in_flight, attempt.log_fields()
+
+        server, in_flight, fields = run(main)
+        self.assertEqual((2400, 0), (in_flight, server.tokens_in_flight))
+        self.assertGreater(server.speed, 1)
+        self.assertEqual((1.5, 1), (fields['slowdown'], fields['speed']))
+        self.assertLess(fields['expected_first_ms'], fields['expected_last_ms'])
+
+    def test_attempt_without_estimate_logs_and_learns_as_before(self):
+        async def main():
+            server = Server(ENTRY)
+            attempt = Attempt(server, 'least_load', 0, 2000)
+            attempt.expect(None, 2400)
+            attempt.mark_begun()
+            attempt.close()
+            return server, attempt.log_fields()
+
+        server, fields = run(main)
+        self.assertEqual(1, server.speed)
+        self.assertNotIn('slowdown', fields)
+
+
 class TimedChoiceTests(testtools.TestCase):
     def choose(self, timings, key='', routers=1, size=SIZE):
         candidates = [
