--- a/eelgrassfork/gateway/sender.py
+++ b/eelgrassfork/gateway/sender.py
@@ -163,6 +163,7 @@
             # The configuration may have changed during the selection.
             tokens_per_event(pending.permission.services_by_name.get(service)),
         )
+        attempt.expect(selection.expected, pending.head.max_total_tokens)
         pending.attempts.append(attempt)
         if selection.limit_per_s is not None:
             attempt.limit_per_s = selection.limit_per_s
--- a/eelgrassfork/gateway/sending.py
+++ b/eelgrassfork/gateway/sending.py
@@ -5,7 +5,7 @@
 State of a request from its arrival to its final answer.
 """
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 import trio
 
@@ -13,6 +13,7 @@
 from ..http_server import Call, CallerDisconnected
 from .configuration import Permission
 from .event_relay import EventRelay
+from .expected_time import ExpectedTime
 from .prices import UNKNOWN_TOKENS_PER_EVENT
 from .records import AnswerHead, ForwardHead
 from .request_digest import digest_request
@@ -22,6 +23,9 @@
 __all__ = ('Attempt', 'AttemptFailed', 'ErrorAnswer', 'PendingRequest')
 
 
+_MS_PER_S: Final = 1000
+
+
 class AttemptFailed(EelgrassError):
     """
     An attempt returned no answer that may be relayed.
@@ -84,6 +88,8 @@
         self.server_ended = False
         self.first_event_at: float | None = None
         self.started_at = trio.current_time()
+        self._expected: ExpectedTime | None = None
+        self._max_tokens = 0
         self._prefill_tokens = prompt_tokens
         self._is_prefilled = False
         server.in_flight += 1
@@ -95,10 +101,27 @@
         """Whether the server has prefilled the whole prompt."""
         return self._is_prefilled
 
+    def expect(self, expected: ExpectedTime | None, max_tokens: int) -> None:
+        """
+        Record what the request is expected to take of the server.
+
+        :param expected: expected duration; ``None`` unless servers of the
+            service report their slowdown.
+        :param max_tokens: maximum tokens of prompt and answer.
+        """
+        self._expected = expected
+        self._max_tokens = max_tokens
+        self.server.tokens_in_flight += max_tokens
+
     def mark_begun(self) -> None:
         """Record the first event of the answer."""
-        self.first_event_at = trio.current_time()
+        now_s = trio.current_time()
+        self.first_event_at = now_s
         self.mark_prefilled()
+        if self._expected is not None:
+            self.server.learn_speed(
+                self._expected, now_s - self.started_at, now_s
+            )
 
     def mark_prefilled(self) -> None:
         """Record that the server has prefilled the whole prompt."""
@@ -110,6 +133,7 @@
         """Record that the server no longer works on the request."""
         self.mark_prefilled()
         self.server.in_flight -= 1
+        self.server.tokens_in_flight -= self._max_tokens
 
     def log_fields(self) -> dict[str, object]:
         """
@@ -125,6 +149,17 @@
             'limit_per_s': self.limit_per_s,
             'outcome': self.outcome,
             'server_ended': self.server_ended,
+            **self._expected_fields(),
+        }
+
+    def _expected_fields(self) -> dict[str, object]:
+        if self._expected is None:
+            return {}
+        return {
+            'slowdown': round(self._expected.slowdown, 2),
+            'speed': round(self._expected.speed, 2),
+            'expected_first_ms': round(self._expected.first_s * _MS_PER_S),
+            'expected_last_ms': round(self._expected.last_s * _MS_PER_S),
         }
 
 
