gateway: accept an answer only with the id of its request

Cause: additional bytes after an earlier answer, late on a persistent connection and without X-Request-Id, were taken for the answer "not run" to the next request. Exchange._check_answer let an empty id pass, and read load, pause and shutdown before it compared ids.

Change: any answer needs the request's own id, a single one; otherwise the request may have run and the connection is dropped. A head with a status line within a header, where stray bytes were continued by the true answer, proves nothing. A body that begins with a status line is not relayed.

Ruled out: telling stray bytes by their time of arrival, as they may come after the request was written.

Tests: the raw server of test_gateway_unframed_answers and the simulated servers of simulated_callers answered without an id; they echo it now, as servers do. What the tests check is unchanged.

--- a/eelgrassfork/gateway/exchange.py
+++ b/eelgrassfork/gateway/exchange.py
@@ -7,6 +7,7 @@
 
 import math
 import random
+import re
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final, NamedTuple
@@ -40,6 +41,9 @@
 _log = logbook.Logger('exchange')
 
 _EVENT_STREAM: Final = 'text/event-stream'
+_HTTP_MESSAGES: Final = ('message/http', 'application/http')
+_STATUS_LINE: Final = re.compile(rb'HTTP/1\.[01] [1-5][0-9]{2}')
+_STATUS_LINE_BYTES: Final = 12
 # Routers and servers are a few milliseconds apart.
 _CONNECT_TIMEOUT_S: Final = 0.3
 # Callers take these statuses as a guarantee that the request has not run.
@@ -213,7 +217,7 @@
                 claim_failover,
             )
         else:
-            body = await response.read()
+            body = await self._read_body(attempt, response)
             await self._check_end(attempt, response)
             self._record_success(attempt)
             await pending.respond(answer, body)
@@ -227,14 +231,15 @@
         self, pending: PendingRequest, attempt: Attempt, response: Response
     ) -> AnswerHead:
         answer = self._parts.decode_response(response.status, response.headers)
+        if answer.request_id != pending.head.request_id:
+            # Bytes after an earlier answer on the connection belong to no
+            # request, and say nothing about the server.
+            raise self._crossed(
+                attempt, 'the answer does not have the id of the request'
+            )
         if answer.load is not None:
             attempt.server.update_load(answer.load, trio.current_time())
         _apply_server_requests(attempt.server, answer)
-        if answer.request_id not in {'', pending.head.request_id}:
-            self._record_failure(attempt)
-            raise AttemptFailed(
-                'crossed', 'the answer has the id of another request', False
-            )
         self._observe_limit(attempt, answer)
         if answer.not_run:
             raise self._not_run(attempt, answer)
@@ -245,6 +250,19 @@
             )
         return answer
 
+    def _crossed(self, attempt: Attempt, message: str) -> AttemptFailed:
+        self._record_failure(attempt)
+        return AttemptFailed('crossed', message, not_run=False)
+
+    async def _read_body(self, attempt: Attempt, response: Response) -> bytes:
+        body = await response.read()
+        start = body[:_STATUS_LINE_BYTES] + response.surplus
+        if not _STATUS_LINE.match(start):
+            return body
+        if _content_type(response).startswith(_HTTP_MESSAGES):
+            return body
+        raise self._crossed(attempt, 'the body begins with another answer')
+
     def _observe_limit(self, attempt: Attempt, answer: AnswerHead) -> None:
         # Another server may answer at the address of a former one.  Only a
         # complete success shows that a server no longer names a limit.
@@ -270,7 +288,7 @@
         response: Response,
         answer: AnswerHead,
     ) -> ErrorAnswer:
-        body = await response.read()
+        body = await self._read_body(attempt, response)
         attempt.outcome = f'http_{answer.status}'
         is_server_error = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if is_server_error:
@@ -410,6 +428,10 @@
         )
 
 
+def _content_type(response: Response) -> str:
+    return response.headers_by_name.get('content-type', '')
+
+
 def _is_success(answer: AnswerHead) -> bool:
     return HTTPStatus.OK <= answer.status < HTTPStatus.MULTIPLE_CHOICES
 
--- a/eelgrassfork/gateway/records.py
+++ b/eelgrassfork/gateway/records.py
@@ -239,10 +239,11 @@
     """
     Status and headers of a server's answer.
 
-    :param not_run: the server guarantees that it did not run the request.
+    :param not_run: the server guarantees that it did not run the request; a
+        proof only with the id of that request.
     :param sealed: the answer carries the server's proof of origin.
     :param request_id: id of the request that the server answers; empty if
-        the answer has none.
+        the answer has none or several.
     :param headers: end-to-end headers, to be forwarded.
     :param load: load report of the server; ``None`` without one.
     :param leaving: the server is shutting down and accepts no more requests.
--- a/eelgrassfork/http_client.py
+++ b/eelgrassfork/http_client.py
@@ -298,6 +298,11 @@
         self._silence_s = silence_s
         self._complete = False
 
+    @property
+    def surplus(self) -> bytes:
+        """Bytes that were received after the end of a complete response."""
+        return bytes(self._connection.protocol.trailing_data[0])
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """
         Read the body as it arrives.
--- a/eelgrassfork/platform/heads.py
+++ b/eelgrassfork/platform/heads.py
@@ -41,6 +41,7 @@
 # Higher than any rate at which the fleet sends requests.
 _MAX_LIMIT_PER_S: Final = 1_000_000.0
 _DECIMAL: Final = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+')
+_STATUS_LINE: Final = re.compile(r'HTTP/1\.[01] [1-5][0-9]{2}')
 _HTTP_DATE: Final = '%a, %d %b %Y %H:%M:%S GMT'
 # Length to which an invalid header value is truncated in the log.
 # Larger counts than any prompt or queue has, so that sums of them stay exact.
@@ -180,9 +181,9 @@
     texts_by_name = dict(headers)
     return AnswerHead(
         status=status,
-        not_run=_NOT_EXECUTED in texts_by_name or status == _MISDIRECTED,
+        not_run=_is_refused_early(status, headers),
         sealed=bool(texts_by_name.get(_RESPONSE_SEAL)),
-        request_id=texts_by_name.get(_REQUEST_ID, ''),
+        request_id=_decode_answered_id(headers),
         headers=_end_to_end_headers(headers, frozenset((_REQUEST_ID, _LOAD))),
         load=_parse_load(texts_by_name.get(_LOAD, '')),
         leaving=texts_by_name.get(_LEAVING, '').strip() == '1',
@@ -231,6 +232,20 @@
     return tuple((name, text) for name, text in headers if name not in excluded)
 
 
+def _is_refused_early(status: int, headers: Headers) -> bool:
+    names = {name for name, _ in headers}
+    if _NOT_EXECUTED not in names and status != _MISDIRECTED:
+        return False
+    # The beginning of a stray head may end within a header, so that the head
+    # of the true response continues it and adds the id of the request.
+    return not any(_STATUS_LINE.search(text) for _, text in headers)
+
+
+def _decode_answered_id(headers: Headers) -> str:
+    ids = {text for name, text in headers if name == _REQUEST_ID}
+    return ids.pop() if len(ids) == 1 else ''
+
+
 def _parse_token_counts(text: str) -> tuple[int, int]:
     prompt_tokens, _, max_output = text.partition(',')
     if not (prompt_tokens.isdecimal() and max_output.isdecimal()):
--- a/tests/simulated_callers.py
+++ b/tests/simulated_callers.py
@@ -47,6 +47,7 @@
 )
 # The users' rule on limits: the requests in a window, beyond those that the
 # limit allows, from routers that had passed on the limit for some time.
+REQUEST_ID = 'r1'
 WINDOW_S = 4
 EXCESS_FACTOR = 1.5
 EXCESS_REQUESTS = 5
@@ -105,7 +106,7 @@
             self.in_progress -= 1
 
     def headers(self):
-        headers = [('x-response-seal', self.name)]
+        headers = [('x-request-id', REQUEST_ID), ('x-response-seal', self.name)]
         if self.limit is not None:
             headers.append(('server-limit', self.limit))
         return tuple(headers)
@@ -139,10 +140,12 @@
     """Answer of a server as the HTTP client represents it."""
 
     is_unframed = False
+    surplus = b''
 
     def __init__(self, headers):
         self.status = 200
         self.headers = headers
+        self.headers_by_name = dict(headers)
 
     async def read(self):
         await trio.lowlevel.checkpoint()
@@ -293,5 +296,17 @@
 
 def make_head():
     return ForwardHead(
-        'r1', 'GET', '/', 'shop.example', '', '/', None, None, 0, 0, (), '', ()
+        REQUEST_ID,
+        'GET',
+        '/',
+        'shop.example',
+        '',
+        '/',
+        None,
+        None,
+        0,
+        0,
+        (),
+        '',
+        (),
     )
--- a/tests/test_gateway_unframed_answers.py
+++ b/tests/test_gateway_unframed_answers.py
@@ -66,8 +66,8 @@
                 return
             request += chunk
         self.answered += 1
-        head = '\r\n'.join(self.head_lines).encode()
-        await stream.send_all(head + b'\r\n\r\n' + self.body)
+        head = '\r\n'.join((*self.head_lines, request_id_line(request)))
+        await stream.send_all(head.encode() + b'\r\n\r\n' + self.body)
         await trio.sleep(0.05)
         if self.ending == 'exit':
             await self.listener.aclose()
@@ -76,6 +76,15 @@
         await stream.aclose()
 
 
+def request_id_line(request):
+    (line,) = (
+        line
+        for line in request.decode().split('\r\n')
+        if line.lower().startswith('x-request-id:')
+    )
+    return line
+
+
 def play(path, raw, **scripts):
     """Send requests until the raw server has answered one of them."""
     service = 'plain' if path.startswith('/look') else 'model'
