gateway: take the end of a connection for the end of an answer only with proof

Cause: Exchange._check_end asked CrashDetector.has_ended, whether a server ended against its plan. That is no for a server that leaves or was removed, and whenever it can't be found out.

Change: an answer with neither length nor chunks is complete only if a connection to its server, opened after the end, is accepted, and no later incarnation is known. Evidence of crashes against requests is as before.

Ruled out: the age of the server's report of its shutdown, as a server may crash at any age of it.

Cost: a whole answer of a server that stops listening within milliseconds counts as broken.

--- a/eelgrassfork/gateway/exchange.py
+++ b/eelgrassfork/gateway/exchange.py
@@ -218,7 +218,6 @@
             )
         else:
             body = await self._read_body(attempt, response)
-            await self._check_end(attempt, response)
             self._record_success(attempt)
             await pending.respond(answer, body)
         attempt.outcome = 'answered'
@@ -256,6 +255,7 @@
 
     async def _read_body(self, attempt: Attempt, response: Response) -> bytes:
         body = await response.read()
+        await self._check_end(attempt, response)
         start = body[:_STATUS_LINE_BYTES] + response.surplus
         if not _STATUS_LINE.match(start):
             return body
@@ -339,9 +339,21 @@
         # an answer.
         if not response.is_unframed:
             return
-        lost = ConnectionLost('connection_lost', 'the server ended', sent=True)
-        if await self._parts.crashes.has_ended(attempt.server, lost):
-            raise lost
+        survived = await self._parts.crashes.survival.has_survived(
+            attempt.server
+        )
+        if not survived or self._was_replaced(attempt.server):
+            raise ConnectionLost(
+                'connection_lost', 'the server may have ended', sent=True
+            )
+
+    def _was_replaced(self, server: Server) -> bool:
+        # A later process may listen at the address of one that ended.
+        return any(
+            entry.id == server.entry.id
+            and entry.incarnation > server.entry.incarnation
+            for entry in self._parts.store_view.servers.entries
+        )
 
     async def _next_chunk(
         self,
--- a/eelgrassfork/gateway/server_crashes.py
+++ b/eelgrassfork/gateway/server_crashes.py
@@ -17,6 +17,7 @@
     HttpClientError,
     ReceiveTimeout,
 )
+from .server_survival import SurvivalChecks
 from .servers import Server
 
 __all__ = ('CrashDetector',)
@@ -33,10 +34,12 @@
 
     :param client: HTTP client for servers.
     :ivar count_crash: called with the service of each server that ended.
+    :ivar survival: tells whether a server that closed a connection still runs.
     """
 
     def __init__(self, client: HttpClient) -> None:
         self._client = client
+        self.survival = SurvivalChecks(client)
         self.count_crash: Callable[[str], None] = _ignore
         self._checks_by_server: dict[Server, trio.Event] = {}
 
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -7,7 +7,6 @@
 
 import itertools
 from collections.abc import Awaitable, Callable
-from functools import partial
 from typing import NamedTuple
 
 import trio
@@ -64,15 +63,32 @@
         self.runs: list[str] = []
         self.connections = 0
         self._answer = answer
+        self._listening = trio.CancelScope()
+        self._stopped = trio.Event()
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Listen on a port of its own."""
-        listeners = await nursery.start(
-            partial(trio.serve_tcp, self._serve, 0, host='127.0.0.1')
-        )
+        listeners = await nursery.start(self._listen, nursery)
         port = listeners[0].socket.getsockname()[1]
         self.address = f'127.0.0.1:{port}'
 
+    async def stop_listening(self) -> None:
+        """Refuse further connections, as after the end of the process."""
+        self._listening.cancel()
+        await self._stopped.wait()
+
+    async def _listen(self, nursery, task_status=trio.TASK_STATUS_IGNORED):
+        # Exchanges in progress outlive the listening socket.
+        with self._listening:
+            await trio.serve_tcp(
+                self._serve,
+                0,
+                host='127.0.0.1',
+                handler_nursery=nursery,
+                task_status=task_status,
+            )
+        self._stopped.set()
+
     async def _serve(self, stream: trio.SocketStream) -> None:
         self.connections += 1
         try:
