--- a/tests/router_process.py
+++ b/tests/router_process.py
@@ -227,9 +227,10 @@
 
     :param store: address of the store.
     :param stdout: file descriptor of its standard output; by default a file.
+    :param more: further lines of the settings file.
     """
 
-    def __init__(self, store, stdout=None):
+    def __init__(self, store, stdout=None, more=''):
         self._folder = tempfile.TemporaryDirectory()
         self.path = Path(self._folder.name, 'settings.conf')
         ip = next(own_ips)
@@ -239,7 +240,7 @@
             SETTINGS.replace('127.0.0.1', ip)
             .replace('graceS=3', f'graceS={GRACE_S}')
             .format(ports=PORTS, store=store)
-        )
+        ) + more
         self.path.write_text(self.settings)
         self.program = Program(
             ('eelgrassfork.platform',),
