http: bound what callers and servers make a router hold

Bodies were read up to the limit whatever others held, answers that nobody reads were kept for ever, each connection was accepted, and an error page of a server grew a router by 16 MB.

Listeners and clients now claim from the account: an announced size before the body is read (413 over the limit, 503 router_busy where it does not fit; the request has not run), other bodies as they grow. A stalled holder is ended for others, a body below its rate gets 408, a caller that reads nothing is disconnected, and connections beyond a share of the descriptors replace the one idle longest or get 503. Small chunks take turns. Error pages are cut after 64 KiB; a request's body is no longer copied when it is sent on. Peers, readiness, metrics and operators have a reserve. Settings limits.memoryMb and limits.maxFds, memory_mb and max_descriptors; metrics by kind and reason.

--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -12,10 +12,13 @@
 import logbook
 import trio
 
-from ..http_client import HttpClient
+from ..http_client import HttpClient, hold_bodies
 from ..http_server import HttpServer, ServerLimits
 from ..loop_watch import LoopDelayMonitor
+from ..memory_account import Account, ListenerShare
+from ..memory_policy import derive_limits
 from ..supervision import keep_running, run_step
+from .account_metrics import add_account_metrics
 from .credit_exchange import CreditExchange
 from .credit_keeper import CreditKeeper, CreditKeeperParts
 from .exchange import Exchange, ExchangeParts, ForwardMetadata
@@ -89,12 +92,19 @@
         self._settings = settings
         self._adapter = adapter
         self._incarnation = unix_ms()
-        self._http_client = HttpClient()
+        self._account = Account(
+            derive_limits(settings.memory_mb, settings.max_fds)
+        )
+        self._http_client = HttpClient(
+            hold_body=hold_bodies(self._account, 'control_body')
+        )
         self._server_http_client = HttpClient(
             max_idle=_MAX_IDLE_SERVER_CONNECTIONS,
             max_idle_s=_SERVER_CONNECTION_IDLE_S,
+            hold_body=hold_bodies(self._account, 'server_body'),
         )
         self.telemetry = Telemetry()
+        add_account_metrics(self.telemetry, self._account)
         self.telemetry.add_gauge(
             'server_connections_opened',
             'Connections opened to backend servers.',
@@ -153,12 +163,22 @@
         self._credit_exchange.lend = self._credit.lender.lend
         self._sender = self._make_sender()
         self._forwarder = self._make_forwarder()
-        self._caller_listener = HttpServer(self._forwarder.forward)
-        self._peer_listener = HttpServer(self._member.exchange.serve)
+        share = partial(ListenerShare, self._account, is_system=True)
+        self._caller_listener = HttpServer(
+            self._forwarder.forward,
+            share=ListenerShare(self._account, 'callers'),
+        )
+        self._peer_listener = HttpServer(
+            self._member.exchange.serve, share=share('peers')
+        )
         pages = StatusPages(self.telemetry, self._is_ready, self.dump)
         pages.lift = self._member.quarantine.lift
-        self._readiness_listener = HttpServer(pages.serve_readiness)
-        self._metrics_listener = HttpServer(pages.serve_metrics)
+        self._readiness_listener = HttpServer(
+            pages.serve_readiness, share=share('readiness')
+        )
+        self._metrics_listener = HttpServer(
+            pages.serve_metrics, share=share('metrics')
+        )
         self.failed = trio.Event()
         for server in self._servers():
             server.on_failure = self.failed.set
@@ -254,6 +274,9 @@
         :param reason: cause of the reload, for the log.
         """
         self._settings = settings
+        self._account.limits = derive_limits(
+            settings.memory_mb, settings.max_fds
+        )
         self._sender.change_retry_policy(_retry_policy(settings.bounds))
         _log.info('settings reloaded', extra={'why': reason})
 
@@ -289,6 +312,7 @@
             'permits': self._member.permits.dump(),
             'peers': describe_peers(list(self._roster.peers.by_node.values())),
             'credit': self._credit.dump(),
+            'memory': self._account.dump(),
         }
 
     def _servers(self) -> tuple[HttpServer, ...]:
--- a/eelgrassfork/gateway/node_settings.py
+++ b/eelgrassfork/gateway/node_settings.py
@@ -45,6 +45,8 @@
     :param seeds: peer addresses of some VMs, which may be down.
     :param first_start: whether the whole fleet starts for the first time.
     :param link_mbps: bandwidth of the VM's network link, in Mbit/s.
+    :param memory_mb: memory of the VM, in MB; 0 if unknown.
+    :param max_fds: file descriptors that the process may open; 0 if unknown.
     """
 
     node: str
@@ -60,6 +62,8 @@
     bounds: Bounds
     first_start: bool = False
     link_mbps: float = 1
+    memory_mb: float = 0
+    max_fds: float = 0
 
     @property
     def is_seed(self) -> bool:
--- a/eelgrassfork/gateway/telemetry.py
+++ b/eelgrassfork/gateway/telemetry.py
@@ -5,7 +5,7 @@
 Counters, gauges and latency histograms of the gateway for Prometheus.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
@@ -152,6 +152,28 @@
         gauge = Gauge(name, description, (), _PREFIX, registry=self._registry)
         gauge.set_function(read)
 
+    def add_gauges(
+        self,
+        name: str,
+        description: str,
+        label: str,
+        reads_by_text: Mapping[str, Callable[[], float]],
+    ) -> None:
+        """
+        Export values that another component maintains, with one label.
+
+        :param name: name of the gauge, without the common prefix.
+        :param description: help text of the gauge.
+        :param label: name of the label.
+        :param reads_by_text: by text of the label, a function that returns
+            the current value.
+        """
+        gauge = Gauge(
+            name, description, (label,), _PREFIX, registry=self._registry
+        )
+        for text, read in reads_by_text.items():
+            gauge.labels(text).set_function(read)
+
     def render(self) -> bytes:
         """
         Render all metrics.
--- a/eelgrassfork/http_client.py
+++ b/eelgrassfork/http_client.py
@@ -13,6 +13,8 @@
 import trio
 
 from .errors import EelgrassError
+from .memory_account import Account, Kind
+from .memory_policy import SMALL_BYTES, Share
 from .transport import TCP, Transport, is_readable
 
 __all__ = (
@@ -24,6 +26,7 @@
     'HttpClientError',
     'ConnectionLost',
     'Response',
+    'hold_bodies',
 )
 
 _RECEIVE_BYTES: Final = 65536
@@ -37,6 +40,12 @@
 _SMALL_REQUEST_BYTES: Final = 4096
 # Twice the largest request body; bounds responses that never end.
 _MAX_BODY_BYTES: Final = 16_777_216
+# Error pages are short; one without end must not fill the memory.
+_MAX_ERROR_PAGE_BYTES: Final = 65536
+_FIRST_ERROR_STATUS: Final = 400
+# Chunks that are read before other tasks run.
+_CHUNKS_PER_TURN: Final = 32
+_ROOM_POLL_S: Final = 0.05
 _MAX_INFORMATIONAL: Final = 16
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 _FRAMING_HEADERS: Final = frozenset(('content-length', 'transfer-encoding'))
@@ -151,10 +160,13 @@
         self, request: ClientRequest, bounds: ClientTimeouts
     ) -> h11.Response:
         encoded = self._encode(request)
-        if len(encoded) <= _SMALL_REQUEST_BYTES:
-            await self._send(encoded)
+        if len(encoded) + len(request.body) <= _SMALL_REQUEST_BYTES:
+            await self._send(encoded + request.body)
             return await self._receive_head(bounds)
-        return await self._send_large_and_receive(encoded, bounds)
+        pieces = (encoded, request.body)
+        if len(request.body) <= _RECEIVE_BYTES:
+            pieces = (encoded + request.body, b'')
+        return await self._send_large_and_receive(pieces, bounds)
 
     def is_usable(self, max_idle_s: float) -> bool:
         # Data or an end of stream that arrives between two responses belongs
@@ -188,8 +200,12 @@
         )
         encoded = self.protocol.send(head) or b''
         if request.body:
-            encoded += self.protocol.send(h11.Data(data=request.body)) or b''
-        return encoded + (self.protocol.send(h11.EndOfMessage()) or b'')
+            # Returns the body itself: a large one is not copied.
+            self.protocol.send_with_data_passthrough(
+                h11.Data(data=request.body)
+            )
+        self.protocol.send(h11.EndOfMessage())
+        return encoded
 
     async def _send(self, encoded: bytes) -> None:
         try:
@@ -200,14 +216,14 @@
             ) from None
 
     async def _send_large_and_receive(
-        self, encoded: bytes, bounds: ClientTimeouts
+        self, pieces: tuple[bytes, bytes], bounds: ClientTimeouts
     ) -> h11.Response:
         # A server may respond before it has read all of a large request. The
         # rest of the request is then not sent, so the connection can't be
         # reused.
         outcome: list[h11.Response | HttpClientError] = []
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._send_large, encoded)
+            nursery.start_soon(self._send_large, pieces)
             try:
                 outcome.append(await self._receive_head(bounds))
             except HttpClientError as error:
@@ -217,10 +233,11 @@
             raise outcome[0]
         return outcome[0]
 
-    async def _send_large(self, encoded: bytes) -> None:
+    async def _send_large(self, pieces: tuple[bytes, bytes]) -> None:
         self.fully_sent = False
         try:
-            await self.stream.send_all(encoded)
+            for piece in pieces:
+                await self.stream.send_all(piece)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
         self.fully_sent = True
@@ -259,6 +276,35 @@
     return ConnectionLost('connection_lost', message, sent=True)
 
 
+class _HeldBody:
+    """Memory that the body of one response takes."""
+
+    def __init__(self, account: Account, kind: Kind) -> None:
+        self._account = account
+        self._kind: Kind = kind
+        self._size = 0
+
+    def claim_up_to(self, size: int) -> bool:
+        more = size - self._size
+        if more > 0 and not self._claim(more):
+            return False
+        self._size = max(size, self._size)
+        return True
+
+    def release(self) -> None:
+        self._account.hold(self._kind, -self._size)
+        self._size = 0
+
+    def _claim(self, more: int) -> bool:
+        if self._kind == 'control_body':
+            # Peers and the store are trusted, and serve all callers.
+            self._account.hold(self._kind, more)
+            return True
+        is_small = self._size + more <= SMALL_BYTES
+        share = Share.small if is_small else Share.server_body
+        return self._account.claim(self._kind, more, share, self._size)
+
+
 class Response:
     """
     Response to a request; the body can be read only once, as a whole or in chunks.
@@ -269,6 +315,7 @@
     :ivar status: HTTP status.
     :ivar headers: all headers in order, with lower-case names.
     :ivar headers_by_name: headers by lower-case name.
+    :ivar is_cut: whether :meth:`read` has left out the end of the body.
     :ivar is_unframed: whether the body has neither a length nor chunks, so
         that it ends with the connection.
     """
@@ -297,6 +344,9 @@
         self._address = request.address
         self._silence_s = silence_s
         self._complete = False
+        self._held = client.hold_body()
+        self._is_head = request.method == 'HEAD'
+        self.is_cut = False
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """
@@ -328,25 +378,58 @@
                 return bytes(event.data)
         return b''
 
-    async def read(self) -> bytes:
+    async def read(self, max_bytes: int | None = None) -> bytes:
         """
-        Read the complete body.
+        Read the complete body, or the beginning of one that is too large.
 
+        :param max_bytes: length after which the body is cut; the connection
+            is then closed. By default error pages are cut after 64 KiB, and
+            other bodies must not have more than 16 MiB.
         :returns: the body.
         :raises HttpClientError: if the response is truncated, times out or is
-            too large.
+            too large, or no memory is free for it in time.
         """
+        if max_bytes is None and self.status >= _FIRST_ERROR_STATUS:
+            max_bytes = _MAX_ERROR_PAGE_BYTES
+        limit = _MAX_BODY_BYTES if max_bytes is None else max_bytes
         body = bytearray()
+        chunks = 0
+        await self._claim(min(self._announced_size(), limit))
         async for chunk in self.chunks():
             body += chunk
-            if len(body) > _MAX_BODY_BYTES:
-                raise _connection_lost(
-                    f'response body exceeds {_MAX_BODY_BYTES} bytes'
-                )
+            if len(body) > limit:
+                return self._cut(body, limit, max_bytes is not None)
+            await self._claim(len(body))
+            chunks += 1
+            if not chunks % _CHUNKS_PER_TURN:
+                await trio.lowlevel.checkpoint()
         return bytes(body)
 
+    def _cut(self, body: bytearray, limit: int, may_cut: bool) -> bytes:
+        if not may_cut:
+            raise _connection_lost(f'response body exceeds {limit} bytes')
+        self.is_cut = True
+        return bytes(body[:limit])
+
+    def _announced_size(self) -> int:
+        text = self.headers_by_name.get('content-length', '')
+        return int(text) if text.isdecimal() and not self._is_head else 0
+
+    async def _claim(self, size: int) -> None:
+        if self._held.claim_up_to(size):
+            return
+        # The server waits meanwhile, as nothing is read.
+        with trio.move_on_after(self._silence_s):
+            while not self._held.claim_up_to(size):
+                await trio.sleep(_ROOM_POLL_S)
+            return
+        raise ReceiveTimeout(
+            'connection_silent', 'no memory is free for the response', sent=True
+        )
+
     async def close(self) -> None:
         """Return the connection to the pool if it is reusable, or close it."""
+        self._held.release()
         protocol = self._connection.protocol
         states = (protocol.our_state, protocol.their_state)
         clean = self._connection.fully_sent and not protocol.trailing_data[0]
@@ -360,6 +443,21 @@
         await self._connection.close()
 
 
+def hold_bodies(account: Account, kind: Kind) -> Callable[[], _HeldBody]:
+    """
+    Count the bodies of a client's responses, from their reading to their end.
+
+    :param account: account of the process.
+    :param kind: ``server_body`` waits for room, ``control_body`` does not.
+    :returns: argument of :class:`HttpClient`.
+    """
+
+    def hold_body() -> _HeldBody:
+        return _HeldBody(account, kind)
+
+    return hold_body
+
+
 class HttpClient:
     """
     Sends requests over pooled connections.
@@ -369,6 +467,8 @@
     :param transport: opens the connections.
     :param max_idle_s: longest time for which an idle connection is kept, in
         seconds.
+    :param hold_body: from :func:`hold_bodies`; by default bodies are not
+        counted.
     :ivar connections_opened: number of connections opened so far.
     """
 
@@ -378,10 +478,12 @@
         max_idle: int = 8,
         transport: Transport = TCP,
         max_idle_s: float = _MAX_IDLE_S,
+        hold_body: Callable[[], _HeldBody] | None = None,
     ) -> None:
         self._timeouts = timeouts or ClientTimeouts()
         self._max_idle = max_idle
         self._max_idle_s = max_idle_s
+        self.hold_body = hold_body or hold_bodies(Account(), 'server_body')
         self.connections_opened = 0
         self._transport = transport
         self._idle_by_address: dict[str, list[_Connection]] = {}
--- a/eelgrassfork/http_server.py
+++ b/eelgrassfork/http_server.py
@@ -14,8 +14,19 @@
 import trio
 
 from .errors import RequestError, error_body
+from .http_body import BodyLimits, BodyReader, announced_size
+from .http_head import HEAD_RECEIVE_BYTES, HeadLimits, HeadReader
+from .http_stream import CallerDisconnected, HeldStream
+from .memory_account import Account, ListenerShare
+from .memory_policy import find_idle
 from .names import new_request_id
-from .transport import TCP, BoundListeners, TcpListener, Transport, has_ended
+from .transport import (
+    TCP,
+    BoundListeners,
+    TcpListener,
+    Transport,
+    close_now,
+)
 
 __all__ = (
     'HOP_BY_HOP',
@@ -29,7 +40,7 @@
 
 _log = logbook.Logger('http')
 
-_RECEIVE_BYTES: Final = 65536
+_DISCONNECT_POLL_S: Final = 0.25
 _MAX_PIPELINED_BYTES: Final = 65536
 _HEADERS_TOO_LARGE_STATUS: Final = 431
 _JSON: Final = (('content-type', 'application/json'),)
@@ -60,10 +71,6 @@
     idle_timeout_s: float = 75
 
 
-class CallerDisconnected(Exception):
-    """The caller closed or broke the connection before the response ended."""
-
-
 class Call:
     """
     One request on a server connection, and the response to it.
@@ -190,7 +197,7 @@
 
         :returns: whether the connection is closed.
         """
-        return self.disconnected.is_set() or self._connection.has_ended
+        return self.disconnected.is_set() or self._connection.stream.has_ended
 
     def close_after_response(self) -> None:
         """Close the connection after the response, with ``connection: close``."""
@@ -198,21 +205,19 @@
 
     async def abort(self) -> None:
         """Close the connection, so that the caller sees a truncated response."""
-        await self._connection.close()
+        await self._connection.stream.close()
 
 
 Handler = Callable[[Call], Awaitable[None]]
 
 
 class _Connection:
-    def __init__(self, stream: trio.abc.Stream, limits: ServerLimits) -> None:
-        self._stream = stream
+    def __init__(self, stream: HeldStream, limits: ServerLimits) -> None:
+        self.stream = stream
         self._limits = limits
-        self._received_at = trio.current_time()
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
-        )
+        self._h11 = _new_protocol(limits)
         self._pipelined_bytes = 0
+        self.idle_since: float | None = trio.current_time()
         self.busy = False
         self.closing = False
 
@@ -222,23 +227,13 @@
     async def send(self, event: h11.Event) -> None:
         encoded = self._h11.send(event)
         if encoded:
-            try:
-                await self._stream.send_all(encoded)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                raise CallerDisconnected from None
-
-    @property
-    def has_ended(self) -> bool:
-        return has_ended(self._stream)
-
-    async def close(self) -> None:
-        with trio.CancelScope(shield=True):
-            await trio.aclose_forcefully(self._stream)
+            await self.stream.send(encoded)
 
     async def serve(self, handler: Handler) -> None:
         try:
             while await self._serve_request(handler):
                 self._h11.start_next_cycle()
+                self.idle_since = trio.current_time()
         except (CallerDisconnected, h11.LocalProtocolError):
             self.closing = True
         except Exception:
@@ -246,17 +241,11 @@
             _log.exception('http: connection handler failed')
             self.closing = True
         finally:
-            await self.close()
+            self.stream.holding.release()
+            await self.stream.close()
 
     async def _serve_request(self, handler: Handler) -> bool:
-        try:
-            call = await self._read_call()
-        except h11.RemoteProtocolError as error:
-            await self._reject(_to_request_error(error))
-            return False
-        except RequestError as error:
-            await self._reject(error)
-            return False
+        call = await self._read_or_reject()
         if call is None:
             return False
         self.busy = True
@@ -264,6 +253,7 @@
             await self._handle_call(handler, call)
         finally:
             self.busy = False
+            self.stream.holding.release()
         states = (self._h11.our_state, self._h11.their_state)
         return states == (h11.DONE, h11.DONE) and not self.closing
 
@@ -271,133 +261,133 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_for_disconnect, call)
             try:
-                await self._run_handler(handler, call)
+                await _run_handler(handler, call)
             except CallerDisconnected:
                 self.closing = True
             nursery.cancel_scope.cancel()
 
-    async def _run_handler(self, handler: Handler, call: Call) -> None:
-        try:
-            await handler(call)
-        except RequestError as error:
-            await self._fail(call, error)
-        except CallerDisconnected:
-            raise
-        except Exception:
-            _log.exception('http: request {} failed', call.request_id)
-            message = 'the router failed to handle the request'
-            failure = RequestError('internal_error', message, 'unknown')
-            await self._fail(call, failure)
-
-    async def _fail(self, call: Call, error: RequestError) -> None:
-        if call.started:
-            await call.abort()
-            return
-        await call.fail(error)
-
     async def _watch_for_disconnect(self, call: Call) -> None:
+        holding = self.stream.holding
         while not call.disconnected.is_set():
-            received = await self._receive_some()
-            self._pipelined_bytes += len(received)
-            if not received or self._pipelined_bytes > _MAX_PIPELINED_BYTES:
+            size = await self._receive_ahead()
+            self._pipelined_bytes += size
+            if not size or self._pipelined_bytes > _MAX_PIPELINED_BYTES:
                 call.disconnected.set()
-                return
+            elif not holding.claim('pipelined', size):
+                holding.hold('pipelined', size)
+                await _poll_for_disconnect(self.stream, call)
+
+    async def _receive_ahead(self) -> int:
+        received = await self.stream.receive(HEAD_RECEIVE_BYTES)
+        if received:
             self._h11.receive_data(received)
+        return len(received)
+
+    async def _read_or_reject(self) -> Call | None:
+        try:
+            return await self._read_call()
+        except (h11.RemoteProtocolError, RequestError) as error:
+            refusal = _to_request_error(error)
+        # The traceback would keep received data until the connection closes.
+        refusal.__traceback__ = None
+        await self._reject(refusal)
+        return None
 
     async def _read_call(self) -> Call | None:
         limits = self._limits
         self._pipelined_bytes = 0
-        idle_scope = trio.move_on_after(limits.idle_timeout_s)
-        with idle_scope:
-            if not await self._wait_for_data():
-                return None
-        if idle_scope.cancelled_caught:
+        head_reader = HeadReader(
+            self._h11,
+            self.stream,
+            HeadLimits(
+                limits.max_header_bytes,
+                limits.header_timeout_s,
+                limits.idle_timeout_s,
+            ),
+        )
+        if not await head_reader.wait():
             return None
-        self._received_at = trio.current_time()
-        head_scope = trio.move_on_after(limits.header_timeout_s)
-        event: object = None
-        with head_scope:
-            event = await self._next_event()
-        if head_scope.cancelled_caught:
-            raise RequestError(
-                'request_timeout',
-                'the request headers were not received in time',
-            )
-        if not isinstance(event, h11.Request):
+        received_at = trio.current_time()
+        request = await head_reader.read()
+        if request is None:
             return None
-        self._check_header_size(event)
-        body = await self._read_body()
-        return Call(self, event, body, self._received_at)
-
-    def _check_header_size(self, request: h11.Request) -> None:
-        # h11 limits the size only while the headers are incomplete.
-        size = sum(len(name) + len(text) for name, text in request.headers)
-        if size > self._limits.max_header_bytes:
-            raise RequestError(
-                'headers_too_large', 'the request headers are too large'
-            )
+        self.idle_since = None
+        body = await self._read_body(request)
+        return Call(self, request, body, received_at)
 
-    async def _read_body(self) -> bytes:
-        body = bytearray()
-        with trio.move_on_after(self._limits.body_timeout_s):
-            while True:
-                event = await self._next_event()
-                if not isinstance(event, h11.Data):
-                    break
-                body += event.data
-                if len(body) > self._limits.max_body_bytes:
-                    raise RequestError(
-                        'body_too_large',
-                        f'request body exceeds {self._limits.max_body_bytes} bytes',
-                    )
-            if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            raise CallerDisconnected
-        raise RequestError(
-            'request_timeout', 'the request body was not received in time'
+    async def _read_body(self, request: h11.Request) -> bytes:
+        limits = self._limits
+        reader = BodyReader(self._h11, self._receive_body, self.stream.holding)
+        return await reader.read(
+            announced_size(request),
+            BodyLimits(limits.max_body_bytes, limits.body_timeout_s),
+            self.stream.new_scope(),
         )
 
-    async def _wait_for_data(self) -> bool:
-        if self._h11.trailing_data[0]:
-            return True
-        received = await self._receive_some()
-        self._h11.receive_data(received)
-        return bool(received)
-
-    async def _next_event(self) -> object:
-        while True:
-            event = self._h11.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            if self._h11.they_are_waiting_for_100_continue:
-                await self.send(
-                    h11.InformationalResponse(status_code=100, headers=[])
-                )
-            self._h11.receive_data(await self._receive_some())
-
-    async def _receive_some(self) -> bytes:
-        try:
-            return bytes(await self._stream.receive_some(_RECEIVE_BYTES))
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return b''
+    async def _receive_body(self, max_bytes: int) -> None:
+        if self._h11.they_are_waiting_for_100_continue:
+            await self.send(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+        self._h11.receive_data(await self.stream.receive(max_bytes))
 
     async def _reject(self, error: RequestError) -> None:
+        stream = self.stream
+        stream.holding.release()
         if self._h11.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
         self.closing = True
-        body = error_body(error, new_request_id())
-        await self.send(
-            h11.Response(
-                status_code=error.status,
-                headers=[
-                    *_JSON,
-                    ('content-length', str(len(body))),
-                    ('connection', 'close'),
-                ],
-            ),
-        )
-        await self.send(h11.Data(data=body))
-        await self.send(h11.EndOfMessage())
+        refusal = _encode_refusal(self._h11, error)
+        # The old one may have received data that nobody reads any more.
+        self._h11 = _new_protocol(self._limits)
+        await stream.send(refusal)
+        if not stream.holding.is_ended:
+            await stream.discard_rest()
+
+
+def _new_protocol(limits: ServerLimits) -> h11.Connection:
+    return h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+    )
+
+
+def _encode_refusal(protocol: h11.Connection, error: RequestError) -> bytes:
+    body = error_body(error, new_request_id())
+    headers = [*_JSON, ('content-length', str(len(body)))]
+    if error.retry_after_s is not None:
+        headers.append(('retry-after', str(round(error.retry_after_s))))
+    head = h11.Response(
+        status_code=error.status, headers=[*headers, ('connection', 'close')]
+    )
+    events = (head, h11.Data(data=body), h11.EndOfMessage())
+    return b''.join(protocol.send(event) or b'' for event in events)
+
+
+async def _poll_for_disconnect(stream: HeldStream, call: Call) -> None:
+    # Nothing more is read ahead while memory is short.
+    while not stream.has_ended:
+        await trio.sleep(_DISCONNECT_POLL_S)
+    call.disconnected.set()
+
+
+async def _run_handler(handler: Handler, call: Call) -> None:
+    try:
+        await handler(call)
+    except RequestError as error:
+        await _fail(call, error)
+    except CallerDisconnected:
+        raise
+    except Exception:
+        _log.exception('http: request {} failed', call.request_id)
+        message = 'the router failed to handle the request'
+        await _fail(call, RequestError('internal_error', message, 'unknown'))
+
+
+async def _fail(call: Call, error: RequestError) -> None:
+    if call.started:
+        await call.abort()
+        return
+    await call.fail(error)
 
 
 async def cancel_on_disconnect(call: Call, scope: trio.CancelScope) -> None:
@@ -411,7 +401,11 @@
     scope.cancel()
 
 
-def _to_request_error(error: h11.RemoteProtocolError) -> RequestError:
+def _to_request_error(
+    error: RequestError | h11.RemoteProtocolError,
+) -> RequestError:
+    if isinstance(error, RequestError):
+        return error
     if error.error_status_hint == _HEADERS_TOO_LARGE_STATUS:
         return RequestError(
             'headers_too_large', 'the request headers are too large'
@@ -427,6 +421,7 @@
         :class:`~eelgrassfork.errors.RequestError`.
     :param limits: limits on requests.
     :param transport: accepts the connections.
+    :param share: part in what the process holds; unlimited by default.
     :ivar on_failure: called when the listening socket has failed; the
         connections that it had accepted are still served.
     """
@@ -436,10 +431,12 @@
         handler: Handler,
         limits: ServerLimits | None = None,
         transport: Transport = TCP,
+        share: ListenerShare | None = None,
     ) -> None:
         self._handler = handler
         self._limits = limits or ServerLimits()
         self._transport = transport
+        self._share = share or ListenerShare(Account(), 'other')
         self._connections: set[_Connection] = set()
         self._connections_scope = trio.CancelScope()
         self._accept_scope = trio.CancelScope()
@@ -506,21 +503,53 @@
     ) -> None:
         with self._accept_scope:
             while True:
-                stream = await listener.accept()
-                nursery.start_soon(self._serve, stream)
+                self._serve_soon(await listener.accept(), nursery)
         # Connections in the kernel's accept queue are still served.
         if isinstance(listener, TcpListener):
             for stream in listener.drain():
-                nursery.start_soon(self._serve, stream)
+                self._serve_soon(stream, nursery)
 
-    async def _serve(self, stream: trio.abc.Stream) -> None:
-        connection = _Connection(stream, self._limits)
+    def _serve_soon(
+        self, stream: trio.abc.Stream, nursery: trio.Nursery
+    ) -> None:
+        if not self._make_room():
+            self._share.account.count('no_connection')
+            error = RequestError(
+                'router_busy', 'this router has too many connections'
+            )
+            refusal = _encode_refusal(h11.Connection(h11.SERVER), error)
+            close_now(stream, refusal)
+            return
+        held = HeldStream(stream, self._share, self._limits.idle_timeout_s)
+        connection = _Connection(held, self._limits)
         connection.closing = self._accept_scope.cancel_called
         self._connections.add(connection)
+        self._share.account.connections_by_listener[self._share.name] += 1
+        nursery.start_soon(self._serve, connection)
+
+    def _make_room(self) -> bool:
+        if len(self._connections) < self._share.max_connections:
+            return True
+        idle = find_idle(self._connections, trio.current_time())
+        for connection in idle:
+            # A request that has arrived is served.
+            if not connection.stream.has_unread():
+                connection.stream.drop()
+                self._forget(connection)
+                self._share.account.count('idle_closed')
+                return True
+        return self._share.account.end_stalled()
+
+    async def _serve(self, connection: _Connection) -> None:
         try:
             await connection.serve(self._handler)
         finally:
+            self._forget(connection)
+
+    def _forget(self, connection: _Connection) -> None:
+        if connection in self._connections:
             self._connections.discard(connection)
+            self._share.account.connections_by_listener[self._share.name] -= 1
 
 
 def _do_nothing() -> None:
--- a/eelgrassfork/metric_table.py
+++ b/eelgrassfork/metric_table.py
@@ -183,4 +183,50 @@
         (),
         'Version of the bundle in force at this router; 0 without a bundle.',
     ),
+    'held_head_bytes': MetricSpec(
+        'gauge',
+        (),
+        'Bytes of request heads and pipelined data that were received.',
+    ),
+    'held_body_announced_bytes': MetricSpec(
+        'gauge',
+        (),
+        'Announced bytes of requests that were not received yet.',
+    ),
+    'held_body_received_bytes': MetricSpec(
+        'gauge',
+        (),
+        'Bytes of request bodies that were received.',
+    ),
+    'held_pipelined_bytes': MetricSpec(
+        'gauge',
+        (),
+        'Bytes received while a request of the connection was in progress.',
+    ),
+    'held_response_bytes': MetricSpec(
+        'gauge',
+        (),
+        'Bytes of large responses not yet sent.',
+    ),
+    'held_server_body_bytes': MetricSpec(
+        'gauge',
+        (),
+        "Bytes of backend servers' bodies that are buffered.",
+    ),
+    'held_control_body_bytes': MetricSpec(
+        'gauge',
+        (),
+        'Bytes of bodies of peers and of the platform.',
+    ),
+    'open_connections': MetricSpec(
+        'gauge',
+        (),
+        'Open connections of all listeners.',
+    ),
+    'bounded_callers': MetricSpec(
+        'gauge',
+        (),
+        'Callers refused or ended since the start to bound memory and '
+        'descriptors.',
+    ),
 }
--- a/eelgrassfork/peering.py
+++ b/eelgrassfork/peering.py
@@ -19,8 +19,10 @@
     ClientTimeouts,
     HttpClient,
     HttpClientError,
+    hold_bodies,
 )
 from .http_server import Call, HttpServer, ServerLimits
+from .memory_account import Account, ListenerShare
 from .peer_messages import (
     EXCHANGE_PATH,
     Exchange,
@@ -107,6 +109,7 @@
         the exchange that carried it was started.
     :param address_of: returns the peer address of a VM, or ``None``.
     :param transport: opens and accepts the connections.
+    :param account: account of the process; unlimited by default.
     """
 
     def __init__(
@@ -116,7 +119,9 @@
         on_heartbeat: Callable[[Heartbeat, float], None],
         address_of: Callable[[str], str | None],
         transport: Transport = TCP,
+        account: Account | None = None,
     ) -> None:
+        account = account or Account()
         self._settings = settings
         self._own_heartbeat = own_heartbeat
         self._on_heartbeat = on_heartbeat
@@ -128,11 +133,13 @@
                 settings.timeout_s, settings.timeout_s, settings.timeout_s
             ),
             transport=transport,
+            hold_body=hold_bodies(account, 'control_body'),
         )
         self._server = HttpServer(
             self._serve,
             ServerLimits(max_body_bytes=_MAX_BODY_BYTES),
             transport,
+            ListenerShare(account, 'peers', is_system=True),
         )
         self._nursery: trio.Nursery | None = None
         self.bytes_sent = 0
--- a/eelgrassfork/platform/boot_file.py
+++ b/eelgrassfork/platform/boot_file.py
@@ -99,6 +99,8 @@
             texts_by_field, 'bootstrap', _parse_flag, False
         ),
         link_mbps=_number_field(texts_by_field, 'limits.linkMbps', 1),
+        memory_mb=_number_field(texts_by_field, 'limits.memoryMb', 0),
+        max_fds=_number_field(texts_by_field, 'limits.maxFds', 0),
     )
 
 
--- a/eelgrassfork/router.py
+++ b/eelgrassfork/router.py
@@ -21,10 +21,12 @@
 from .drain import Drain
 from .engine_client import EngineClient
 from .engine_orders import EngineOrders
-from .http_client import ClientTimeouts, HttpClient
+from .http_client import ClientTimeouts, HttpClient, hold_bodies
 from .http_server import HttpServer
 from .leases import Leases
 from .membership import Membership
+from .memory_account import Account, ListenerShare
+from .memory_policy import derive_limits
 from .metrics import Metrics, NullMetrics
 from .names import new_holder
 from .operator_port import OperatorParts, operator_handler
@@ -96,11 +98,18 @@
         self._environment = environment
         self.holder = new_holder(settings.vm)
         self.drain = Drain(drain_settings(settings))
-        self._platform_http = HttpClient(transport=environment.transport)
+        self._account = Account(
+            derive_limits(settings.memory_mb, settings.max_descriptors)
+        )
+        self._platform_http = HttpClient(
+            transport=environment.transport,
+            hold_body=hold_bodies(self._account, 'control_body'),
+        )
         self._http = HttpClient(
             ClientTimeouts(),
             _MAX_IDLE_CONNECTIONS_PER_SERVER,
             environment.transport,
+            hold_body=hold_bodies(self._account, 'server_body'),
         )
         self.platform = environment.platform or PlatformClient(
             self._platform_http,
@@ -114,6 +123,7 @@
             self._on_heartbeat,
             lambda vm: self.membership.address_of(vm),
             environment.transport,
+            self._account,
         )
         self.membership = Membership(
             self._initial_heartbeat(), self.platform, member_settings(settings)
@@ -145,10 +155,12 @@
             self.requests.front.serve,
             server_limits(settings),
             environment.transport,
+            ListenerShare(self._account, 'callers'),
         )
         self.operators = HttpServer(
             operator_handler(self._operator_parts()),
             transport=environment.transport,
+            share=ListenerShare(self._account, 'operators', is_system=True),
         )
         stop = partial(self.drain.begin, 'a listener failed')
         self.callers.on_failure = stop
@@ -347,6 +359,7 @@
             dumps_by_part={
                 'settings': lambda: public_settings(self._settings),
                 'holder': lambda: {'holder': self.holder},
+                'memory': self._account.dump,
                 'drain': self.drain.dump,
                 'open_work': self.open_work,
                 'rollout': self.rollout.dump,
@@ -371,5 +384,5 @@
             peering=self.peering,
             backends=self.backends,
             credit=self.credit,
-            gauges=self.requests.gauges(),
+            gauges={**self.requests.gauges(), **self._account.gauges()},
         )
--- a/eelgrassfork/settings.py
+++ b/eelgrassfork/settings.py
@@ -13,6 +13,7 @@
 from msgspec import Meta
 
 from .json_comments import Document, problems_of, read_document
+from .memory_policy import DEFAULT_MAX_FDS, DEFAULT_MEMORY_MB
 from .names import BadName, qualify
 from .options import Problems, read_record
 from .signing import SigningError, check_trusted_key
@@ -35,6 +36,8 @@
 _MAX_BYTES: Final = 1_073_741_824
 _MIN_PEER_KEY_LENGTH: Final = 16
 _MIN_SERVERS: Final = 4
+_MIN_MEMORY_MB: Final = 64
+_MIN_DESCRIPTORS: Final = 256
 _MIN_RATE: Final = 0.001
 _MAX_RATE: Final = 10_000
 
@@ -43,6 +46,8 @@
 _Servers = Annotated[int, Meta(ge=_MIN_SERVERS)]
 _Rate = Annotated[float, Meta(ge=_MIN_RATE, le=_MAX_RATE)]
 _Bytes = Annotated[int, Meta(ge=_MIN_BYTES, le=_MAX_BYTES)]
+_Megabytes = Annotated[int, Meta(ge=_MIN_MEMORY_MB)]
+_Descriptors = Annotated[int, Meta(ge=_MIN_DESCRIPTORS)]
 _PeerKey = Annotated[str, Meta(min_length=_MIN_PEER_KEY_LENGTH)]
 _ValueCheck = Callable[[Any], str]
 
@@ -107,6 +112,10 @@
     :param header_timeout_ms: time-out for a caller's headers.
     :param body_timeout_ms: time-out for a caller's body.
     :param idle_timeout_ms: time-out of a caller's idle connection.
+    :param memory_mb: memory of the machine in MB, which bounds what is held
+        for callers and servers.
+    :param max_descriptors: file descriptors that the process may open, which
+        bound the connections.
     """
 
     vm: str
@@ -143,6 +152,8 @@
     header_timeout_ms: _Ms = 10_000
     body_timeout_ms: _Ms = 30_000
     idle_timeout_ms: _Ms = 75_000
+    memory_mb: _Megabytes = DEFAULT_MEMORY_MB
+    max_descriptors: _Descriptors = DEFAULT_MAX_FDS
 
 
 def load_settings(path: str) -> RouterSettings:
--- a/eelgrassfork/transport.py
+++ b/eelgrassfork/transport.py
@@ -5,11 +5,16 @@
 Opens and accepts connections, over TCP unless a test replaces the transport.
 """
 
+import contextlib
 import errno
+import fcntl
+import os
 import select
 import socket
+import struct
+import termios
 from collections import deque
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from typing import Any, Final, NamedTuple
 
 import logbook
@@ -20,8 +25,11 @@
     'BoundListeners',
     'TcpListener',
     'Transport',
+    'close_now',
     'has_ended',
     'is_readable',
+    'queued_bytes',
+    'send_some',
 )
 
 _log = logbook.Logger('transport')
@@ -30,7 +38,10 @@
 _OUT_OF_RESOURCES: Final = frozenset(
     (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 )
+_C_INT: Final = struct.Struct('i')
 _OUT_OF_RESOURCES_RETRY_S: Final = 0.1
+# Connections accepted at once; the limit on connections applies after each.
+_ACCEPT_BATCH: Final = 32
 # Errors of a single queued connection, which accept(2) on Linux reports.
 _PER_CONNECTION_ERRORS: Final = frozenset(
     (
@@ -104,13 +115,13 @@
 
     def accept_queued(self) -> bool:
         """
-        Accept all connections in the kernel's accept queue.
+        Accept connections in the kernel's accept queue, up to a batch.
 
         :returns: ``False`` if descriptors or memory ran out before the end of
             the queue.
         :raises OSError: if the listening socket itself failed.
         """
-        while True:
+        while len(self._accepted) < _ACCEPT_BATCH:
             try:
                 accepted, _ = self._bound.accept()
             except BlockingIOError:
@@ -126,17 +137,19 @@
             self._accepted.append(
                 trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
             )
+        return True
 
-    def drain(self) -> list[trio.SocketStream]:
+    def drain(self) -> Iterator[trio.SocketStream]:
         """
         Accept all queued connections, before the listener is closed.
 
         :returns: connections that :meth:`accept` has not returned yet.
         """
-        self.accept_queued()
-        drained = list(self._accepted)
+        while self.accept_queued() and self._accepted:
+            while self._accepted:
+                yield self._accepted.popleft()
+        yield from self._accepted
         self._accepted.clear()
-        return drained
 
     async def aclose(self) -> None:
         """Close the socket."""
@@ -144,17 +157,71 @@
         await trio.lowlevel.checkpoint()
 
 
+def close_now(stream: trio.abc.Stream, farewell: bytes = b'') -> None:
+    """
+    Close a socket without waiting; other streams are left open.
+
+    :param stream: a connection.
+    :param farewell: data to send before, as far as it can be sent at once.
+    """
+    if isinstance(stream, trio.SocketStream):
+        with contextlib.suppress(OSError):
+            os.write(stream.socket.fileno(), farewell)
+        stream.socket.close()
+
+
+async def send_some(stream: trio.abc.Stream, unsent: memoryview) -> int:
+    """
+    Send as much as can be sent at once, or wait until some can be.
+
+    :param stream: a connection.
+    :param unsent: the data.
+    :returns: number of bytes sent; all of them for in-memory streams. None
+        are sent if the call is cancelled.
+    :raises trio.BrokenResourceError: if the connection broke.
+    :raises trio.ClosedResourceError: if it was closed here.
+    """
+    if isinstance(stream, trio.SocketStream):
+        try:
+            return await stream.socket.send(unsent)
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from None
+    await stream.send_all(unsent)
+    return len(unsent)
+
+
+def queued_bytes(stream: trio.abc.Stream) -> int:
+    """
+    Return the sent data that the peer has not received yet.
+
+    :param stream: a connection.
+    :returns: number of bytes; 0 for in-memory streams and once it is closed.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return 0
+    answer = bytearray(_C_INT.size)
+    try:
+        fcntl.ioctl(stream.socket.fileno(), termios.TIOCOUTQ, answer)
+    except (OSError, ValueError):
+        return 0
+    return int(_C_INT.unpack(answer)[0])
+
+
 def is_readable(stream: trio.abc.Stream) -> bool:
     """
     Check whether data or the end of a stream can be read without blocking.
 
     :param stream: a connection.
-    :returns: whether it is readable; always ``False`` for in-memory streams.
+    :returns: whether it is readable; always ``False`` for in-memory streams
+        and once it is closed.
     """
     if not isinstance(stream, trio.SocketStream):
         return False
+    descriptor = stream.socket.fileno()
+    if descriptor < 0:
+        return False
     poll = select.poll()
-    poll.register(stream.socket.fileno(), select.POLLIN)
+    poll.register(descriptor, select.POLLIN)
     return bool(poll.poll(0))
 
 
