--- a/eelgrassfork/gateway/node_settings.py
+++ b/eelgrassfork/gateway/node_settings.py
@@ -53,6 +53,8 @@
         there is, so that requests wait for credit together and busy routers
         send some of theirs to others.
     :param regions_by_domain: region of each failure domain, as far as known.
+    :param memory_mb: memory of the VM, in MB; 0 if unknown.
+    :param max_fds: file descriptors that the process may open; 0 if unknown.
     """
 
     node: str
@@ -70,6 +72,8 @@
     link_mbps: float = 1
     is_contended: bool = False
     regions_by_domain: dict[str, str] = {}
+    memory_mb: float = 0
+    max_fds: float = 0
 
     @property
     def is_seed(self) -> bool:
--- a/eelgrassfork/platform/boot_file.py
+++ b/eelgrassfork/platform/boot_file.py
@@ -110,6 +110,8 @@
             for field, region in texts_by_field.items()
             if field.startswith(_ZONE_PREFIX) and region
         },
+        memory_mb=_number_field(texts_by_field, 'limits.memoryMb', 0),
+        max_fds=_number_field(texts_by_field, 'limits.maxFds', 0),
     )
 
 
