--- a/eelgrassfork/platform/heads.py
+++ b/eelgrassfork/platform/heads.py
@@ -5,6 +5,7 @@
 Decodes request and response headers and encodes the headers added by routers.
 """
 
+import itertools
 import math
 import re
 import time
@@ -49,6 +50,8 @@
 # Running and waiting requests and slots; a slowdown in percent may follow.
 _LOAD_COUNTS: Final = 3
 _PERCENT: Final = 100
+# Counts the invalid slowdowns of this process.
+_slowdown_warnings = itertools.count()
 # Bounds of the slowdown as a factor.  A false report neither makes a server
 # look free nor excludes it for good.
 _MIN_SLOWDOWN: Final = 0.1
@@ -332,5 +335,17 @@
     # Zero is invalid: taken for a fast server, it would attract all requests.
     percent = float(text) if _DECIMAL.fullmatch(text) else 0
     if not percent:
+        if text:
+            _warn_of_slowdown(text[:_MAX_LOGGED_CHARS])
         return 1.0
     return min(max(percent / _PERCENT, _MIN_SLOWDOWN), _MAX_SLOWDOWN)
+
+
+def _warn_of_slowdown(text: str) -> None:
+    # Once in a process: such a server may send thousands of answers a minute.
+    if next(_slowdown_warnings) == 0:
+        _log.warning(
+            'ignored an invalid slowdown in a load report; further ones are '
+            'not logged',
+            extra={'slowdown': text},
+        )
--- a/tests/test_platform_heads.py
+++ b/tests/test_platform_heads.py
@@ -6,14 +6,17 @@
 headers reserved for routers.
 """
 
+import itertools
 import time
 from email.utils import formatdate
 
+import logbook
 import testtools
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from eelgrassfork.errors import RequestError
+from eelgrassfork.platform import heads
 from eelgrassfork.platform.heads import (
     AddedHeaders,
     decode_request,
@@ -176,6 +179,15 @@
                 (5, 2, 8, slowdown), tuple(self.load(f'5,2,8,{text}'))
             )
 
+    def test_invalid_slowdown_is_logged_once(self):
+        # A line for each answer would fill the log.
+        self.patch(heads, '_slowdown_warnings', itertools.count())
+        with logbook.TestHandler() as handler:
+            for _ in range(3):
+                self.load('5,2,8,-40')
+            self.load('5,2,8')
+        self.assertEqual(1, len(handler.records))
+
     def load(self, text):
         return decode_response(200, (('x-replica-load', text),)).load
 
