gateway: relay headers that are not ASCII byte by byte

What callers saw: 500 for a header of their own that is not ASCII, and for each request of an organisation with such a name; a closed connection without an answer for such a header of a server or a request id.

Cause: received values are decoded as Latin-1, but text was encoded as ASCII by the HTTP library when it was sent.

Change: the HTTP client sends Latin-1, and answers are passed on to the HTTP server as bytes. Names of organisations and servers are sent in UTF-8. A request id that is not ASCII is refused with 400.

Related paths: names of headers and targets that are not ASCII are refused by the HTTP library (read). Not done: relaying such a request id, which needs a change of http_server.

The test of a refusal with the own id sends 20 orders instead of 4, since all of 4 could go to the other server by chance (seen once).

--- a/eelgrassfork/gateway/sending.py
+++ b/eelgrassfork/gateway/sending.py
@@ -5,7 +5,7 @@
 State of a request from its arrival to its final answer.
 """
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import trio
 
@@ -14,7 +14,7 @@
 from .configuration import Permission
 from .event_relay import EventRelay
 from .prices import UNKNOWN_TOKENS_PER_EVENT
-from .records import AnswerHead, ForwardHead
+from .records import AnswerHead, ForwardHead, Headers
 from .request_digest import digest_request
 from .servers import Server
 from .suspect_ids import suspect_ids
@@ -240,7 +240,8 @@
         self.answered = True
         self.first_byte_at = trio.current_time()
         self.outcome = f'http_{answer.status}'
-        await self.call.respond(answer.status, body, answer.headers)
+        headers = _encode_values(answer.headers)
+        await self.call.respond(answer.status, body, headers)
 
     async def relay_events(self, answer: AnswerHead, events: bytes) -> None:
         """
@@ -251,7 +252,8 @@
         """
         if not self.call.started:
             self.first_byte_at = trio.current_time()
-            await self.call.start(answer.status, answer.headers)
+            headers = _encode_values(answer.headers)
+            await self.call.start(answer.status, headers)
         await self.call.send(events)
 
     async def finish(self, answer: AnswerHead) -> None:
@@ -264,3 +266,8 @@
             await self.relay_events(answer, b'')
         await self.call.finish()
         self.answered = True
+
+
+def _encode_values(headers: Headers) -> tuple[tuple[str, Any], ...]:
+    # The HTTP server sends text in ASCII only, and bytes as they are.
+    return tuple((name, text.encode('latin-1')) for name, text in headers)
--- a/eelgrassfork/http_client.py
+++ b/eelgrassfork/http_client.py
@@ -184,7 +184,14 @@
         if request.body or request.method not in _BODILESS_METHODS:
             headers.insert(1, ('content-length', str(len(request.body))))
         head = h11.Request(
-            method=request.method, target=request.target, headers=headers
+            method=request.method,
+            target=request.target,
+            # Received values were decoded by this encoding, and are sent as
+            # the same bytes.
+            headers=[
+                (name.encode('ascii'), text.encode('latin-1'))
+                for name, text in headers
+            ],
         )
         encoded = self.protocol.send(head) or b''
         if request.body:
--- a/eelgrassfork/platform/heads.py
+++ b/eelgrassfork/platform/heads.py
@@ -160,11 +160,11 @@
     """
     headers = [
         (_DEADLINE, str(max(1, int(added.remaining_s * _MS_PER_S)))),
-        (_EXPECTED_SERVER, added.server_id),
+        (_EXPECTED_SERVER, _as_utf8_bytes(added.server_id)),
         (_PRIORITY, str(added.priority)),
     ]
     if added.organisation:
-        headers.append((_ORGANISATION, added.organisation))
+        headers.append((_ORGANISATION, _as_utf8_bytes(added.organisation)))
     if added.last_event_id:
         headers.append((_LAST_EVENT_ID, added.last_event_id))
     return tuple(headers)
@@ -202,6 +202,11 @@
     return ((_RETRY_AFTER, f'{seconds:.3f}'),)
 
 
+def _as_utf8_bytes(text: str) -> str:
+    # Header values hold one character for each byte.
+    return text.encode('utf-8', 'replace').decode('latin-1')
+
+
 def _check_request(target: str, headers: Headers) -> None:
     names = [name for name, _ in headers]
     problems = [
@@ -213,6 +218,8 @@
         problems.append('both content-length and transfer-encoding are set')
     if _REQUEST_ID not in names:
         problems.append(f'missing {_REQUEST_ID} header')
+    if not all(text.isascii() for name, text in headers if name == _REQUEST_ID):
+        problems.append(f'the {_REQUEST_ID} header is not ASCII')
     if not target.startswith('/') or len(target) > _MAX_TARGET_LENGTH:
         problems.append(
             'the request target must be a path within the length limit'
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -7,6 +7,7 @@
 """
 
 import testtools
+import trio
 
 from .gateway_world import configuration, run_world
 from .raw_server import add_raw_server, ok
@@ -122,15 +123,88 @@
             server = await add_raw_server(world, nursery, 'plain', refuse)
             answers = [
                 await world.call('/order/x', f'r{number}')
-                for number in range(4)
+                for number in range(20)
             ]
             return [body for _, body in answers], server.runs
 
         bodies, refused = run_world(scenario, plain=[['ok']])
-        self.assertEqual([b'i-0'] * 4, bodies)
+        self.assertEqual([b'i-0'] * 20, bodies)
         self.assertNotEqual([], refused)
 
     def test_refusal_with_the_own_id_may_be_told_the_caller(self):
         # The guarantee that a request has not run got lost on the way.
         results, _ = play_orders(refuse, count=1)
         self.assertEqual(503, results['r0'][0])
+
+
+EVENT = b'id: 1\ndata: x\n\n'
+# Latin-1, UTF-8, and bytes that are invalid in UTF-8.
+ODD_VALUES = (b'caf\xe9', 'Ł😀'.encode(), b'\xff\xfe\x80')
+
+
+class OddHeaderTests(testtools.TestCase):
+    """Headers that are not ASCII are relayed byte by byte."""
+
+    def play(self, line, kind=b'text/plain', organisation='acme'):
+        async def scenario(world, nursery):
+            tenants = [{'name': organisation, 'apiKeys': ['key']}]
+            wire = configuration(2, tenants=tenants)
+            world.store.put('config', 'main', wire)
+
+            async def answer(exchange):
+                seen.append(exchange.head)
+                await exchange.send(
+                    ok(exchange.request_id, EVENT).replace(
+                        b'content-length',
+                        b'x-odd: %b\r\ncontent-type: %b\r\ncontent-length'
+                        % (line.partition(b': ')[2], kind),
+                    )
+                )
+                return True
+
+            seen = []
+            await add_raw_server(world, nursery, 'plain', answer)
+            while world.node._store_view.configuration.version < 2:
+                await trio.sleep(0.01)
+            return await send_raw(world.settings.caller_address, line), seen
+
+        return run_world(scenario)
+
+    def test_header_is_relayed_in_both_directions(self):
+        # The caller got 500, or its connection was closed without an answer.
+        for value in ODD_VALUES:
+            for kind in (b'text/plain', b'text/event-stream'):
+                answer, seen = self.play(b'x-custom: ' + value, kind)
+                self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer)
+                self.assertIn(b'x-odd: ' + value + b'\r\n', answer)
+                self.assertIn(b'x-custom: ' + value + b'\r\n', seen[0])
+
+    def test_organisation_is_sent_in_utf_8(self):
+        # Each request of such an organisation got 500.
+        answer, seen = self.play(b'x-custom: x', organisation='Łódź')
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer)
+        self.assertIn('x-tenant: Łódź\r\n'.encode(), seen[0])
+
+    def test_request_id_that_is_not_ascii_is_refused(self):
+        # The caller's connection was closed without an answer.
+        answer, seen = self.play(b'x-request-id: caf\xe9')
+        self.assertTrue(answer.startswith(b'HTTP/1.1 400'), answer)
+        self.assertEqual([], seen)
+
+
+async def send_raw(address, line):
+    """Send one request with a header line; the bytes of the answer."""
+    host, _, port = address.rpartition(':')
+    stream = await trio.open_tcp_stream(host, int(port))
+    request_id = (
+        b'' if line.startswith(b'x-request-id') else b'x-request-id: r\r\n'
+    )
+    async with stream:
+        await stream.send_all(
+            b'GET /order/x HTTP/1.1\r\nhost: shop.example\r\napi-key: key\r\n'
+            b'connection: close\r\n%b%b\r\n\r\n' % (request_id, line)
+        )
+        answer = b''
+        while chunk := await stream.receive_some():
+            answer += chunk
+    return answer
