--- a/eelgrassfork/gateway/selection.py
+++ b/eelgrassfork/gateway/selection.py
@@ -239,8 +239,8 @@
         size = _request_size(pending, engine)
         return choose(
             [
-                _timed_candidate(server, now_s, memory_tokens)._replace(
-                    cold=self._is_cold(server, now_s)
+                _timed_candidate(
+                    server, now_s, memory_tokens, self._is_cold(server, now_s)
                 )
                 for server in servers
             ],
@@ -310,7 +310,7 @@
 
 
 def _timed_candidate(
-    server: Server, now_s: float, memory_tokens: int
+    server: Server, now_s: float, memory_tokens: int, is_cold: bool
 ) -> Candidate:
     timing = server.timing(now_s, memory_tokens)
     weight = timing.report_weight
@@ -324,7 +324,7 @@
         server.failures(now_s),
         server.health.ejected,
         server.is_due(now_s),
-        server.entry.cold_s > 0,
+        is_cold,
         timing,
     )
 
