gateway: routers with a full link send large requests to others

Ruled out: processor time, credit, servers.

Change: bytes of callers' connections are measured against limits.linkMbps; above two thirds streams and larger bodies are refused as router_busy with a rising probability, unless most routers are busy too.

Measured by replay: twice what the link carries leaves it below 0.95.

--- a/eelgrassfork/gateway/forwarder.py
+++ b/eelgrassfork/gateway/forwarder.py
@@ -14,12 +14,16 @@
 
 from ..errors import RequestError, error_body
 from ..http_server import Call, CallerDisconnected, cancel_on_disconnect
-from .admission.router_delay import RouterDelays, redirect_probability
+from .admission.router_delay import (
+    RouterDelays,
+    link_delay_s,
+    redirect_probability,
+)
 from .configuration import Permission, permit
 from .credit_keeper import CreditKeeper
 from .follower import StoreView
 from .overload import Backlog, should_refuse
-from .records import Configuration, ForwardHead, Headers
+from .records import Configuration, ForwardHead, Headers, Route
 from .sender import Sender
 from .sending import PendingRequest
 from .telemetry import Telemetry
@@ -37,6 +41,8 @@
     ('not_ready', 'draining', 'router_busy', 'credit_unreachable')
 )
 
+# Only requests above this size, and streams, matter to a busy link.
+_LARGE_BYTES: Final = 2048
 # Refusals for which the log says where the credit is.
 _CREDIT_CODES: Final = frozenset(
     ('budget_exhausted', 'credit_held_elsewhere', 'credit_unreachable')
@@ -65,6 +71,7 @@
     :param peer_delays_s: returns the event loop delays of other routers.
     :param is_contended: whether callers compete for more capacity than there
         is, so that a busy router sends requests to others.
+    :param link_utilisation: returns the used fraction of this VM's link.
     """
 
     store_view: StoreView
@@ -76,6 +83,7 @@
     loop_delay_s: Callable[[], float]
     peer_delays_s: Callable[[], list[float]]
     is_contended: bool = False
+    link_utilisation: Callable[[], float] = float
 
 
 class Forwarder:
@@ -115,7 +123,7 @@
             self._check_not_draining()
             permission = permit(self._configuration, head)
             timeout_s = _timeout_s(permission, head)
-            self._check_backlog(timeout_s, permission.route.objective_s)
+            self._check_backlog(timeout_s, call, permission.route)
         except RequestError as error:
             await self._refuse(call, error, None)
             return
@@ -176,21 +184,28 @@
         if self.draining:
             raise RequestError('draining', 'this router is shutting down')
 
-    def _check_backlog(self, timeout_s: float, objective_s: float) -> None:
+    def _check_backlog(
+        self, timeout_s: float, call: Call, route: Route
+    ) -> None:
         parts = self._parts
         backlog = Backlog(parts.loop_delay_s(), parts.peer_delays_s)
-        if should_refuse(timeout_s, backlog) or self._redirects(objective_s):
+        if should_refuse(timeout_s, backlog) or self._redirects(call, route):
             raise RequestError(
                 'router_busy',
                 'this router is overloaded; other routers have less delay',
             )
 
-    def _redirects(self, objective_s: float) -> bool:
+    def _redirects(self, call: Call, route: Route) -> bool:
         parts = self._parts
         if not parts.is_contended:
             return False
-        delays = RouterDelays(parts.loop_delay_s(), parts.peer_delays_s)
-        probability = redirect_probability(objective_s, delays)
+        is_large = route.kind == 'stream' or len(call.body) >= _LARGE_BYTES
+        delays = RouterDelays(
+            parts.loop_delay_s(),
+            parts.peer_delays_s,
+            link_delay_s(parts.link_utilisation()) if is_large else 0,
+        )
+        probability = redirect_probability(route.objective_s, delays)
         return bool(probability) and self._random.random() < probability
 
     @property
@@ -231,6 +246,7 @@
                 'version': self._parts.store_view.configuration.version,
                 'version_age_s': self._parts.store_view.configuration.age_s,
                 'loop_delay_ms': round(self._parts.loop_delay_s() * 1000),
+                'link': round(self._parts.link_utilisation(), 2),
             },
         )
 
@@ -276,6 +292,7 @@
                 else None,
                 'whole_ms': round(total_s * 1000),
                 'loop_delay_ms': round(self._parts.loop_delay_s() * 1000),
+                'link': round(self._parts.link_utilisation(), 2),
             },
         )
 
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -19,6 +19,7 @@
 from ..memory_policy import derive_limits
 from ..supervision import keep_running, run_step
 from .account_metrics import add_account_metrics
+from .admission.router_delay import LOOP_ITERATIONS, link_delay_s
 from .credit_exchange import CreditExchange
 from .credit_keeper import CreditKeeper, CreditKeeperParts
 from .exchange import Exchange, ExchangeParts, ForwardMetadata
@@ -26,6 +27,7 @@
 from .follower import Decoders
 from .forwarder import Forwarder, ForwarderParts, WireCodec
 from .gossip import describe_peers, unix_ms
+from .link_load import LinkMonitor
 from .node_settings import Bounds, NodeSettings
 from .records import AnswerHead, CallerBounds, Headers
 from .registry import Registry
@@ -55,6 +57,8 @@
 _SERVER_CONNECTION_IDLE_S: Final = 2.0
 _MAX_IDLE_SERVER_CONNECTIONS: Final = 16
 _MS_PER_S: Final = 1000
+# Name of the listener for callers, in metrics.
+_CALLERS: Final = 'callers'
 
 
 class NodeAdapter(NamedTuple):
@@ -119,6 +123,13 @@
             lambda: self._store.era.current,
         )
         self._loop_delay = LoopDelayMonitor()
+        moved = self._account.moved_bytes_by_listener
+        self._link = LinkMonitor(lambda: moved[_CALLERS], settings.link_mbps)
+        self.telemetry.add_gauge(
+            'link_utilisation',
+            'Used fraction of the network link, by the traffic of callers.',
+            lambda: self._link.utilisation,
+        )
         self.telemetry.add_gauge(
             'loop_delay_seconds',
             'How late timers are, as the process is busy.',
@@ -187,7 +198,7 @@
         share = partial(ListenerShare, self._account, is_system=True)
         self._caller_listener = HttpServer(
             self._forwarder.forward,
-            share=ListenerShare(self._account, 'callers'),
+            share=ListenerShare(self._account, _CALLERS),
         )
         self._peer_listener = HttpServer(
             self._member.exchange.serve, share=share('peers')
@@ -224,6 +235,7 @@
         await self._credit.start(nursery)
         for name, task in (
             ('registry', self._registry.run),
+            ('measure link', self._link.run),
             ('measure loop delay', self._loop_delay.run),
             ('tidy', self._expire_servers),
         ):
@@ -415,6 +427,7 @@
                 lambda: self._loop_delay.mean_delay_s,
                 self._roster.peers.delays_s,
                 self._settings.is_contended,
+                lambda: self._link.utilisation,
             ),
         )
 
@@ -430,9 +443,14 @@
         return RouterStatus(
             self._draining,
             self._credit.held.largest_free() if advertises_credit else {},
-            int(self._loop_delay.mean_delay_s * _MS_PER_S),
+            int(self._delay_s() * _MS_PER_S),
         )
 
+    def _delay_s(self) -> float:
+        # A router with a full link is as busy as one with a late event loop.
+        link_s = link_delay_s(self._link.utilisation) / LOOP_ITERATIONS
+        return max(self._loop_delay.mean_delay_s, link_s)
+
     def _apply_configuration(self) -> None:
         configuration = self._store_view.configuration.current
         if configuration is not None:
--- a/eelgrassfork/http_stream.py
+++ b/eelgrassfork/http_stream.py
@@ -58,6 +58,8 @@
         self._scope = trio.CancelScope()
         self._is_sending = False
         self._queued_bytes = 0
+        self._moved_by_listener = share.account.moved_bytes_by_listener
+        self._listener = share.name
         self.holding = Holding(share, self._cancel_wait, self.has_progress)
 
     @property
@@ -103,9 +105,11 @@
         :returns: the data; empty at the end of the stream.
         """
         try:
-            return bytes(await self._stream.receive_some(max_bytes))
+            received = bytes(await self._stream.receive_some(max_bytes))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return b''
+        self._moved_by_listener[self._listener] += len(received)
+        return received
 
     async def send(self, encoded: bytes) -> None:
         """
@@ -115,6 +119,7 @@
         :raises CallerDisconnected: if the connection broke, or the caller
             reads nothing for the time-out.
         """
+        self._moved_by_listener[self._listener] += len(encoded)
         # An interim response is sent within the wait for a body.
         outer = self._scope
         if len(encoded) <= _LARGE_BYTES:
--- /dev/null
+++ b/tests/test_gateway_link_load.py
@@ -0,0 +1,39 @@
+"""
+tests.test_gateway_link_load
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against a full network link that its router does not notice.
+"""
+
+import testtools
+import trio
+
+from eelgrassfork.gateway.link_load import LinkMonitor
+
+from .mock_clock import run
+
+LINK_MBPS = 5
+
+
+class LinkMonitorTests(testtools.TestCase):
+    def measure(self, bytes_per_s, seconds, link_mbps=LINK_MBPS):
+        async def main():
+            started_at = trio.current_time()
+            monitor = LinkMonitor(
+                lambda: int((trio.current_time() - started_at) * bytes_per_s),
+                link_mbps,
+            )
+            with trio.move_on_after(seconds):
+                await monitor.run()
+            return monitor.utilisation
+
+        return run(main)
+
+    def test_full_link_is_noticed_within_a_second(self):
+        self.assertGreater(self.measure(600_000, 1), 0.95)
+
+    def test_quiet_link_is_not_busy(self):
+        self.assertLess(self.measure(60_000, 5), 0.15)
+
+    def test_unknown_bandwidth_is_never_busy(self):
+        self.assertEqual(0, self.measure(600_000, 1, link_mbps=0))
--- a/tests/test_gateway_router_delay.py
+++ b/tests/test_gateway_router_delay.py
@@ -12,6 +12,7 @@
 
 from eelgrassfork.gateway.admission.router_delay import (
     RouterDelays,
+    link_delay_s,
     redirect_probability,
 )
 
@@ -83,3 +84,31 @@
 
     def test_nothing_is_redirected_without_known_peers(self):
         self.assertEqual(0, probability(0.1, peers_s=()))
+
+
+class LinkTests(testtools.TestCase):
+    """A burst of large requests fills the link of one router."""
+
+    def probability(self, utilisation, objective_s=OBJECTIVE_S):
+        delays = RouterDelays(
+            IDLE_S, lambda: [IDLE_S] * 5, link_delay_s(utilisation)
+        )
+        return redirect_probability(objective_s, delays)
+
+    def test_full_link_redirects_most_large_requests(self):
+        self.assertEqual(0.9, self.probability(1.1))
+
+    def test_half_full_link_redirects_nothing(self):
+        self.assertEqual(0, self.probability(0.6))
+
+    def test_replayed_burst_leaves_room_on_the_link(self):
+        # Twice what the link can carry, for ten seconds.
+        offered = 2.0
+        utilisation = 0
+        carried = []
+        for _ in range(100):
+            kept = offered * (1 - self.probability(utilisation))
+            utilisation += 0.3 * (min(1, kept) - utilisation)
+            carried.append(kept)
+        self.assertLess(sum(carried[20:]) / 80, 0.95)
+        self.assertGreater(sum(carried[20:]) / 80, 0.6)
