platform: one damaged object does not hide the others of its page

Cause: msgspec rejects a whole page for one such escape, also in raw items. A page on which nothing decodes ended the listing, so that later objects counted as removed (found by reading).

Change: damaged objects keep their metadata and lose their content; a listing with an unreadable page fails as a whole.

--- a/eelgrassfork/platform/store_client.py
+++ b/eelgrassfork/platform/store_client.py
@@ -6,9 +6,11 @@
 """
 
 from collections.abc import Callable
+from functools import lru_cache
 from typing import Any, Final, NamedTuple
 from urllib.parse import quote, urlencode
 
+import logbook
 import msgspec
 
 from ..gateway.store import (
@@ -28,9 +30,12 @@
     HttpClientError,
     Response,
 )
+from .damaged_pages import repair_page
 
 __all__ = ('StoreClient',)
 
+_log = logbook.Logger('store')
+
 _OK: Final = frozenset((200, 201))
 _MISSING: Final = 404
 _CONFLICT: Final = 409
@@ -39,6 +44,8 @@
 _JSON: Final = (('content-type', 'application/json'),)
 _ERA_HEADER: Final = 'store-era'
 _MAX_ERA_DIGITS: Final = 6
+_MAX_LOGGED_NAMES: Final = 10
+_MAX_LOGGED_PAGES: Final = 64
 _MAX_PAGES: Final = 1000
 # A slow store responds within a third of a second. A store that doesn't respond
 # is given up early enough to query peers within the limit on configuration
@@ -143,8 +150,13 @@
                 if (entry := _try_decode_object(item, answer.era)) is not None
             ]
             stored.extend(entries)
-            if not page.has_more or not entries:
+            if not page.has_more:
                 break
+            if not entries:
+                # A listing that ends here would remove all further objects.
+                raise StoreAnswerLost(
+                    'bad_answer', 'no object of a page can be decoded'
+                )
             cursor = entries[-1].name
         return Listing(tuple(stored), first_revision or 0)
 
@@ -308,8 +320,27 @@
 def _decode_page(body: bytes, page_type: Any) -> Any:
     try:
         return msgspec.json.decode(body, type=page_type)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return _decode_damaged_page(body, page_type)
+
+
+def _decode_damaged_page(body: bytes, page_type: Any) -> Any:
+    try:
+        repaired, damaged = repair_page(body)
+        page = msgspec.json.decode(repaired, type=page_type)
+    except (ValueError, msgspec.DecodeError) as error:
         raise StoreAnswerLost('bad_answer', str(error)) from None
+    _log_damaged(damaged)
+    return page
+
+
+@lru_cache(maxsize=_MAX_LOGGED_PAGES)
+def _log_damaged(names: tuple[str, ...]) -> None:
+    # Cached, so that the same objects are logged once, not with each reading.
+    _log.warning(
+        'ignored objects that can not be decoded',
+        extra={'count': len(names), 'names': names[:_MAX_LOGGED_NAMES]},
+    )
 
 
 def _decode_object(body: bytes, era: int) -> StoredObject:
@@ -325,7 +356,7 @@
     # An invalid object must not prevent the others of its page from being read.
     try:
         wire = msgspec.json.decode(raw, type=_Object)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, UnicodeDecodeError):
         return None
     revision = join_revision(era, wire.metadata.revision)
     return StoredObject(wire.metadata.name, revision, bytes(wire.spec))
