--- a/eelgrassfork/gateway/forwarder.py
+++ b/eelgrassfork/gateway/forwarder.py
@@ -22,6 +22,7 @@
 from .configuration import Permission, permit
 from .credit_keeper import CreditKeeper
 from .follower import StoreView
+from .link_load import LinkMonitor
 from .overload import Backlog, should_refuse
 from .records import Configuration, ForwardHead, Headers, Route
 from .sender import Sender
@@ -71,7 +72,7 @@
     :param peer_delays_s: returns the event loop delays of other routers.
     :param is_contended: whether callers compete for more capacity than there
         is, so that a busy router sends requests to others.
-    :param link_utilisation: returns the used fraction of this VM's link.
+    :param link: measures the use of this VM's network link.
     """
 
     store_view: StoreView
@@ -83,7 +84,7 @@
     loop_delay_s: Callable[[], float]
     peer_delays_s: Callable[[], list[float]]
     is_contended: bool = False
-    link_utilisation: Callable[[], float] = float
+    link: LinkMonitor | None = None
 
 
 class Forwarder:
@@ -127,6 +128,8 @@
         except RequestError as error:
             await self._refuse(call, error, None)
             return
+        if self._parts.link is not None:
+            self._parts.link.add_request(len(call.body))
         deadline = call.received_at + timeout_s
         pending = PendingRequest(call, head, permission, deadline)
         async with trio.open_nursery() as nursery:
@@ -203,11 +206,16 @@
         delays = RouterDelays(
             parts.loop_delay_s(),
             parts.peer_delays_s,
-            link_delay_s(parts.link_utilisation()) if is_large else 0,
+            link_delay_s(self._link_utilisation) if is_large else 0,
         )
         probability = redirect_probability(route.objective_s, delays)
         return bool(probability) and self._random.random() < probability
 
+    @property
+    def _link_utilisation(self) -> float:
+        link = self._parts.link
+        return 0 if link is None else link.utilisation
+
     @property
     def _configuration(self) -> Configuration | None:
         return self._parts.store_view.configuration.current
@@ -246,7 +254,7 @@
                 'version': self._parts.store_view.configuration.version,
                 'version_age_s': self._parts.store_view.configuration.age_s,
                 'loop_delay_ms': round(self._parts.loop_delay_s() * 1000),
-                'link': round(self._parts.link_utilisation(), 2),
+                'link': round(self._link_utilisation, 2),
             },
         )
 
@@ -292,7 +300,7 @@
                 else None,
                 'whole_ms': round(total_s * 1000),
                 'loop_delay_ms': round(self._parts.loop_delay_s() * 1000),
-                'link': round(self._parts.link_utilisation(), 2),
+                'link': round(self._link_utilisation, 2),
             },
         )
 
--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -123,8 +123,10 @@
             lambda: self._store.era.current,
         )
         self._loop_delay = LoopDelayMonitor()
-        moved = self._account.moved_bytes_by_listener
-        self._link = LinkMonitor(lambda: moved[_CALLERS], settings.link_mbps)
+        sent_by_listener = self._account.sent_bytes_by_listener
+        self._link = LinkMonitor(
+            lambda: sent_by_listener[_CALLERS], settings.link_mbps
+        )
         self.telemetry.add_gauge(
             'link_utilisation',
             'Used fraction of the network link, by the traffic of callers.',
@@ -427,7 +429,7 @@
                 lambda: self._loop_delay.mean_delay_s,
                 self._roster.peers.delays_s,
                 self._settings.is_contended,
-                lambda: self._link.utilisation,
+                self._link,
             ),
         )
 
--- a/eelgrassfork/http_stream.py
+++ b/eelgrassfork/http_stream.py
@@ -58,7 +58,7 @@
         self._scope = trio.CancelScope()
         self._is_sending = False
         self._queued_bytes = 0
-        self._moved_by_listener = share.account.moved_bytes_by_listener
+        self._sent_by_listener = share.account.sent_bytes_by_listener
         self._listener = share.name
         self.holding = Holding(share, self._cancel_wait, self.has_progress)
 
@@ -105,11 +105,9 @@
         :returns: the data; empty at the end of the stream.
         """
         try:
-            received = bytes(await self._stream.receive_some(max_bytes))
+            return bytes(await self._stream.receive_some(max_bytes))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return b''
-        self._moved_by_listener[self._listener] += len(received)
-        return received
 
     async def send(self, encoded: bytes) -> None:
         """
@@ -119,7 +117,7 @@
         :raises CallerDisconnected: if the connection broke, or the caller
             reads nothing for the time-out.
         """
-        self._moved_by_listener[self._listener] += len(encoded)
+        self._sent_by_listener[self._listener] += len(encoded)
         # An interim response is sent within the wait for a body.
         outer = self._scope
         if len(encoded) <= _LARGE_BYTES:
--- a/eelgrassfork/memory_account.py
+++ b/eelgrassfork/memory_account.py
@@ -83,7 +83,7 @@
     :ivar held_by_kind: bytes held now.
     :ivar counts_by_reason: refusals and ended connections since the start.
     :ivar connections_by_listener: open connections.
-    :ivar moved_bytes_by_listener: bytes received and sent so far.
+    :ivar sent_bytes_by_listener: bytes sent so far.
     :ivar moving: holders that receive a body or send a response.
     :ivar small_chunk_turn: held while many small chunks are parsed, so that
         connections with such bodies take turns.
@@ -94,7 +94,7 @@
         self.held_by_kind: dict[Kind, int] = dict.fromkeys(KINDS, 0)
         self.counts_by_reason: Counter[Reason] = Counter()
         self.connections_by_listener: Counter[str] = Counter()
-        self.moved_bytes_by_listener: Counter[str] = Counter()
+        self.sent_bytes_by_listener: Counter[str] = Counter()
         self.moving: set[Holding] = set()
         self.small_chunk_turn = trio.Lock()
         self._logged_at = -_LOG_INTERVAL_S
--- a/tests/test_gateway_link_load.py
+++ b/tests/test_gateway_link_load.py
@@ -37,3 +37,16 @@
 
     def test_unknown_bandwidth_is_never_busy(self):
         self.assertEqual(0, self.measure(600_000, 1, link_mbps=0))
+
+    def test_requests_that_go_on_to_servers_count(self):
+        async def main():
+            monitor = LinkMonitor(int, LINK_MBPS)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(monitor.run)
+                for _ in range(100):
+                    monitor.add_request(9200)
+                    await trio.sleep(0.02)
+                nursery.cancel_scope.cancel()
+            return monitor.utilisation
+
+        self.assertGreater(run(main), 0.8)
