--- a/tests/fault_scene.py
+++ b/tests/fault_scene.py
@@ -228,7 +228,7 @@
         original = answerers['PUT']
 
         async def put(call) -> None:
-            source = call._connection._stream.incoming.source
+            source = call._connection.stream._stream.incoming.source
             key = call.path.removeprefix('/v1/objects/')
             steps = _operator_steps(source, key)
             if steps:
