gateway: grant credit that became free while the ledger was asked

Cause, found by reading: credit of an organisation that became free during a draw for another one was granted only with its next change, so that its request waited until it was refused; a claim in front that left could leave the loop without a wait.

Change: all claims that fit are granted after each step and before each wait. The sources of credit are created once, not for each request.

Evidence: the new test fails on the code before.

--- a/eelgrassfork/gateway/admission/credit_queue.py
+++ b/eelgrassfork/gateway/admission/credit_queue.py
@@ -122,6 +122,11 @@
             claim.granted = True
             self._decide(claim)
 
+    def grant_all(self) -> None:
+        """Grant the claims of all organisations, each in their order."""
+        for organisation in list(self._claims_by_organisation):
+            self.grant(organisation)
+
     def grant_any(self, organisation: str) -> None:
         """
         Grant all claims that fit into the free credit, also out of order.
--- a/eelgrassfork/gateway/credit_keeper.py
+++ b/eelgrassfork/gateway/credit_keeper.py
@@ -160,7 +160,8 @@
             self._context,
             parts.is_first_start,
         )
-        sources = self._sources()
+        sources = self._make_sources()
+        self._sources = sources
         self.supply = make_supply(sources) if parts.shares_calls else None
         self.lender = Lender(
             LenderParts(
@@ -211,7 +212,7 @@
         self.held.record_demand(organisation, amount, trio.current_time())
         if self.supply is None:
             is_reserved = await reserve_alone(
-                self._sources(), organisation, amount
+                self._sources, organisation, amount
             )
         else:
             request = SupplyRequest(organisation, amount, priority, wait_s)
@@ -295,7 +296,7 @@
             self._ledger.observe(loan.ledger)
         return loan.ledger is not None
 
-    def _sources(self) -> CreditSources:
+    def _make_sources(self) -> CreditSources:
         return CreditSources(
             self.held,
             self._parts.is_keeper,
--- a/eelgrassfork/gateway/credit_supply.py
+++ b/eelgrassfork/gateway/credit_supply.py
@@ -153,11 +153,13 @@
             await step.obtain(missing, wanted)
         finally:
             self._may_grant = True
-        for organisation in missing:
-            self._queue.grant(organisation)
+        self._queue.grant_all()
 
     async def _wait_until_needed(self) -> None:
         while not (self._missing() or self._low):
+            # The claim in front may have left, or credit have become free
+            # while nothing could be granted.
+            self._queue.grant_all()
             with trio.move_on_at(self._next_end_of_shortage()):
                 await self._wake.wait()
             self._wake = trio.Event()
--- a/tests/test_gateway_credit_supply.py
+++ b/tests/test_gateway_credit_supply.py
@@ -44,7 +44,9 @@
             self.held.add(name, lent)
 
 
-def run(scenario, tokens=100_000, target=0, call_s=SLOW_CALL_S):
+def run(
+    scenario, tokens=100_000, target=0, call_s=SLOW_CALL_S, counts_free=bool
+):
     async def main():
         held = HeldCredit(half_life_s=6)
         source = Source(held, tokens, call_s)
@@ -149,6 +151,28 @@
         outcomes = run(scenario, tokens=700, call_s=0.01)
         self.assertEqual([False, True], sorted(outcomes))
 
+    def test_credit_that_arrives_while_the_ledger_is_asked_is_granted(self):
+        async def scenario(supply, source):
+            outcomes = []
+
+            async def wait():
+                outcomes.append(
+                    await supply.reserve(SupplyRequest('b', 500, 0, 2))
+                )
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    supply.reserve, SupplyRequest('a', 500, 0, WAIT_S)
+                )
+                await trio.sleep(0.1)
+                nursery.start_soon(wait)
+                await trio.sleep(0.1)
+                source.held.add('b', 500)
+            return outcomes
+
+        outcomes = run(scenario, tokens=0, counts_free=lambda: True)
+        self.assertEqual([True], outcomes)
+
     def test_cancelled_request_returns_what_was_granted_meanwhile(self):
         async def scenario(supply, source):
             with trio.CancelScope() as scope:
