--- a/tests/test_gateway_credit_supply.py
+++ b/tests/test_gateway_credit_supply.py
@@ -51,7 +51,11 @@
         held = HeldCredit(half_life_s=6)
         source = Source(held, tokens, call_s)
         supply = CreditSupply(
-            SupplyParts(held, (SupplyStep(source.obtain),), lambda name: target)
+            SupplyParts(
+                held,
+                (SupplyStep(source.obtain, counts_free),),
+                lambda name: target,
+            )
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(supply.run)
