gateway: the beginning of a large error page is no answer

Change: such a page counts as a failure of its server and is not relayed.

Evidence: the caller got 404 with 64 KiB before (test_gateway_exchange), 502 now; a page of 60 KB is relayed whole.

--- a/eelgrassfork/gateway/exchange.py
+++ b/eelgrassfork/gateway/exchange.py
@@ -255,6 +255,12 @@
 
     async def _read_body(self, attempt: Attempt, response: Response) -> bytes:
         body = await response.read()
+        if response.is_cut:
+            # A part of an answer must not look complete to the caller.
+            self._record_failure(attempt)
+            raise AttemptFailed(
+                'error_too_large', 'the error page is too large', not_run=False
+            )
         await self._check_end(attempt, response)
         start = body[:_STATUS_LINE_BYTES] + response.surplus
         if not _STATUS_LINE.match(start):
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -137,6 +137,26 @@
         self.assertEqual(503, results['r0'][0])
 
 
+class ErrorPageTests(testtools.TestCase):
+    """Error pages are read up to a bound."""
+
+    def play(self, size):
+        async def answer(exchange):
+            page = ok(exchange.request_id, b'x' * size)
+            await exchange.send(page.replace(b'200 OK', b'404 Not Found'))
+            return True
+
+        results, _ = play_orders(answer, count=1)
+        return results['r0']
+
+    def test_beginning_of_a_large_page_does_not_look_complete(self):
+        # The caller got the first 64 KiB with a length that fitted.
+        self.assertEqual(502, self.play(200_000)[0])
+
+    def test_page_within_the_bound_is_relayed_whole(self):
+        self.assertEqual((404, b'x' * 60_000), self.play(60_000))
+
+
 EVENT = b'id: 1\ndata: x\n\n'
 # Latin-1, UTF-8, and bytes that are invalid in UTF-8.
 ODD_VALUES = (b'caf\xe9', 'Ł😀'.encode(), b'\xff\xfe\x80')
