--- a/tests/simulated_callers.py
+++ b/tests/simulated_callers.py
@@ -141,6 +141,7 @@
 
     is_unframed = False
     surplus = b''
+    is_cut = False
 
     def __init__(self, headers):
         self.status = 200
