gateway: the link is measured only where the settings call for it

Cause, found by reading: the link was measured in all deployments, and heartbeats reported its delay there too, where busy routers compare themselves with others.

Change: without the part pressure in the settings the link counts as idle.

Evidence: the new test fails on the code before.

--- a/eelgrassfork/gateway/node.py
+++ b/eelgrassfork/gateway/node.py
@@ -125,7 +125,9 @@
         self._loop_delay = LoopDelayMonitor()
         sent_by_listener = self._account.sent_bytes_by_listener
         self._link = LinkMonitor(
-            lambda: sent_by_listener[_CALLERS], settings.link_mbps
+            lambda: sent_by_listener[_CALLERS],
+            # Other deployments are served as before, by heartbeats as well.
+            settings.link_mbps if settings.is_contended else 0,
         )
         self.telemetry.add_gauge(
             'link_utilisation',
--- a/tests/test_gateway_link_load.py
+++ b/tests/test_gateway_link_load.py
@@ -10,6 +10,7 @@
 
 from eelgrassfork.gateway.link_load import LinkMonitor
 
+from .gateway_world import run_world
 from .mock_clock import run
 
 LINK_MBPS = 5
@@ -50,3 +51,13 @@
             return monitor.utilisation
 
         self.assertGreater(run(main), 0.8)
+
+    def test_link_counts_only_where_the_settings_call_for_it(self):
+        # Heartbeats of other deployments reported the delay of the link.
+        async def scenario(world, nursery):
+            await trio.lowlevel.checkpoint()
+            world.node._link.add_request(10_000_000)
+            await trio.sleep(0.3)
+            return world.node._link.utilisation
+
+        self.assertEqual(0, run_world(scenario))
