--- /dev/null
+++ b/review/bed2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers of the second review; standard library only."""
