--- a/review/bed2/bed.py
+++ b/review/bed2/bed.py
@@ -26,7 +26,7 @@
 
 def free_port(ip: str = '127.0.0.1') -> int:
     """Return a port that was free just now, below the ephemeral range."""
-    for port in range(20000 + os.getpid() % 5000, 32000):
+    for port in range(20000 + os.getpid() * 50 % 10000, 32000):
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
@@ -612,11 +612,11 @@
 class Case:
     """Folder, record and routers of one run."""
 
-    def __init__(self, script: str) -> None:
+    def __init__(self, script: str, trouble: bool) -> None:
         self.folder = Path(script).resolve().parent
         self.record = Record(self.folder)
         self.temporary = Path(tempfile.mkdtemp(prefix='review-'))
-        self.trouble = os.environ.get('TROUBLE', '1') != '0'
+        self.trouble = trouble
         self.routers: list[Router] = []
         self.processes: list[subprocess.Popen] = []
 
@@ -684,16 +684,20 @@
             writer.transport.abort()
 
 
-def play(script: str, main, limit_s: float = 110) -> None:
-    """Run a case, and exit with 1, 0 or 2."""
-    case = Case(script)
+def play(script: str, main, trouble: bool, limit_s: float = 110) -> None:
+    """Run a case with or without its disruption, and exit with 1, 0 or 2."""
+    case = Case(script, trouble)
     words = {0: 'held', 1: 'broken', 2: 'could not run'}
 
     async def run() -> None:
         code = 2
+        task = asyncio.create_task(main(case))
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         try:
-            code = await asyncio.wait_for(main(case), limit_s)
-        except Exception:
+            code = await asyncio.wait_for(task, limit_s)
+        except (Exception, asyncio.CancelledError):
             case.record.write(f'the case could not run:\n{format_exc()}')
         finally:
             case.close()
