http_client: an answer is incomplete if a reset fails the sending

What callers saw: a backend server answers a large request early with a 200 without length, sends a part of the body and resets the connection while the router still sends the request. The caller got the part as a complete answer with 200, and a part of an error page as the whole page.

Cause: the kernel reports the error of a connection once, to the call that comes first. If that is the send of the request, the client dropped the error, since a server may answer before it has read a request. The next receive then returned the part and a normal end of the stream, which is the end of an answer without length or chunks. The new connection that proves that the server still runs proves nothing here, as it does run.

Change: a connection remembers that sending failed, and the end of its stream is then a lost connection. All answers are read there: of backend servers, the store, peers and engines. A reset after the server had ended its stream fails with EPIPE instead of ECONNRESET; such an answer is complete as before.

--- a/eelgrassfork/http_client.py
+++ b/eelgrassfork/http_client.py
@@ -15,7 +15,7 @@
 from .errors import EelgrassError
 from .memory_account import Account, Kind
 from .memory_policy import SMALL_BYTES, Share
-from .transport import TCP, Transport, is_readable
+from .transport import TCP, Transport, is_readable, was_reset_early
 
 __all__ = (
     'ClientRequest',
@@ -151,6 +151,7 @@
         self.idle_since = trio.current_time()
         self.keep_alive_s: float = math.inf
         self.fully_sent = True
+        self._broke_while_sending = False
         self.protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
         )
@@ -245,7 +246,10 @@
         try:
             for piece in pieces:
                 await self.stream.send_all(piece)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+        except trio.ClosedResourceError:
+            return
+        except trio.BrokenResourceError as error:
+            self._broke_while_sending = was_reset_early(error)
             return
         self.fully_sent = True
 
@@ -265,9 +269,14 @@
         while True:
             with trio.move_on_at(deadline.expires_at):
                 try:
-                    return bytes(await self.stream.receive_some(_RECEIVE_BYTES))
+                    received = await self.stream.receive_some(_RECEIVE_BYTES)
                 except (trio.BrokenResourceError, trio.ClosedResourceError):
                     raise _connection_lost('connection broke') from None
+                # The kernel reports an error of a connection only once.  After
+                # one that a send returned, the stream seems to end normally.
+                if self._broke_while_sending and not received:
+                    raise _connection_lost('connection broke')
+                return bytes(received)
             deadline.expire()
 
 
--- a/eelgrassfork/transport.py
+++ b/eelgrassfork/transport.py
@@ -30,6 +30,7 @@
     'is_readable',
     'queued_bytes',
     'send_some',
+    'was_reset_early',
 )
 
 _log = logbook.Logger('transport')
@@ -247,6 +248,19 @@
         borrowed.detach()
 
 
+def was_reset_early(error: trio.BrokenResourceError) -> bool:
+    """
+    Check whether a connection broke before the peer ended its stream.
+
+    :param error: the first error of the connection, raised while sending.
+    :returns: whether it did; ``True`` if unknown.
+    """
+    # A reset that follows the end of the peer's stream fails with EPIPE on
+    # Linux, any other one with ECONNRESET.
+    cause = error.__cause__
+    return not isinstance(cause, OSError) or cause.errno != errno.EPIPE
+
+
 async def _listen_tcp(host: str, port: int) -> BoundListeners:
     opened = await trio.open_tcp_listeners(port, host=host)
     listeners = [
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -14,6 +14,7 @@
 __all__ = ('Exchange', 'RawServer', 'add_raw_server', 'ok')
 
 _RECEIVE_BYTES = 65536
+_END_OF_HEAD = b'\r\n\r\n'
 
 
 class Exchange(NamedTuple):
@@ -109,14 +110,15 @@
 
 
 async def _receive_head(stream: trio.SocketStream) -> bytes:
-    # Requests have no body, and are not pipelined.
-    head = b''
-    while not head.endswith(b'\r\n\r\n'):
+    # Requests are not pipelined; a body is left unread, but for its beginning.
+    received = b''
+    while _END_OF_HEAD not in received:
         data = await stream.receive_some(_RECEIVE_BYTES)
         if not data:
             return b''
-        head += data
-    return head
+        received += data
+    head, _, _ = received.partition(_END_OF_HEAD)
+    return head + _END_OF_HEAD
 
 
 def _header(head: bytes, wanted: bytes) -> bytes:
--- /dev/null
+++ b/tests/test_gateway_broken_answers.py
@@ -0,0 +1,89 @@
+"""
+tests.test_gateway_broken_answers
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Guards against answers that a server broke off or garbled, and that callers
+take for whole and correct ones.
+"""
+
+import os
+import socket
+import struct
+
+import testtools
+import trio
+
+from .gateway_world import configuration, run_world
+from .raw_server import add_raw_server
+
+# Closes a connection with a reset.
+LINGER = struct.pack('ii', 1, 0)
+UPLOAD = b'x' * 4_000_000
+EVENTS = [b'id: %d\ndata: x\n\n' % number for number in range(1, 5)]
+
+
+def add_id(head, exchange):
+    """Insert the header with the id of the request after the status line."""
+    status_line, _, rest = head.partition(b'\r\n')
+    request_id = b'x-request-id: ' + exchange.request_id.encode()
+    return b'\r\n'.join((status_line, request_id, rest))
+
+
+def play(path, answer, others, **options):
+    """
+    Send requests until one of them has reached a raw server.
+
+    :param answer: of the raw server.
+    :param others: scripts of the other servers of the service.
+    :returns: status and body of the last answer.
+    """
+    service = 'model' if path.startswith(('/match', '/reply')) else 'plain'
+
+    async def scenario(world, nursery):
+        world.store.put('config', 'main', configuration(2))
+        raw = await add_raw_server(world, nursery, service, answer)
+        for number in range(30):
+            response, body = await world.call(path, f'r{number}', **options)
+            if raw.runs:
+                break
+        return response.status, body
+
+    return run_world(scenario, **{service: others})
+
+
+class ResetTests(testtools.TestCase):
+    """A reset breaks an answer off, also while the request is being sent."""
+
+    def play(self, path, head, part, others=()):
+        async def answer(exchange):
+            # The router fills the buffers of the connection, and waits.
+            await trio.sleep(0.05)
+            stream = exchange.stream
+            os.write(stream.socket.fileno(), add_id(head, exchange) + part)
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+            stream.socket.close()
+            return False
+
+        return play(path, answer, list(others), method='POST', body=UPLOAD)
+
+    def test_part_of_an_answer_is_not_relayed_as_the_whole(self):
+        # The caller got 200 and the part.
+        head = b'HTTP/1.1 200 OK\r\nx-response-seal: s\r\n\r\n'
+        self.assertEqual(502, self.play('/order/x', head, b'part')[0])
+
+    def test_part_of_an_error_page_is_not_relayed_as_the_whole(self):
+        head = b'HTTP/1.1 404 Not Found\r\n\r\n'
+        self.assertEqual(502, self.play('/order/x', head, b'part')[0])
+
+    def test_request_that_may_run_again_is_sent_elsewhere(self):
+        head = b'HTTP/1.1 200 OK\r\nx-response-seal: s\r\n\r\n'
+        outcome = self.play('/look/x', head, b'part', [['ok']])
+        self.assertEqual((200, b'i-0'), outcome)
+
+    def test_stream_is_resumed_elsewhere(self):
+        head = (
+            b'HTTP/1.1 200 OK\r\nx-response-seal: s\r\n'
+            b'content-type: text/event-stream\r\n\r\n'
+        )
+        outcome = self.play('/match/x', head, EVENTS[0], [['stream:4']])
+        self.assertEqual((200, b''.join(EVENTS)), outcome)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -5,6 +5,10 @@
 Guards against requests sent twice, and bytes read as the wrong response.
 """
 
+import os
+import socket
+import struct
+
 import testtools
 import trio
 
@@ -240,3 +244,45 @@
     def test_endless_chunk_extension_is_limited(self):
         head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;'
         self.assert_ends(endless(head, b'y' * 9000, 0), 'connection_lost')
+
+
+# Closes a connection with a reset.
+LINGER = struct.pack('ii', 1, 0)
+LARGE_BODY = b'x' * 4_000_000
+PART = b'HTTP/1.1 200 OK\r\n\r\npart'
+
+
+def answer_early(encoded, *, finish=False):
+    """Answer a large request and reset the connection in the same moment."""
+
+    async def play(server, stream, number):
+        await server.request(stream)
+        # The client fills the buffers of the connection, and waits.
+        await trio.sleep(0.05)
+        os.write(stream.socket.fileno(), encoded)
+        if finish:
+            stream.socket.shutdown(socket.SHUT_WR)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+        stream.socket.close()
+
+    return play
+
+
+async def upload(client, server, address):
+    return await fetch(client, address, body=LARGE_BODY)
+
+
+class EarlyAnswerTests(testtools.TestCase):
+    """The end of an answer is known while the request is being sent."""
+
+    def test_answer_that_is_reset_is_incomplete(self):
+        # The reset failed the sending only; the part that was received looked
+        # like the whole answer.
+        self.assertEqual('connection_lost', run(answer_early(PART), upload))
+
+    def test_framed_answer_before_a_reset_is_complete(self):
+        self.assertEqual(b'ok', run(answer_early(ANSWER), upload))
+
+    def test_answer_that_ended_before_the_reset_is_complete(self):
+        play = answer_early(PART, finish=True)
+        self.assertEqual(b'part', run(play, upload))
