http_client: a header name that begins with a blank or line feed is an error

What callers saw: an answer in whose head the name of a header begins with a space, a tab or a line feed reached them as 200: with that line at the end of the value before it, or with a body that was not the server's.

Cause: h11 accepts two obsolete forms. A line that begins with a blank continues the line before it, and a bare line feed after a line is the blank line that ends the head. In the first form the header disappears in another value, in the second one the rest of the head becomes the body. If the header was the length or the encoding, the body lasted until the end of the connection.

Change: the client checks the bytes of each head that it receives, also of interim responses and whatever pieces they arrive in, and treats both forms as a lost connection. All answers are read there. A server must not send folded lines, and a gateway may answer them with 502 (RFC 9112, 5.2). Heads whose lines end with a line feed only are read as before.

Evidence: each blank and control byte before, within and after a name (test_http_client).

--- a/eelgrassfork/http_client.py
+++ b/eelgrassfork/http_client.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import re
 from collections.abc import AsyncIterator, Callable
 from typing import Final, NamedTuple
 
@@ -47,6 +48,7 @@
 _CHUNKS_PER_TURN: Final = 32
 _ROOM_POLL_S: Final = 0.05
 _MAX_INFORMATIONAL: Final = 16
+_FOLDED_LINE: Final = re.compile(rb'\n[ \t]')
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 _FRAMING_HEADERS: Final = frozenset(('content-length', 'transfer-encoding'))
 _BODILESS_METHODS: Final = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
@@ -176,7 +178,9 @@
         is_fresh = idle_s <= min(max_idle_s, self.keep_alive_s)
         return is_fresh and not is_readable(self.stream)
 
-    async def next_event(self, deadline: _Deadline) -> object:
+    async def next_event(
+        self, deadline: _Deadline, received: bytearray | None = None
+    ) -> object:
         while True:
             try:
                 event = self.protocol.next_event()
@@ -186,7 +190,10 @@
                 ) from None
             if event is not h11.NEED_DATA:
                 return event
-            self.protocol.receive_data(await self._receive(deadline))
+            encoded = await self._receive(deadline)
+            if received is not None:
+                received += encoded
+            self.protocol.receive_data(encoded)
 
     async def close(self) -> None:
         with trio.CancelScope(shield=True):
@@ -255,8 +262,13 @@
 
     async def _receive_head(self, bounds: ClientTimeouts) -> h11.Response:
         deadline = _Deadline(bounds.first_byte_s, bounds.should_time_out)
+        received = bytearray()
         for _ in range(_MAX_INFORMATIONAL):
-            event = await self.next_event(deadline)
+            event = await self.next_event(deadline, received)
+            unparsed = len(self.protocol.trailing_data[0])
+            head_size = len(received) - unparsed
+            _check_lines(bytes(received[:head_size]))
+            del received[:head_size]
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
@@ -280,6 +292,16 @@
             deadline.expire()
 
 
+def _check_lines(head: bytes) -> None:
+    # h11 joins a line that begins with a blank to the line before, and takes a
+    # bare line feed for the end of the head.  A header whose name begins with
+    # such a byte would disappear, and with it the length of the body.
+    if _FOLDED_LINE.search(head):
+        raise _connection_lost('invalid HTTP response: folded header line')
+    if head.endswith(b'\r\n\n'):
+        raise _connection_lost('invalid HTTP response: line feed after CRLF')
+
+
 def _parse_keep_alive(keep_alive: str) -> float:
     for option in keep_alive.split(','):
         name, _, seconds = option.strip().partition('=')
--- a/tests/test_gateway_broken_answers.py
+++ b/tests/test_gateway_broken_answers.py
@@ -87,3 +87,51 @@
         )
         outcome = self.play('/match/x', head, EVENTS[0], [['stream:4']])
         self.assertEqual((200, b''.join(EVENTS)), outcome)
+
+
+# Malformed lines and, for some, the framing that they hide from the client.
+MALFORMED_LINES = (
+    b' x-odd: 1\r\ncontent-length: 2',
+    b'\tx-odd: 1\r\ncontent-length: 2',
+    b'\nx-odd: 1\r\ncontent-length: 2',
+    b'x odd: 1\r\ncontent-length: 2',
+    b'x-odd : 1\r\ncontent-length: 2',
+    b'x-\x01odd: 1\r\ncontent-length: 2',
+    b'x-odd\x00: 1\r\ncontent-length: 2',
+    b' content-length: 2',
+    b'\ncontent-length: 2',
+    b'content-length : 2',
+    b' transfer-encoding: chunked',
+    b'\ntransfer-encoding: chunked',
+)
+MALFORMED_HEAD = b'HTTP/1.1 200 OK\r\nx-response-seal: s\r\n%b\r\n\r\n'
+
+
+class MalformedHeadTests(testtools.TestCase):
+    """A head with a malformed line is no answer."""
+
+    def play(self, path, line, others=()):
+        async def answer(exchange):
+            head = add_id(MALFORMED_HEAD % line, exchange)
+            chunked = b'chunked' in line
+            body = b'2\r\nok\r\n0\r\n\r\n' if chunked else b'ok'
+            await exchange.send(head + body)
+            return False
+
+        return play(path, answer, list(others))
+
+    def test_answer_with_a_malformed_name_is_not_relayed(self):
+        # The caller got 200, with the line in the value before it, or with the
+        # rest of the head or the lines between the chunks as the body.
+        answers = {
+            line: self.play('/order/x', line) for line in MALFORMED_LINES
+        }
+        self.assertEqual(
+            dict.fromkeys(MALFORMED_LINES, 502),
+            {line: status for line, (status, _) in answers.items()},
+        )
+
+    def test_request_that_may_run_again_is_sent_elsewhere(self):
+        for line in MALFORMED_LINES[:3]:
+            outcome = self.play('/look/x', line, [['ok']])
+            self.assertEqual((200, b'i-0'), outcome, line)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -286,3 +286,85 @@
     def test_answer_that_ended_before_the_reset_is_complete(self):
         play = answer_early(PART, finish=True)
         self.assertEqual(b'part', run(play, upload))
+
+
+BLANKS_AND_CONTROLS = [bytes([code]) for code in (*range(0x21), 0x7F)]
+FIELD = b'HTTP/1.1 200 OK\r\nX-First: 1\r\n%b: 2\r\nContent-Length: 2\r\n\r\nok'
+LENGTH = b'HTTP/1.1 200 OK\r\nX-First: 1\r\n%b: 2\r\n\r\nok'
+CHUNKS = (
+    b'HTTP/1.1 200 OK\r\nX-First: 1\r\n%b: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+)
+INTERIM = b'HTTP/1.1 103 Early Hints\r\nX-First: 1\r\n%b: 2\r\n\r\n' + ANSWER
+
+
+def malformed_names(name):
+    """Insert a blank or a control byte before, into and after a name."""
+    for odd in BLANKS_AND_CONTROLS:
+        yield odd + name
+        yield name[:3] + odd + name[3:]
+        yield name + odd
+
+
+def answer_in_turn(answers, size=65536):
+    """Send each answer on a connection of its own, in pieces of some size."""
+
+    async def play(server, stream, number):
+        await server.request(stream)
+        encoded = answers[number - 1]
+        for start in range(0, len(encoded), size):
+            await stream.send_all(encoded[start : start + size])
+
+    return play
+
+
+class HeadTests(testtools.TestCase):
+    """Heads are read as the server meant them, or not at all."""
+
+    def play(self, answers, **options):
+        async def scenario(client, server, address):
+            return [await fetch(client, address) for _ in answers]
+
+        return run(answer_in_turn(answers, **options), scenario)
+
+    def check(self, head, name, **options):
+        answers = [head % malformed for malformed in malformed_names(name)]
+        bodies = self.play(answers, **options)
+        read = {
+            answer: body
+            for answer, body in zip(answers, bodies, strict=True)
+            if body != 'connection_lost'
+        }
+        self.assertEqual({}, read)
+
+    def test_name_with_a_blank_or_control_byte_is_no_answer(self):
+        # The line was passed on as a part of the value before it, or the head
+        # ended there and the rest of it became the body.
+        self.check(FIELD, b'X-Odd')
+
+    def test_names_of_a_head_in_pieces_are_checked(self):
+        self.check(FIELD, b'X-Odd', size=1)
+
+    def test_malformed_length_does_not_change_the_body(self):
+        # The body lasted until the end of the connection.
+        self.check(LENGTH, b'Content-Length')
+
+    def test_malformed_encoding_does_not_change_the_body(self):
+        # The lines between the chunks were passed on.
+        self.check(CHUNKS, b'Transfer-Encoding')
+
+    def test_names_of_interim_responses_are_checked(self):
+        self.check(INTERIM, b'X-Odd')
+
+    def test_lines_of_bodies_are_not_taken_for_fields(self):
+        body = b'\n a: b\nc d: e\r\n\tf: g\n\n'
+        length = b'Content-Length: %d\r\n\r\n' % len(body)
+        answer = ANSWER.replace(b'Content-Length: 2\r\n\r\nok', length + body)
+        interim = b'HTTP/1.1 103 Early Hints\r\n\r\n'
+        answers = [answer, interim + answer, interim * 2 + answer]
+        self.assertEqual([body] * 3, self.play(answers))
+        self.assertEqual([body] * 3, self.play(answers, size=1))
+
+    def test_lines_may_end_with_a_line_feed_only(self):
+        for count in (1, 3):
+            answer = ANSWER.replace(b'\r\n', b'\n', count)
+            self.assertEqual([b'ok'], self.play([answer]), answer)
