tests: an answer with a status below 100 is no answer

Operators of similar systems saw an answer with status 000 reach the caller. That is handled here: h11 refuses such a status as one of an interim response, which the client turns into a lost connection.

With and without a length, at once and after an interim response, a request that may run once only gets 502, and another one is sent elsewhere. No other code is changed.

--- a/tests/test_gateway_broken_answers.py
+++ b/tests/test_gateway_broken_answers.py
@@ -135,3 +135,26 @@
         for line in MALFORMED_LINES[:3]:
             outcome = self.play('/look/x', line, [['ok']])
             self.assertEqual((200, b'i-0'), outcome, line)
+
+
+class InvalidStatusTests(testtools.TestCase):
+    """An answer with a status below 100 is no answer."""
+
+    def play(self, path, status, others=(), framing=b'content-length: 2\r\n'):
+        async def answer(exchange):
+            head = b'HTTP/1.1 %b\r\nx-response-seal: s\r\n%b\r\n'
+            encoded = add_id(head % (status, framing), exchange)
+            await exchange.send(encoded + b'ok')
+            return False
+
+        return play(path, answer, list(others))
+
+    def test_answer_is_not_relayed(self):
+        for status in (b'000', b'000 OK', b'001 OK', b'099 OK'):
+            for framing in (b'content-length: 2\r\n', b''):
+                outcome = self.play('/order/x', status, framing=framing)
+                self.assertEqual(502, outcome[0], (status, framing))
+
+    def test_request_that_may_run_again_is_sent_elsewhere(self):
+        outcome = self.play('/look/x', b'000 OK', [['ok']])
+        self.assertEqual((200, b'i-0'), outcome)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -368,3 +368,13 @@
         for count in (1, 3):
             answer = ANSWER.replace(b'\r\n', b'\n', count)
             self.assertEqual([b'ok'], self.play([answer]), answer)
+
+    def test_status_below_100_is_no_answer(self):
+        for status in (b'000', b'001', b'099'):
+            answers = [
+                ANSWER.replace(b'200', status),
+                b'HTTP/1.1 %b\r\n\r\nok' % status,
+                b'HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 %b\r\n\r\n' % status,
+            ]
+            codes = self.play(answers)
+            self.assertEqual(['connection_lost'] * 3, codes, status)
