tests: a whole answer before the end of a request is delivered

A client that takes each failed or unfinished sending for a broken answer would pass the tests of the reset, and lose whole answers of servers that answer early. The new tests send a request of 4 MB through a router to a server that answers before it reads the body: with a length or chunks and a connection that stays open, ends or is reset after its end; without them, as 200, 413 and as a stream that may not be resumed, with each way to end.

Two fixes that are too strict fail two of the three tests: one that drops was_reset_early, and one that takes the end of each answer to an unfinished request for a lost connection.

--- a/tests/test_gateway_broken_answers.py
+++ b/tests/test_gateway_broken_answers.py
@@ -89,6 +89,74 @@
         self.assertEqual((200, b''.join(EVENTS)), outcome)
 
 
+async def keep_open(stream):
+    """Leave the rest of the request unread, and the connection open."""
+    await trio.sleep_forever()
+
+
+async def end_unread(stream):
+    """End the answer, and leave the rest of the request unread."""
+    await stream.send_eof()
+    await trio.sleep_forever()
+
+
+async def end_and_drain(stream):
+    """End the answer, and read until the router closes the connection."""
+    await stream.send_eof()
+    while await stream.receive_some():
+        continue
+
+
+async def end_and_reset(stream):
+    """End the answer, and refuse the rest of the request."""
+    stream.socket.shutdown(socket.SHUT_WR)
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+    stream.socket.close()
+
+
+LENGTH = b'content-length: 5\r\n'
+CHUNKED = b'transfer-encoding: chunked\r\n'
+ENDINGS = (end_unread, end_and_drain, end_and_reset)
+
+
+class EarlyAnswerTests(testtools.TestCase):
+    """A whole answer is delivered though its server has not read the request."""
+
+    def play(self, path, status, framing, body, ending):
+        async def answer(exchange):
+            await trio.sleep(0.05)
+            head = b'HTTP/1.1 %b\r\nx-response-seal: s\r\n%b\r\n'
+            encoded = add_id(head % (status, framing), exchange) + body
+            os.write(exchange.stream.socket.fileno(), encoded)
+            await ending(exchange.stream)
+            return False
+
+        return play(path, answer, [], method='POST', body=UPLOAD)
+
+    def test_answer_with_a_length_or_chunks_is_delivered(self):
+        chunks = b'5\r\nwhole\r\n0\r\n\r\n'
+        for framing, body in ((LENGTH, b'whole'), (CHUNKED, chunks)):
+            for ending in (keep_open, *ENDINGS):
+                outcome = self.play(
+                    '/order/x', b'200 OK', framing, body, ending
+                )
+                self.assertEqual((200, b'whole'), outcome, (framing, ending))
+
+    def test_answer_that_ends_with_its_connection_is_delivered(self):
+        for status in (b'200 OK', b'413 Content Too Large'):
+            for ending in ENDINGS:
+                outcome = self.play('/order/x', status, b'', b'whole', ending)
+                expected = (int(status[:3]), b'whole')
+                self.assertEqual(expected, outcome, ending)
+
+    def test_stream_that_ends_with_its_connection_is_delivered(self):
+        kind = b'content-type: text/event-stream\r\n'
+        events = b''.join(EVENTS)
+        for ending in ENDINGS:
+            outcome = self.play('/reply/x', b'200 OK', kind, events, ending)
+            self.assertEqual((200, events), outcome, ending)
+
+
 # Malformed lines and, for some, the framing that they hide from the client.
 MALFORMED_LINES = (
     b' x-odd: 1\r\ncontent-length: 2',
