--- a/review/lib3/harness.py
+++ b/review/lib3/harness.py
@@ -70,6 +70,8 @@
         self.oldest = 0
         self.changed = asyncio.Event()
         self.available = True
+        # Called with kind, former and new content after each write of a router.
+        self.on_write = None
         self._server = None
         self._writers = set()
 
@@ -212,7 +214,10 @@
             return 409, known
         if known['spec'] == document['spec']:
             return 200, known
-        return 200, self.put(kind, name, document['spec'])
+        stored = self.put(kind, name, document['spec'])
+        if self.on_write is not None:
+            self.on_write(kind, known['spec'], stored['spec'])
+        return 200, stored
 
 
 class Replica:
@@ -586,6 +591,11 @@
     routers = []
 
     async def main():
+        # A script that is stopped ends what it started, too.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         try:
             held = await asyncio.wait_for(
                 case(record, scratch, routers), limit_s
@@ -597,6 +607,9 @@
         except asyncio.TimeoutError:
             record.write('not run: the case took too long')
             return NOT_RUN
+        except asyncio.CancelledError:
+            record.write('not run: the case was stopped')
+            return NOT_RUN
         finally:
             for router in routers:
                 await router.end()
